Set down the workspace, the core types and the design page

Folders, identifier aliases, the sorted map, the timer service, the outcome types, the catalog and the messages between coordinator and owner.

--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Backend server stand-in and load tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/fireflyspool/src/backend/cancel_state.rs
@@ -0,0 +1,13 @@
+//! Result of a cancellation.
+
+/// What a backend server says of an attempt that it was asked to cancel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum CancelState {
+    /// It no longer runs.
+    Cancelled,
+    /// It had ended before.
+    Finished,
+    /// The backend server does not know it.
+    Unknown,
+}
--- /dev/null
+++ b/crates/fireflyspool/src/dispatch/failure_cause.rs
@@ -0,0 +1,19 @@
+//! Causes for which a sub-request failed.
+
+/// Why a sub-request that may have run gave no usable answer.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum FailureCause {
+    /// The connection to the backend server broke.
+    Reset,
+    /// The deadline passed.
+    Timeout,
+    /// The backend server answered with an error or something that does not fit.
+    BadReply,
+    /// It was cancelled while it ran.
+    Cancelled,
+    /// The owner could not be reached or did not answer.
+    OwnerLost,
+}
--- /dev/null
+++ b/crates/fireflyspool/src/ids.rs
@@ -0,0 +1,59 @@
+//! Identifiers as type aliases.
+//!
+//! The house style prefers aliases to newtypes. The compiler does not catch
+//! two aliases that were swapped, so signatures take at most one identifier of
+//! a kind where they can and name their parameters in full.
+
+/// Number of a VM of the tier, unique in a site and given by its settings.
+pub type NodeId = u64;
+
+/// Random number drawn once by a process or data folder; a new one means a new life.
+pub type Incarnation = u64;
+
+/// Name of a backend server.
+pub type ServerName = String;
+
+/// Name of an availability zone.
+pub type ZoneName = String;
+
+/// Name of a service that reads collections.
+pub type ServiceName = String;
+
+/// Name of a searchable collection.
+pub type CollectionName = String;
+
+/// Name of an operator who issues commands.
+pub type OperatorName = String;
+
+/// Number that an operator gives to a command.
+pub type CommandNumber = u64;
+
+/// Identifier that a caller gives to a request.
+pub type RequestId = String;
+
+/// Version of the index of a collection.
+pub type IndexVersion = u64;
+
+/// Number of a shard, from zero.
+pub type ShardNumber = u32;
+
+/// Count of accepted changes of the catalog.
+pub type Revision = u64;
+
+/// Election term of the replicated log.
+pub type Term = u64;
+
+/// Position in the replicated log; the first entry has index 1.
+pub type LogIndex = u64;
+
+/// Number of a sub-request, unique within one entry VM's incarnation.
+pub type SubRequestId = u64;
+
+/// Number of an attempt at a backend server, unique within one owner's incarnation.
+pub type AttemptId = u64;
+
+/// Hash of the content of a request.
+pub type Fingerprint = u64;
+
+/// Correlates an answer of the control thread with the request that waits for it.
+pub type Ticket = u64;
--- /dev/null
+++ b/crates/fireflyspool/src/lib.rs
@@ -0,0 +1,23 @@
+//! A query tier over many shards.
+//!
+//! fireflyspool stands between callers and the backend servers that hold the
+//! shards of a searchable collection. A query passes these modules in order:
+//! `rim` (the listener), `admission`, `plan`, `gather` on the entry VM
+//! that the caller reached, then [`dispatch`] on the entry VM that owns the
+//! chosen backend server, and back.
+//!
+//! A command passes `rim`, `control`, `consensus`, [`state`] and is then
+//! published to every entry VM as a [`view::View`].
+//!
+//! Decision modules are state machines without sockets, files, clocks, threads
+//! or random sources: an event and the current time go in, actions come out.
+//! `docs/design.md` explains the reasons.
+
+pub mod backend;
+pub mod dispatch;
+pub mod ids;
+pub mod outcome;
+pub mod sorted;
+pub mod state;
+pub mod timer;
+pub mod view;
--- /dev/null
+++ b/crates/fireflyspool/src/main.rs
@@ -0,0 +1,3 @@
+//! The fireflyspool command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/fireflyspool/src/outcome/coverage.rs
@@ -0,0 +1,33 @@
+//! Shards covered and missing.
+
+use crate::ids;
+
+/// Exact coverage of an answer, counted against the shard map of the index version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Coverage {
+    /// Shards whose answers are merged, ascending.
+    pub covered: Vec<ids::ShardNumber>,
+    /// Shards of the shard map that did not answer, ascending.
+    pub missing: Vec<ids::ShardNumber>,
+}
+
+impl Coverage {
+    /// Whether no shard is missing.
+    pub fn is_complete(&self) -> bool {
+        self.missing.is_empty()
+    }
+
+    /// Number of shards in the shard map.
+    pub fn total(&self) -> usize {
+        self.covered.len() + self.missing.len()
+    }
+
+    /// Covered share in percent, rounded down; 100 only if nothing is missing.
+    pub fn percent(&self) -> u8 {
+        if self.missing.is_empty() {
+            return 100;
+        }
+        let share = self.covered.len() * 100 / self.total();
+        u8::try_from(share).unwrap_or(99).min(99)
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/state/collection.rs
@@ -0,0 +1,12 @@
+//! A searchable collection.
+
+use crate::{ids, sorted};
+
+/// Shard maps and readers of a collection.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Collection {
+    /// Number of shards of each index version in use.
+    pub versions: sorted::SortedMap<ids::IndexVersion, u32>,
+    /// Services that read it, ascending.
+    pub services: Vec<ids::ServiceName>,
+}
--- /dev/null
+++ b/crates/fireflyspool/src/state/revision_record.rs
@@ -0,0 +1,16 @@
+//! History of accepted changes.
+
+use crate::{ids, state};
+
+/// Accepted change with the operator who asked for it.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct RevisionRecord {
+    /// Revision that the change led to.
+    pub revision: ids::Revision,
+    /// Operator who asked for it.
+    pub operator: ids::OperatorName,
+    /// Number that the operator gave to the command.
+    pub number: ids::CommandNumber,
+    /// The change.
+    pub change: state::Change,
+}
--- /dev/null
+++ b/crates/fireflyspool/src/timer/timer_service.rs
@@ -0,0 +1,112 @@
+//! The thread that waits for the earliest deadline.
+
+use std::{sync, thread, time};
+
+use crate::{sorted, timer};
+
+type Callback = Box<dyn FnOnce() + Send>;
+
+#[derive(Default)]
+struct Pending {
+    callbacks: sorted::SortedMap<timer::TimerToken, Callback>,
+    sequence: u64,
+    stopped: bool,
+}
+
+#[derive(Default)]
+struct Shared {
+    pending: sync::Mutex<Pending>,
+    changed: sync::Condvar,
+}
+
+impl Shared {
+    fn lock(&self) -> sync::MutexGuard<'_, Pending> {
+        // A callback runs outside the lock, so a poisoned lock still holds consistent data.
+        self.pending
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+/// Calls subscribers back at their deadlines.
+///
+/// Cloning is cheap; all clones share one thread. The thread ends when
+/// [`TimerService::stop`] is called.
+#[derive(Clone)]
+pub struct TimerService {
+    shared: sync::Arc<Shared>,
+}
+
+impl TimerService {
+    /// Starts the timer thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if no thread can be started.
+    pub fn start() -> std::io::Result<Self> {
+        let shared = sync::Arc::new(Shared::default());
+        let worker = sync::Arc::clone(&shared);
+        thread::Builder::new()
+            .name("timer".to_owned())
+            .spawn(move || run(&worker))?;
+        Ok(Self { shared })
+    }
+
+    /// Subscribes a callback to a deadline.
+    ///
+    /// The callback runs on the timer thread and must not block.
+    pub fn subscribe(
+        &self,
+        deadline: time::Instant,
+        callback: impl FnOnce() + Send + 'static,
+    ) -> timer::TimerToken {
+        let mut pending = self.shared.lock();
+        pending.sequence += 1;
+        let token = timer::TimerToken {
+            deadline,
+            sequence: pending.sequence,
+        };
+        pending.callbacks.insert(token, Box::new(callback));
+        drop(pending);
+        self.shared.changed.notify_one();
+        token
+    }
+
+    /// Cancels a subscription; returns whether it was still pending.
+    pub fn cancel(&self, token: timer::TimerToken) -> bool {
+        self.shared.lock().callbacks.remove(&token).is_some()
+    }
+
+    /// Ends the timer thread; pending callbacks are dropped.
+    pub fn stop(&self) {
+        self.shared.lock().stopped = true;
+        self.shared.changed.notify_one();
+    }
+}
+
+fn run(shared: &Shared) {
+    let mut pending = shared.lock();
+    while !pending.stopped {
+        let now = time::Instant::now();
+        let next = pending.callbacks.first().map(|(token, _)| token.deadline);
+        pending = match next {
+            Some(deadline) if deadline <= now => {
+                let due = pending.callbacks.pop_first();
+                drop(pending);
+                if let Some((_, callback)) = due {
+                    callback();
+                }
+                shared.lock()
+            }
+            Some(deadline) => {
+                let wait = deadline - now;
+                let woken = shared.changed.wait_timeout(pending, wait);
+                woken.unwrap_or_else(sync::PoisonError::into_inner).0
+            }
+            None => {
+                let woken = shared.changed.wait(pending);
+                woken.unwrap_or_else(sync::PoisonError::into_inner)
+            }
+        };
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/view/member.rs
@@ -0,0 +1,24 @@
+//! An entry VM as the roster knows it.
+
+use std::net;
+
+use crate::ids;
+
+/// Live entry VM.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Member {
+    /// Number of the VM.
+    pub node: ids::NodeId,
+    /// Incarnation of its process.
+    pub incarnation: ids::Incarnation,
+    /// Availability zone it stands in.
+    pub zone: ids::ZoneName,
+    /// Address for callers.
+    pub http: net::SocketAddr,
+    /// Address for other processes of the tier.
+    pub rpc: net::SocketAddr,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+    /// Share of its capacity in use, in permille.
+    pub load: u32,
+}
