--- /dev/null
+++ b/crates/fireflyspool/src/hashing/stable_hasher.rs
@@ -0,0 +1,57 @@
+//! The 64-bit FNV-1a hash with a final mix.
+
+const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Incremental hash of byte strings.
+///
+/// ```
+/// use fireflyspool::hashing;
+///
+/// let one = hashing::StableHasher::new().text("a").text("bc").finish();
+/// let two = hashing::StableHasher::new().text("ab").text("c").finish();
+/// assert_ne!(one, two);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct StableHasher(u64);
+
+impl Default for StableHasher {
+    fn default() -> Self {
+        Self(OFFSET)
+    }
+}
+
+impl StableHasher {
+    /// An empty hash.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a text and its length, so that the border between two texts counts.
+    #[must_use]
+    pub fn text(self, text: &str) -> Self {
+        let hashed = text.bytes().fold(self, Self::byte);
+        hashed.number(text.len() as u64)
+    }
+
+    /// Adds a number.
+    #[must_use]
+    pub fn number(self, number: u64) -> Self {
+        number.to_le_bytes().into_iter().fold(self, Self::byte)
+    }
+
+    /// The hash of everything added.
+    ///
+    /// FNV-1a alone spreads short inputs badly over its high bits, which
+    /// rendezvous hashing compares first, so the result is mixed once more.
+    pub fn finish(self) -> u64 {
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    fn byte(self, byte: u8) -> Self {
+        Self((self.0 ^ u64::from(byte)).wrapping_mul(PRIME))
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/language/mod.rs
@@ -0,0 +1,27 @@
+//! The language of queries and commands.
+//!
+//! One statement is one line of text. [`parse`] turns it into a [`Statement`]
+//! or a [`ParseError`] that names the column and what was expected there. The
+//! grammar stands in `docs/operations.md`. Parsing decides nothing: whether a
+//! collection exists or a revision fits is decided where the state is.
+
+mod command_parser;
+mod command_statement;
+mod lexical;
+mod order;
+mod parse_error;
+mod parser;
+mod search_parser;
+mod search_statement;
+mod show;
+mod statement;
+mod submit_statement;
+
+pub use command_statement::CommandStatement;
+pub use order::Order;
+pub use parse_error::ParseError;
+pub use parser::parse;
+pub use search_statement::SearchStatement;
+pub use show::Show;
+pub use statement::Statement;
+pub use submit_statement::SubmitStatement;
--- /dev/null
+++ b/crates/fireflyspool/src/language/statement.rs
@@ -0,0 +1,16 @@
+//! Any statement.
+
+use crate::language;
+
+/// Parsed statement.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Statement {
+    /// Searches a collection.
+    Search(language::SearchStatement),
+    /// Submits a non-idempotent request.
+    Submit(language::SubmitStatement),
+    /// Changes the control state.
+    Command(language::CommandStatement),
+    /// Shows part of the state.
+    Show(language::Show),
+}
--- a/crates/fireflyspool/src/lib.rs
+++ b/crates/fireflyspool/src/lib.rs
@@ -14,10 +14,16 @@
 //! `docs/design.md` explains the reasons.
 
 pub mod backend;
+pub mod directory;
 pub mod dispatch;
+pub mod hashing;
 pub mod ids;
+pub mod language;
 pub mod outcome;
+pub mod settings;
+pub mod shutdown;
 pub mod sorted;
 pub mod state;
+pub mod telemetry;
 pub mod timer;
 pub mod view;
--- /dev/null
+++ b/crates/fireflyspool/src/settings/fault.rs
@@ -0,0 +1,18 @@
+//! One fault in a settings file.
+
+use std::fmt;
+
+/// Path of a key and what is wrong there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Path of the key, such as `control[1].rpc`.
+    pub path: String,
+    /// What is wrong, and what was expected.
+    pub message: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.message)
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/shutdown/serving.rs
@@ -0,0 +1,5 @@
+//! Phase before a shutdown.
+
+/// Normal work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Serving;
--- /dev/null
+++ b/crates/fireflyspool/src/telemetry/metrics.rs
@@ -0,0 +1,126 @@
+//! Metrics of one process.
+
+use std::sync::atomic;
+
+use prometheus_client::{
+    encoding::text,
+    metrics::{counter, family, gauge, histogram},
+    registry,
+};
+
+/// Upper bounds of the latency buckets in seconds.
+const LATENCY_BUCKETS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.04, 0.078, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 10.0,
+];
+
+/// Label set with one label.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, prometheus_client::encoding::EncodeLabelSet)]
+pub struct Label {
+    /// Value that tells the series apart.
+    pub name: String,
+}
+
+type Counters = family::Family<Label, counter::Counter>;
+type Gauges = family::Family<Label, gauge::Gauge<i64, atomic::AtomicI64>>;
+type Latencies = family::Family<Label, histogram::Histogram, fn() -> histogram::Histogram>;
+
+/// All metrics, with their registry.
+pub struct Metrics {
+    registry: registry::Registry,
+    /// Finished requests by outcome.
+    pub outcomes: Counters,
+    /// Refused requests by reason.
+    pub refusals: Counters,
+    /// Time from receipt to outcome by kind.
+    pub latency: Latencies,
+    /// Sub-requests sent to owners by cause: first, hedge or retry.
+    pub subrequests: Counters,
+    /// Attempts sent to backend servers by end.
+    pub attempts: Counters,
+    /// State of the tier by name: revision, lease, members, servers and others.
+    pub state: Gauges,
+    /// Log lines dropped because the queue was full.
+    pub dropped_lines: gauge::Gauge<i64, atomic::AtomicI64>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = registry::Registry::with_prefix("fireflyspool");
+        let outcomes = Counters::default();
+        registry.register("requests", "Finished requests by outcome", outcomes.clone());
+        let refusals = Counters::default();
+        registry.register("refusals", "Refused requests by reason", refusals.clone());
+        let latency =
+            Latencies::new_with_constructor(|| histogram::Histogram::new(LATENCY_BUCKETS));
+        registry.register_with_unit(
+            "request_duration",
+            "Time from receipt to outcome by kind",
+            registry::Unit::Seconds,
+            latency.clone(),
+        );
+        let subrequests = Counters::default();
+        registry.register("subrequests", "Sub-requests by cause", subrequests.clone());
+        let attempts = Counters::default();
+        registry.register(
+            "attempts",
+            "Attempts at backend servers by end",
+            attempts.clone(),
+        );
+        let state = Gauges::default();
+        registry.register("state", "State of this process by name", state.clone());
+        let dropped_lines = gauge::Gauge::default();
+        registry.register(
+            "dropped_log_lines",
+            "Log lines dropped",
+            dropped_lines.clone(),
+        );
+        Self {
+            registry,
+            outcomes,
+            refusals,
+            latency,
+            subrequests,
+            attempts,
+            state,
+            dropped_lines,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts one event of a family.
+    pub fn count(family: &Counters, name: &str) {
+        family
+            .get_or_create(&Label {
+                name: name.to_owned(),
+            })
+            .inc();
+    }
+
+    /// Sets one gauge of the state family.
+    pub fn set_state(&self, name: &str, value: i64) {
+        self.state
+            .get_or_create(&Label {
+                name: name.to_owned(),
+            })
+            .set(value);
+    }
+
+    /// Records a latency.
+    pub fn observe(&self, kind: &str, elapsed: std::time::Duration) {
+        let label = Label {
+            name: kind.to_owned(),
+        };
+        self.latency
+            .get_or_create(&label)
+            .observe(elapsed.as_secs_f64());
+    }
+
+    /// All metrics in the OpenMetrics text format.
+    pub fn encode(&self) -> String {
+        let mut buffer = String::new();
+        // Writing into a string does not fail.
+        let _ = text::encode(&mut buffer, &self.registry);
+        buffer
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/telemetry/mod.rs
@@ -0,0 +1,13 @@
+//! Logs and metrics.
+//!
+//! Logs are JSON lines on standard output, written by a thread of their own
+//! from a bounded queue. A full queue drops lines and counts them: a slow
+//! reader of the log must not slow down queries.
+
+mod log_level;
+mod logger;
+mod metrics;
+
+pub use log_level::LogLevel;
+pub use logger::{DroppedLines, start_logger};
+pub use metrics::Metrics;
