--- /dev/null
+++ b/crates/fireflyspool/src/consensus/entry.rs
@@ -0,0 +1,14 @@
+//! Entry of the replicated log.
+
+use crate::{consensus, ids};
+
+/// Entry at one position of the log.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Entry {
+    /// Position, from 1.
+    pub index: ids::LogIndex,
+    /// Term of the leader that created it.
+    pub term: ids::Term,
+    /// Content.
+    pub content: consensus::Content,
+}
--- /dev/null
+++ b/crates/fireflyspool/src/consensus/leader.rs
@@ -0,0 +1,185 @@
+//! Leader state.
+
+use std::time;
+
+use crate::{consensus, ids, sorted};
+
+/// State of a participant that leads.
+#[derive(Debug)]
+pub(super) struct Leader {
+    /// When the election was won; send times in messages count from here.
+    pub(super) elected: time::Instant,
+    /// First entry of the term; earlier entries are committed with it, not by count.
+    pub(super) first_index: ids::LogIndex,
+    pub(super) followers: sorted::SortedMap<ids::NodeId, consensus::progress::Progress>,
+}
+
+impl Leader {
+    pub(super) fn new(core: &consensus::core::Core, now: time::Instant) -> Self {
+        Self {
+            elected: now,
+            first_index: core.log.last_index() + 1,
+            followers: sorted::SortedMap::new(),
+        }
+    }
+
+    /// Latest time since which a majority has acknowledged this leader.
+    pub(super) fn supported_at(
+        &self,
+        core: &consensus::core::Core,
+        now: time::Instant,
+    ) -> Option<time::Instant> {
+        let members = core.log.members();
+        let support = |node: ids::NodeId| {
+            if node == core.config.node {
+                return Some(now);
+            }
+            self.followers.get(&node)?.acknowledged
+        };
+        let mut times: Vec<_> = members.voters().filter_map(support).collect();
+        times.sort_unstable();
+        let position = times.len().checked_sub(members.majority())?;
+        times.get(position).copied()
+    }
+
+    /// Whether leases may be granted at this time.
+    pub(super) fn may_grant(&self, core: &consensus::core::Core, now: time::Instant) -> bool {
+        let supported = self.supported_at(core, now);
+        core.commit >= self.first_index
+            && supported.is_some_and(|at| now < at + core.config.leader_lease)
+    }
+
+    /// Last entry of this term that a majority holds.
+    pub(super) fn majority_match(&self, core: &consensus::core::Core) -> Option<ids::LogIndex> {
+        let members = core.log.members();
+        let matched = |node: ids::NodeId| {
+            if node == core.config.node {
+                return core.log.last_index();
+            }
+            self.followers.get(&node).map_or(0, |f| f.matched)
+        };
+        let mut matches: Vec<_> = members.voters().map(matched).collect();
+        matches.sort_unstable();
+        let position = matches.len().checked_sub(members.majority())?;
+        let index = *matches.get(position)?;
+        (index >= self.first_index).then_some(index)
+    }
+
+    /// Progress of the followers.
+    pub(super) fn follower_statuses(&self) -> Vec<consensus::FollowerStatus> {
+        let status = |(node, follower): (&ids::NodeId, &consensus::progress::Progress)| {
+            consensus::FollowerStatus {
+                node: *node,
+                matched: follower.matched,
+                acknowledged: follower.acknowledged,
+            }
+        };
+        self.followers.iter().map(status).collect()
+    }
+}
+
+impl consensus::participant::Participant<Leader> {
+    /// Appends the first entry of the term and announces the leader.
+    pub(super) fn open_term(&mut self, content: consensus::Content, now: time::Instant) {
+        self.append(content);
+        self.count_matches();
+        self.broadcast(now);
+    }
+
+    /// Sends heartbeats, or steps down if a majority has been silent for too long.
+    pub(super) fn time_out(mut self, now: time::Instant) -> consensus::standing::Standing {
+        let supported = self.state.supported_at(&self.core, now);
+        let since = supported
+            .unwrap_or(self.state.elected)
+            .max(self.state.elected);
+        if now >= since + self.core.config.election_max {
+            let term = self.core.vote.term;
+            return consensus::standing::Standing::Follower(self.follow(term, None, now));
+        }
+        self.broadcast(now);
+        consensus::standing::Standing::Leader(self)
+    }
+
+    /// Appends a command.
+    pub(super) fn propose(&mut self, ticket: ids::Ticket, payload: Vec<u8>, now: time::Instant) {
+        let index = self.append(consensus::Content::Command(payload));
+        self.core.open_ticket(index, ticket);
+        self.count_matches();
+        self.replicate(now);
+    }
+
+    /// Appends a membership change, unless it does not fit or another one is open.
+    pub(super) fn change_members(
+        &mut self,
+        ticket: ids::Ticket,
+        change: consensus::MembershipChange,
+        now: time::Instant,
+    ) {
+        match self.check_change(change) {
+            Ok(members) => {
+                let index = self.append(consensus::Content::Members(members));
+                self.core.open_ticket(index, ticket);
+                self.count_matches();
+                self.broadcast(now);
+            }
+            Err(refusal) => {
+                let refused = consensus::Action::RefuseChange { ticket, refusal };
+                self.core.emit(refused);
+            }
+        }
+    }
+
+    fn check_change(
+        &self,
+        change: consensus::MembershipChange,
+    ) -> Result<consensus::Members, consensus::ChangeRefusal> {
+        // Two open changes could have majorities that do not overlap; so could a change
+        // on top of an earlier leader's change whose fate this term has not settled.
+        let open = self.core.log.members_index().max(self.state.first_index);
+        if self.core.commit < open {
+            return Err(consensus::ChangeRefusal::Pending);
+        }
+        let members = self.core.log.members().changed(change)?;
+        if let consensus::MembershipChange::Promote { node } = change {
+            let learner = self.state.followers.get(&node);
+            if learner.is_none_or(|learner| learner.matched < self.core.commit) {
+                return Err(consensus::ChangeRefusal::NotCaughtUp);
+            }
+        }
+        Ok(members)
+    }
+
+    fn append(&mut self, content: consensus::Content) -> ids::LogIndex {
+        let index = self.core.log.last_index() + 1;
+        let term = self.core.vote.term;
+        let entry = consensus::Entry {
+            index,
+            term,
+            content,
+        };
+        self.core.append(entry);
+        self.sync_followers();
+        index
+    }
+
+    /// Commits what a majority holds.
+    pub(super) fn count_matches(&mut self) {
+        if let Some(index) = self.state.majority_match(&self.core) {
+            self.core.advance_commit(index);
+        }
+    }
+
+    /// Steps down after the removal of this replica is committed.
+    pub(super) fn settle(mut self, now: time::Instant) -> consensus::standing::Standing {
+        let members = self.core.log.members();
+        let removed = !members.is_voter(self.core.config.node)
+            && self.core.commit >= self.core.log.members_index();
+        if !removed {
+            return consensus::standing::Standing::Leader(self);
+        }
+        // Tells the remaining members that the removal is committed.
+        self.broadcast(now);
+        let term = self.core.vote.term;
+        consensus::standing::Standing::Follower(self.follow(term, None, now))
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/consensus/members.rs
@@ -0,0 +1,112 @@
+//! Member list of the group.
+
+use crate::{consensus, ids};
+
+/// Members in ascending order of their numbers.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(transparent)]
+pub struct Members {
+    list: Vec<consensus::Member>,
+}
+
+impl Members {
+    /// A group of voters.
+    pub fn of_voters(voters: impl IntoIterator<Item = (ids::NodeId, ids::Incarnation)>) -> Self {
+        let voter = |(node, incarnation)| consensus::Member {
+            node,
+            incarnation,
+            kind: consensus::MemberKind::Voter,
+        };
+        let mut list: Vec<_> = voters.into_iter().map(voter).collect();
+        list.sort_unstable_by_key(|member| member.node);
+        list.dedup_by_key(|member| member.node);
+        Self { list }
+    }
+
+    /// Member of a number.
+    pub fn get(&self, node: ids::NodeId) -> Option<&consensus::Member> {
+        let position = self.position(node).ok()?;
+        self.list.get(position)
+    }
+
+    /// All members, ascending.
+    pub fn iter(&self) -> impl Iterator<Item = &consensus::Member> {
+        self.list.iter()
+    }
+
+    /// Numbers of the voters, ascending.
+    pub fn voters(&self) -> impl Iterator<Item = ids::NodeId> {
+        let voters = |member: &&consensus::Member| member.kind == consensus::MemberKind::Voter;
+        self.list.iter().filter(voters).map(|member| member.node)
+    }
+
+    /// Whether a node is a voter.
+    pub fn is_voter(&self, node: ids::NodeId) -> bool {
+        self.get(node)
+            .is_some_and(|member| member.kind == consensus::MemberKind::Voter)
+    }
+
+    /// Whether there is no member.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    /// Number of members.
+    pub fn len(&self) -> usize {
+        self.list.len()
+    }
+
+    /// Smallest number of voters that is a majority.
+    pub fn majority(&self) -> usize {
+        self.voters().count() / 2 + 1
+    }
+
+    /// The member list after a change.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason if the change does not fit this member list.
+    pub fn changed(
+        &self,
+        change: consensus::MembershipChange,
+    ) -> Result<Self, consensus::ChangeRefusal> {
+        let mut list = self.list.clone();
+        match change {
+            consensus::MembershipChange::AddLearner { node, incarnation } => {
+                let Err(position) = self.position(node) else {
+                    return Err(consensus::ChangeRefusal::Present);
+                };
+                let learner = consensus::Member {
+                    node,
+                    incarnation,
+                    kind: consensus::MemberKind::Learner,
+                };
+                list.insert(position, learner);
+            }
+            consensus::MembershipChange::Promote { node } => {
+                let position = self.present(node)?;
+                if self.is_voter(node) {
+                    return Err(consensus::ChangeRefusal::Present);
+                }
+                list[position].kind = consensus::MemberKind::Voter;
+            }
+            consensus::MembershipChange::Remove { node } => {
+                let position = self.present(node)?;
+                if self.is_voter(node) && self.voters().count() == 1 {
+                    return Err(consensus::ChangeRefusal::LastVoter);
+                }
+                list.remove(position);
+            }
+        }
+        Ok(Self { list })
+    }
+
+    fn position(&self, node: ids::NodeId) -> Result<usize, usize> {
+        self.list.binary_search_by_key(&node, |member| member.node)
+    }
+
+    fn present(&self, node: ids::NodeId) -> Result<usize, consensus::ChangeRefusal> {
+        self.position(node)
+            .map_err(|_| consensus::ChangeRefusal::Absent)
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/consensus/recovered.rs
@@ -0,0 +1,14 @@
+//! Durable state at start-up.
+
+use crate::consensus;
+
+/// What a replica made durable in earlier lives.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Recovered {
+    /// Vote.
+    pub vote: consensus::Vote,
+    /// Latest snapshot.
+    pub snapshot: Option<consensus::Snapshot>,
+    /// Entries that follow the snapshot, without gaps.
+    pub entries: Vec<consensus::Entry>,
+}
--- /dev/null
+++ b/crates/fireflyspool/src/consensus/replication.rs
@@ -0,0 +1,195 @@
+//! Replication from the leader to its followers.
+
+use std::time;
+
+use crate::{consensus, ids};
+
+impl consensus::participant::Participant<consensus::leader::Leader> {
+    /// Keeps progress for exactly the other members.
+    pub(super) fn sync_followers(&mut self) {
+        let members = self.core.log.members();
+        let followers = &mut self.state.followers;
+        followers.retain(|node, _| members.get(*node).is_some());
+        let next = self.core.log.last_index();
+        for member in members.iter() {
+            if member.node != self.core.config.node {
+                let new = || consensus::progress::Progress::new(next);
+                followers.get_or_insert_with(member.node, new);
+            }
+        }
+    }
+
+    /// Sends a message to every follower, with entries or as a heartbeat.
+    pub(super) fn broadcast(&mut self, now: time::Instant) {
+        self.core.deadline = now + self.core.config.heartbeat;
+        for node in self.follower_nodes() {
+            self.send_next(node, now);
+        }
+    }
+
+    /// Sends new entries to every follower that lacks some.
+    pub(super) fn replicate(&mut self, now: time::Instant) {
+        for node in self.follower_nodes() {
+            self.send_missing(node, now);
+        }
+    }
+
+    fn follower_nodes(&self) -> Vec<ids::NodeId> {
+        self.state.followers.keys().copied().collect()
+    }
+
+    /// Sends entries if the follower lacks some and its window is open.
+    fn send_missing(&mut self, node: ids::NodeId, now: time::Instant) {
+        let last = self.core.log.last_index();
+        let window = self.core.config.window_entries;
+        let lacks = self.state.followers.get(&node).is_some_and(|f| {
+            f.next <= last && f.next <= f.matched + window && f.transfer.is_none()
+        });
+        if lacks {
+            self.send_next(node, now);
+        }
+    }
+
+    fn send_next(&mut self, node: ids::NodeId, now: time::Instant) {
+        let Some(follower) = self.state.followers.get_mut(&node) else {
+            return;
+        };
+        let log = &self.core.log;
+        let sent = now.saturating_duration_since(self.state.elected);
+        let sent_us = u64::try_from(sent.as_micros()).unwrap_or(u64::MAX);
+        let previous_index = follower.next.saturating_sub(1);
+        let Some(previous_term) = log.term_at(previous_index) else {
+            self.send_part(node, sent_us);
+            return;
+        };
+        follower.transfer = None;
+        let config = &self.core.config;
+        let open = (follower.matched + config.window_entries).saturating_sub(previous_index);
+        let limit = config
+            .batch_entries
+            .min(usize::try_from(open).unwrap_or(usize::MAX));
+        let mut bytes = 0;
+        let fits = |entry: &&consensus::Entry| {
+            let first = bytes == 0;
+            bytes += entry.content.size();
+            first || bytes <= config.batch_bytes
+        };
+        let entries: Vec<_> = log
+            .from(follower.next)
+            .iter()
+            .take(limit)
+            .take_while(fits)
+            .cloned()
+            .collect();
+        follower.next += entries.len() as u64;
+        let message = consensus::Message::Append {
+            term: self.core.vote.term,
+            previous_index,
+            previous_term,
+            commit: self.core.commit,
+            sent_us,
+            entries,
+        };
+        self.core.send(node, message);
+    }
+
+    /// Sends the next part of the snapshot.
+    fn send_part(&mut self, node: ids::NodeId, sent_us: u64) {
+        let (Some(follower), Some(snapshot)) = (
+            self.state.followers.get_mut(&node),
+            self.core.log.snapshot(),
+        ) else {
+            return;
+        };
+        let known = follower.transfer;
+        let offset = known.filter(|(index, _)| *index == snapshot.index);
+        let offset = offset.map_or(0, |(_, offset)| offset);
+        follower.transfer = Some((snapshot.index, offset));
+        let start = usize::try_from(offset).unwrap_or(usize::MAX);
+        let start = start.min(snapshot.bytes.len());
+        let end = part_end(&snapshot.bytes, start, self.core.config.chunk_bytes);
+        let message = consensus::Message::Install {
+            term: self.core.vote.term,
+            index: snapshot.index,
+            index_term: snapshot.term,
+            members: snapshot.members.clone(),
+            size: snapshot.bytes.len() as u64,
+            offset,
+            sent_us,
+            bytes: snapshot.bytes[start..end].to_vec(),
+        };
+        self.core.send(node, message);
+    }
+
+    /// Handles a reply of a follower in the current term.
+    pub(super) fn hear(
+        mut self,
+        from: ids::NodeId,
+        reply: &consensus::Message,
+        now: time::Instant,
+    ) -> consensus::standing::Standing {
+        let elected = self.state.elected;
+        let Some(follower) = self.state.followers.get_mut(&from) else {
+            return consensus::standing::Standing::Leader(self);
+        };
+        let mut acknowledge = |sent_us: u64| {
+            let sent = elected + time::Duration::from_micros(sent_us);
+            follower.acknowledged = follower.acknowledged.max(Some(sent.min(now)));
+        };
+        match *reply {
+            consensus::Message::Accepted {
+                matched, sent_us, ..
+            } => {
+                acknowledge(sent_us);
+                follower.matched = follower.matched.max(matched);
+                follower.next = follower.next.max(follower.matched + 1);
+                if follower.transfer.is_some_and(|(index, _)| index <= matched) {
+                    follower.transfer = None;
+                }
+                self.count_matches();
+                self.send_missing(from, now);
+            }
+            consensus::Message::Rejected {
+                previous_index,
+                hint_index,
+                hint_term,
+                sent_us,
+                ..
+            } => {
+                acknowledge(sent_us);
+                if previous_index > follower.matched {
+                    let end = hint_term.and_then(|term| self.core.log.term_end(term));
+                    let next = end.map_or(hint_index, |end| end + 1);
+                    let lowest = follower.matched + 1;
+                    follower.next = next.clamp(lowest, previous_index.max(lowest));
+                    self.send_next(from, now);
+                }
+            }
+            consensus::Message::InstallMore {
+                index,
+                offset,
+                sent_us,
+                ..
+            } => {
+                acknowledge(sent_us);
+                let current = follower.transfer;
+                if current.is_some_and(|(at, known)| at == index && known != offset) {
+                    follower.transfer = Some((index, offset));
+                    self.send_next(from, now);
+                }
+            }
+            _ => {}
+        }
+        self.settle(now)
+    }
+}
+
+/// End of a part of bounded size that does not split a character, so that text stays text.
+fn part_end(bytes: &[u8], start: usize, limit: usize) -> usize {
+    let end = bytes.len().min(start + limit.max(4));
+    let continues = |at: &usize| bytes.get(*at).is_some_and(|byte| byte & 0xC0 == 0x80);
+    (end.saturating_sub(3)..=end)
+        .rev()
+        .find(|at| *at > start && !continues(at))
+        .unwrap_or(end)
+}
--- a/crates/fireflyspool/src/lib.rs
+++ b/crates/fireflyspool/src/lib.rs
@@ -14,10 +14,12 @@
 //! `docs/design.md` explains the reasons.
 
 pub mod backend;
+pub mod consensus;
 pub mod dispatch;
 pub mod ids;
 pub mod outcome;
 pub mod sorted;
 pub mod state;
+pub mod storage;
 pub mod timer;
 pub mod view;
--- /dev/null
+++ b/crates/fireflyspool/src/storage/data_folder.rs
@@ -0,0 +1,259 @@
+//! The data folder of one replica.
+
+use std::{fs, io, path};
+
+use crate::storage::{frame, replay};
+use crate::{consensus, ids, storage};
+
+/// Entries that a summary shows.
+const SHOWN_ENTRIES: usize = 10;
+
+/// Open data folder, locked by this process.
+pub struct DataFolder {
+    disk: Box<dyn storage::Disk>,
+    identity: storage::Identity,
+    /// Set by a failed write or sync, after which the content on disk is unknown.
+    failed: bool,
+}
+
+impl DataFolder {
+    /// Creates a data folder for a new identity.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder holds files, if another process uses it, or if it cannot be written.
+    pub fn init(
+        folder: &path::Path,
+        identity: &storage::Identity,
+    ) -> Result<(), storage::StorageError> {
+        let created = fs::create_dir_all(folder);
+        created.map_err(|source| io_error("create", "the data folder", source))?;
+        let mut disk = storage::FolderDisk::lock(folder)?;
+        Self::init_on(&mut disk, identity)
+    }
+
+    /// Initializes an empty disk for a new identity.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk holds files or cannot be written.
+    pub fn init_on(
+        disk: &mut dyn storage::Disk,
+        identity: &storage::Identity,
+    ) -> Result<(), storage::StorageError> {
+        let names = disk
+            .list()
+            .map_err(|source| io_error("list", "the data folder", source))?;
+        if !names.is_empty() {
+            return Err(storage::StorageError::NotEmpty(names.join(", ")));
+        }
+        // The identity comes last: a folder whose initialization was interrupted has none.
+        let owner = encode(replay::LOG, identity)?;
+        replace(disk, replay::LOG, &owner)?;
+        replace(disk, replay::IDENTITY, &owner)
+    }
+
+    /// Opens the data folder of a node and reads what it holds.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder is not initialized, belongs to another site or node,
+    /// is used by another process, is damaged or cannot be read.
+    pub fn open(
+        folder: &path::Path,
+        site: &str,
+        node: ids::NodeId,
+    ) -> Result<(Self, consensus::Recovered), storage::StorageError> {
+        // Looks first, so that a folder that was never initialized stays empty.
+        replay::read_identity(&storage::FolderDisk::unlocked(folder))?;
+        let disk = storage::FolderDisk::lock(folder)?;
+        Self::open_on(Box::new(disk), site, node)
+    }
+
+    /// Opens the data folder of a node on a disk.
+    ///
+    /// # Errors
+    ///
+    /// As [`DataFolder::open`].
+    pub fn open_on(
+        mut disk: Box<dyn storage::Disk>,
+        site: &str,
+        node: ids::NodeId,
+    ) -> Result<(Self, consensus::Recovered), storage::StorageError> {
+        let found = replay::read_identity(disk.as_ref())?;
+        if found.site != site || found.node != node {
+            let site = site.to_owned();
+            return Err(storage::StorageError::Foreign { found, site, node });
+        }
+        let read = replay::read(disk.as_ref())?;
+        if read.torn_bytes > 0 {
+            disk.truncate(replay::LOG, read.log_bytes)
+                .map_err(|source| io_error("cut", replay::LOG, source))?;
+        }
+        // A process that was killed may have left records that are complete but not synced.
+        disk.sync(replay::LOG)
+            .map_err(|source| io_error("sync", replay::LOG, source))?;
+        let mut folder = Self {
+            disk,
+            identity: read.identity,
+            failed: false,
+        };
+        if read.stale_log {
+            // New entries would not follow the entries in the file.
+            folder.rewrite_log(&read.recovered.entries, read.recovered.vote)?;
+        }
+        Ok((folder, read.recovered))
+    }
+
+    /// Summarizes a data folder without locking or changing it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder is not initialized, is damaged or cannot be read.
+    pub fn inspect(folder: &path::Path) -> Result<storage::Summary, storage::StorageError> {
+        let read = replay::read(&storage::FolderDisk::unlocked(folder))?;
+        let entries = &read.recovered.entries;
+        let shown = entries.len().saturating_sub(SHOWN_ENTRIES);
+        Ok(storage::Summary {
+            identity: read.identity,
+            vote: read.recovered.vote,
+            snapshot_index: read.recovered.snapshot.as_ref().map(|s| s.index),
+            snapshot_bytes: read.snapshot_bytes,
+            first_index: entries.first().map(|entry| entry.index),
+            last_index: entries.last().map(|entry| entry.index),
+            log_bytes: read.log_bytes,
+            torn_bytes: read.torn_bytes,
+            last_entries: entries[shown..].to_vec(),
+        })
+    }
+
+    /// Identity of the folder.
+    pub fn identity(&self) -> &storage::Identity {
+        &self.identity
+    }
+
+    /// Writes records and syncs once.
+    ///
+    /// A snapshot replaces the records before it and is synced on its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the records cannot be encoded, written or synced. The folder is
+    /// unusable from then on, because what reached the disk is unknown.
+    pub fn append(&mut self, records: &[consensus::Record]) -> Result<(), storage::StorageError> {
+        let mut rest = records;
+        let newest =
+            |record: &consensus::Record| matches!(record, consensus::Record::Snapshot { .. });
+        if let Some(position) = records.iter().rposition(newest)
+            && let consensus::Record::Snapshot {
+                snapshot,
+                suffix,
+                vote,
+            } = &records[position]
+        {
+            self.save_snapshot(snapshot, suffix, *vote)?;
+            rest = &records[position + 1..];
+        }
+        if rest.is_empty() {
+            return Ok(());
+        }
+        self.guard(|disk| {
+            let frame = encode(replay::LOG, rest)?;
+            disk.append(replay::LOG, &frame)
+                .map_err(|source| io_error("write", replay::LOG, source))?;
+            disk.sync(replay::LOG)
+                .map_err(|source| io_error("sync", replay::LOG, source))
+        })
+    }
+
+    /// Replaces snapshot and log.
+    ///
+    /// # Errors
+    ///
+    /// As [`DataFolder::append`].
+    pub fn save_snapshot(
+        &mut self,
+        snapshot: &consensus::Snapshot,
+        suffix: &[consensus::Entry],
+        vote: consensus::Vote,
+    ) -> Result<(), storage::StorageError> {
+        let identity = self.identity.clone();
+        self.guard(|disk| {
+            let mut file = encode(replay::SNAPSHOT, &identity)?;
+            file.extend(encode(replay::SNAPSHOT, snapshot)?);
+            replace(disk, replay::SNAPSHOT, &file)
+        })?;
+        self.rewrite_log(suffix, vote)
+    }
+
+    fn rewrite_log(
+        &mut self,
+        entries: &[consensus::Entry],
+        vote: consensus::Vote,
+    ) -> Result<(), storage::StorageError> {
+        let mut records = vec![consensus::Record::Vote(vote)];
+        records.extend(entries.iter().cloned().map(consensus::Record::Entry));
+        let identity = self.identity.clone();
+        self.guard(|disk| {
+            let mut file = encode(replay::LOG, &identity)?;
+            file.extend(encode(replay::LOG, &records)?);
+            replace(disk, replay::LOG, &file)
+        })
+    }
+
+    fn guard(
+        &mut self,
+        write: impl FnOnce(&mut dyn storage::Disk) -> Result<(), storage::StorageError>,
+    ) -> Result<(), storage::StorageError> {
+        if self.failed {
+            return Err(storage::StorageError::Unusable);
+        }
+        let written = write(self.disk.as_mut());
+        self.failed = written.is_err();
+        written
+    }
+}
+
+fn replace(
+    disk: &mut dyn storage::Disk,
+    file: &str,
+    bytes: &[u8],
+) -> Result<(), storage::StorageError> {
+    let temporary = format!("{file}.new");
+    disk.write(&temporary, bytes)
+        .map_err(|source| io_error("write", &temporary, source))?;
+    disk.sync(&temporary)
+        .map_err(|source| io_error("sync", &temporary, source))?;
+    disk.rename(&temporary, file)
+        .map_err(|source| io_error("rename", &temporary, source))?;
+    disk.sync_folder()
+        .map_err(|source| io_error("sync the folder of", file, source))
+}
+
+fn encode<T: serde::Serialize + ?Sized>(
+    file: &str,
+    content: &T,
+) -> Result<Vec<u8>, storage::StorageError> {
+    let payload = serde_json::to_vec(content);
+    let payload = payload.map_err(|source| storage::StorageError::Encoding {
+        file: file.to_owned(),
+        source,
+    })?;
+    if payload.len() > frame::MAX_PAYLOAD {
+        return Err(storage::StorageError::TooLarge {
+            file: file.to_owned(),
+            bytes: payload.len(),
+        });
+    }
+    let mut buffer = Vec::new();
+    frame::encode(&payload, &mut buffer);
+    Ok(buffer)
+}
+
+fn io_error(operation: &'static str, file: &str, source: io::Error) -> storage::StorageError {
+    storage::StorageError::Io {
+        operation,
+        file: file.to_owned(),
+        source,
+    }
+}
