--- a/crates/fireflyspool/src/lib.rs
+++ b/crates/fireflyspool/src/lib.rs
@@ -15,6 +15,7 @@
 
 pub mod backend;
 pub mod directory;
+pub mod consensus;
 pub mod dispatch;
 pub mod hashing;
 pub mod ids;
@@ -25,5 +26,6 @@
 pub mod sorted;
 pub mod state;
 pub mod telemetry;
+pub mod storage;
 pub mod timer;
 pub mod view;
