Add the dispatcher of an owner

The owner needs a state machine that queues sub-requests, gives out permits and follows attempts until the backend server is known to be free again. First version: queue order, permits, slow start, replies, cancellation, deadlines, ejection, suspects, connections.

--- /dev/null
+++ b/crates/fireflyspool/src/dispatch/placement_reason.rs
@@ -0,0 +1,15 @@
+//! Reasons of placement decisions.
+
+use crate::dispatch;
+
+/// Why a sub-request was placed now, or not at all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlacementReason {
+    /// First in the queue order: hedge, kind, deadline.
+    First,
+    /// Its kind had received less than its guaranteed share.
+    LowShare,
+    /// Not placed.
+    Skipped(dispatch::SkipCause),
+}
--- /dev/null
+++ b/crates/fireflyspool/src/dispatch/replies.rs
@@ -0,0 +1,282 @@
+//! Replies of backend servers.
+
+use std::time;
+
+use crate::dispatch::{attempt, fleet};
+use crate::{backend, dispatch, ids, view};
+
+/// Rest of a shedding server that does not say for how long.
+const DEFAULT_REST: time::Duration = time::Duration::from_millis(100);
+
+/// Longest rest that a backend server can ask for; its word may be wrong.
+const LONGEST_REST: time::Duration = time::Duration::from_secs(30);
+
+impl dispatch::Dispatcher {
+    pub(super) fn answered(
+        &mut self,
+        id: ids::AttemptId,
+        reply: backend::SearchReply,
+        view: &view::View,
+        now: time::Instant,
+    ) {
+        let Some(attempt) = self.attempts.get(id) else {
+            return;
+        };
+        let matches = match &attempt.entry.request.work {
+            dispatch::Work::Search {
+                snapshot, shard, ..
+            } => {
+                reply.attempt == id
+                    && reply.incarnation == attempt.incarnation
+                    && reply.version == snapshot.version
+                    && reply.shard == *shard
+            }
+            dispatch::Work::Submit { .. } => false,
+        };
+        if !matches {
+            self.bad_reply(id, view, now);
+            return;
+        }
+        let queued = u32::try_from(self.backlog.len()).unwrap_or(u32::MAX);
+        let Some(attempt) = self.end_attempt(id) else {
+            return;
+        };
+        let service_time = now.duration_since(attempt.sent);
+        if !attempt.reported {
+            let outcome = dispatch::SubOutcome::Answered {
+                server: self.server_name(attempt.server),
+                hits: reply.hits,
+                service_time,
+                queued,
+            };
+            self.report(attempt.entry.key(), outcome);
+        }
+        self.note_answer(&attempt, now);
+        let fingerprint = attempt.entry.request.fingerprint;
+        self.after_end(attempt.server, fingerprint, view, now);
+    }
+
+    pub(super) fn submitted(
+        &mut self,
+        id: ids::AttemptId,
+        reply: backend::SubmitReply,
+        view: &view::View,
+        now: time::Instant,
+    ) {
+        let Some(attempt) = self.attempts.get(id) else {
+            return;
+        };
+        let matches = attempt.entry.is_submission()
+            && reply.attempt == id
+            && reply.incarnation == attempt.incarnation;
+        if !matches {
+            self.bad_reply(id, view, now);
+            return;
+        }
+        let Some(attempt) = self.end_attempt(id) else {
+            return;
+        };
+        if !attempt.reported {
+            let outcome = dispatch::SubOutcome::Submitted {
+                server: self.server_name(attempt.server),
+                receipt: reply.receipt,
+            };
+            self.report(attempt.entry.key(), outcome);
+        }
+        self.note_answer(&attempt, now);
+        let fingerprint = attempt.entry.request.fingerprint;
+        self.after_end(attempt.server, fingerprint, view, now);
+    }
+
+    pub(super) fn refused(
+        &mut self,
+        id: ids::AttemptId,
+        status: u16,
+        reply: &backend::RefusedReply,
+        view: &view::View,
+        now: time::Instant,
+    ) {
+        if self.attempts.get(id).is_none() {
+            return;
+        }
+        if reply.attempt != id || reply.ran {
+            self.bad_reply(id, view, now);
+            return;
+        }
+        let Some(attempt) = self.end_attempt(id) else {
+            return;
+        };
+        let key = attempt.server;
+        let name = self.server_name(key);
+        self.note_late(key, now);
+        let cause = match status {
+            503 => {
+                let rest = reply.retry_after_ms.map(time::Duration::from_millis);
+                self.rest(key, rest.unwrap_or(DEFAULT_REST).min(LONGEST_REST), now);
+                dispatch::SkipCause::Shedding
+            }
+            409 => {
+                self.deny(key, attempt.entry.target);
+                dispatch::SkipCause::NotHosted
+            }
+            410 => {
+                self.begin_leave(key, now);
+                dispatch::SkipCause::NoServer
+            }
+            _ => dispatch::SkipCause::NoServer,
+        };
+        self.reassess_server(key, now);
+        self.reassess(attempt.entry.target, now);
+        let fingerprint = attempt.entry.request.fingerprint;
+        self.put_back(attempt, &name, cause, true, view, now);
+        self.after_end(key, fingerprint, view, now);
+    }
+
+    pub(super) fn broken(
+        &mut self,
+        id: ids::AttemptId,
+        sent: bool,
+        view: &view::View,
+        now: time::Instant,
+    ) {
+        let Some(attempt) = self.attempts.get_mut(id) else {
+            return;
+        };
+        let was_linked = std::mem::take(&mut attempt.linked);
+        let key = attempt.server;
+        if was_linked && let Some(server) = self.fleet.get_mut(key) {
+            server.core_mut().connections.lose();
+        }
+        if sent {
+            self.note_crash(id, now);
+            self.fail_attempt(id, dispatch::FailureCause::Reset);
+            self.cool(key);
+            self.note_failure(key, view, now);
+            // The process may be alive behind a broken connection and still run the attempt.
+            self.start_cancel(id, view, now);
+            return;
+        }
+        let Some(attempt) = self.end_attempt(id) else {
+            return;
+        };
+        let name = self.server_name(key);
+        self.cool(key);
+        self.note_failure(key, view, now);
+        let cause = dispatch::SkipCause::NoServer;
+        let fingerprint = attempt.entry.request.fingerprint;
+        self.put_back(attempt, &name, cause, false, view, now);
+        self.after_end(key, fingerprint, view, now);
+    }
+
+    /// Counts a reply that does not fit; the attempt may still run.
+    pub(super) fn bad_reply(&mut self, id: ids::AttemptId, view: &view::View, now: time::Instant) {
+        let Some(attempt) = self.attempts.get_mut(id) else {
+            return;
+        };
+        let was_linked = std::mem::take(&mut attempt.linked);
+        let key = attempt.server;
+        if was_linked && let Some(server) = self.fleet.get_mut(key) {
+            server.core_mut().connections.release();
+        }
+        self.fail_attempt(id, dispatch::FailureCause::BadReply);
+        self.note_failure(key, view, now);
+        self.start_cancel(id, view, now);
+    }
+
+    pub(super) fn cancel_answered(
+        &mut self,
+        id: ids::AttemptId,
+        state: Option<backend::CancelState>,
+        view: &view::View,
+        now: time::Instant,
+    ) {
+        if let Some((key, incarnation)) = self.cancels.remove(&id)
+            && let Some(server) = self.fleet.get_mut(key)
+            && server.core().incarnation == incarnation
+        {
+            server.core_mut().connections.release();
+            self.fill(key, view, now);
+        }
+        // A server that does not know the attempt may still receive it.
+        let ended = matches!(
+            state,
+            Some(backend::CancelState::Cancelled | backend::CancelState::Finished)
+        );
+        if ended
+            && self
+                .attempts
+                .get(id)
+                .is_some_and(|attempt| attempt.reported)
+        {
+            let attempt = self.end_attempt(id);
+            if let Some(attempt) = attempt {
+                let fingerprint = attempt.entry.request.fingerprint;
+                self.after_end(attempt.server, fingerprint, view, now);
+            }
+        }
+    }
+
+    /// Asks the backend server to stop an attempt whose result nobody needs.
+    pub(super) fn start_cancel(
+        &mut self,
+        id: ids::AttemptId,
+        view: &view::View,
+        now: time::Instant,
+    ) {
+        let Some(attempt) = self.attempts.get(id) else {
+            return;
+        };
+        let (key, incarnation) = (attempt.server, attempt.incarnation);
+        if self.cancels.contains_key(&id) || !view.may_act(now) {
+            return;
+        }
+        let Some(server) = self.fleet.get_mut(key) else {
+            return;
+        };
+        let core = server.core_mut();
+        if !core.connections.has_room() {
+            return;
+        }
+        core.connections.acquire();
+        self.cancels.insert(id, (key, incarnation));
+        self.actions.push(dispatch::Action::CancelAttempt {
+            attempt: id,
+            server: core.name.clone(),
+            address: core.address,
+        });
+    }
+
+    /// Frees the permit of an attempt.
+    pub(super) fn end_attempt(&mut self, id: ids::AttemptId) -> Option<Box<attempt::Attempt>> {
+        let attempt = self.attempts.remove(id)?;
+        if let Some(server) = self.fleet.get_mut(attempt.server) {
+            let core = server.core_mut();
+            core.attempts.retain(|held| *held != id);
+            if attempt.linked {
+                core.connections.release();
+            }
+        }
+        Some(attempt)
+    }
+
+    /// Uses the permit that an attempt has freed.
+    pub(super) fn after_end(
+        &mut self,
+        key: fleet::ServerKey,
+        fingerprint: ids::Fingerprint,
+        view: &view::View,
+        now: time::Instant,
+    ) {
+        if self.suspects.is_suspect(fingerprint, now) {
+            // The same content may have been held back at any server.
+            self.fill_all(view, now);
+        } else {
+            self.fill(key, view, now);
+        }
+    }
+
+    pub(super) fn server_name(&self, key: fleet::ServerKey) -> ids::ServerName {
+        let server = self.fleet.get(key);
+        server.map_or_else(String::new, |server| server.core().name.clone())
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/dispatch/sync.rs
@@ -0,0 +1,167 @@
+//! Following the view.
+
+use std::{sync, time};
+
+use crate::dispatch::{fleet, group, server, server_core};
+use crate::{backend, dispatch, ids, state, view};
+
+impl dispatch::Dispatcher {
+    /// Brings servers, shards and suspects in line with a new view.
+    pub(super) fn sync(&mut self, view: &view::View, now: time::Instant) {
+        self.seen = Some(view.clone());
+        self.low_share = view.catalog.number(state::Value::LowShare);
+        self.suspects.tell(sync::Arc::clone(&view.suspects));
+        let node = self.node;
+        self.departed.retain(|name, incarnation| {
+            view.servers.get(name).is_some_and(|record| {
+                record.owner == Some(node) && record.announcement.incarnation == *incarnation
+            })
+        });
+        for key in self.fleet.keys() {
+            self.follow(key, view, now);
+        }
+        for (name, record) in view.servers.iter() {
+            let departed = self.departed.contains_key(name);
+            if self.is_ours(record) && !departed && self.fleet.find(name).is_none() {
+                self.adopt(record, view);
+            }
+        }
+        self.backlog.prune();
+        self.limit_ejections(view, now);
+        self.reassess_all(view, now);
+        for key in self.fleet.keys() {
+            self.list_wanting(key);
+        }
+        self.fill_all(view, now);
+    }
+
+    /// Whether this VM owns a server of this service that is not leaving.
+    fn is_ours(&self, record: &view::ServerRecord) -> bool {
+        let announcement = &record.announcement;
+        record.owner == Some(self.node)
+            && announcement.service == self.service
+            && announcement.phase != backend::Phase::Leaving
+    }
+
+    fn adopt(&mut self, record: &view::ServerRecord, view: &view::View) {
+        let announcement = &record.announcement;
+        let core = server_core::ServerCore::new(
+            announcement.server.clone(),
+            announcement.incarnation,
+            announcement.address,
+        );
+        let met = server::Server::Warming(dispatch::BackendServer::meet(core));
+        let key = self.fleet.insert(met);
+        if !self.config.slow_start {
+            self.fleet.transform(key, server::Server::promote);
+        }
+        self.update(key, record, view);
+    }
+
+    /// Follows the record of a known server.
+    fn follow(&mut self, key: fleet::ServerKey, view: &view::View, now: time::Instant) {
+        let Some(server) = self.fleet.get(key) else {
+            return;
+        };
+        let incarnation = server.core().incarnation;
+        let record = view.servers.get(&server.core().name);
+        let Some(record) = record.filter(|record| self.is_ours(record)) else {
+            self.begin_leave(key, now);
+            return;
+        };
+        if record.announcement.incarnation != incarnation {
+            self.restart(key, record.announcement.incarnation, now);
+        }
+        self.update(key, record, view);
+    }
+
+    /// Takes over what a server announces.
+    fn update(&mut self, key: fleet::ServerKey, record: &view::ServerRecord, view: &view::View) {
+        let announcement = &record.announcement;
+        let service = view.catalog.services.get(&announcement.service);
+        let accepted = service.map_or(announcement.connections, |service| {
+            service.connections.min(announcement.connections)
+        });
+        let Some(server) = self.fleet.get_mut(key) else {
+            return;
+        };
+        if server.is_leaving() {
+            return;
+        }
+        let core = server.core_mut();
+        core.address = announcement.address;
+        core.slots = view.slots(record);
+        core.connections.set_limit(accepted, core.slots);
+        let eligible = view.is_eligible(record);
+        let returns = eligible && !core.eligible;
+        core.eligible = eligible;
+        let renewed = core.announced != announcement.sequence;
+        core.announced = announcement.sequence;
+        let stale = core.targets.is_empty() || core.hosted != announcement.hosted;
+        if stale || (core.denied && renewed) {
+            core.denied = false;
+            self.assign_targets(key, &announcement.hosted);
+        }
+        if returns {
+            // It may have lost its caches while it was out of service.
+            self.cool(key);
+        }
+    }
+
+    /// Enters a server in the groups of the shards that it hosts.
+    fn assign_targets(&mut self, key: fleet::ServerKey, hosted: &[backend::HostedShard]) {
+        let shards = hosted.iter().cloned().map(group::Target::Shard);
+        let targets = shards
+            .chain([group::Target::Any])
+            .map(|target| self.backlog.register(target))
+            .collect::<Vec<_>>();
+        let Some(server) = self.fleet.get_mut(key) else {
+            return;
+        };
+        let core = server.core_mut();
+        core.hosted = hosted.to_vec();
+        let former = std::mem::replace(&mut core.targets, targets.clone());
+        for target in former {
+            if let Some(group) = self.backlog.group_mut(target) {
+                group.servers.retain(|known| *known != key);
+            }
+        }
+        for target in targets {
+            if let Some(group) = self.backlog.group_mut(target)
+                && !group.servers.contains(&key)
+            {
+                group.servers.push(key);
+            }
+        }
+    }
+
+    /// Takes note that a server runs as a new process, so that nothing sent before runs any more.
+    fn restart(
+        &mut self,
+        key: fleet::ServerKey,
+        incarnation: ids::Incarnation,
+        now: time::Instant,
+    ) {
+        let attempts = self.fleet.get(key).map(|s| s.core().attempts.clone());
+        for id in attempts.unwrap_or_default() {
+            let unreported = self.attempts.get(id).is_some_and(|a| !a.reported);
+            if unreported {
+                self.note_crash(id, now);
+                self.fail_attempt(id, dispatch::FailureCause::Reset);
+            }
+            self.end_attempt(id);
+        }
+        if let Some(server) = self.fleet.get_mut(key) {
+            let core = server.core_mut();
+            core.incarnation = incarnation;
+            core.connections.reset();
+            core.rest_until = None;
+            core.ejected_until = None;
+            core.forget_recent();
+            core.forgive();
+        }
+        if self.config.slow_start {
+            self.fleet.transform(key, server::Server::restart);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/dispatch/upkeep.rs
@@ -0,0 +1,220 @@
+//! Timers, connections ahead of need, and servers that are given up.
+
+use std::time;
+
+use crate::dispatch::{fleet, server};
+use crate::{dispatch, ids, view};
+
+/// Time after the deadline for which a server may still be busy with an attempt.
+///
+/// The server counts its deadline from receipt, so this covers the way there,
+/// a retransmission included.
+pub(super) const DEADLINE_MARGIN: time::Duration = time::Duration::from_millis(50);
+
+/// Least time between two connections opened ahead of need.
+const OPEN_INTERVAL: time::Duration = time::Duration::from_millis(4);
+
+/// Largest random addition to the interval, in microseconds, so that owners do not open in step.
+const OPEN_JITTER_MICROS: u64 = 4_000;
+
+impl dispatch::Dispatcher {
+    pub(super) fn run_timers(&mut self, view: &view::View, now: time::Instant) {
+        if !self.backlog.is_empty() && !view.may_act(now) {
+            self.reassess_all(view, now);
+        }
+        let latest = self.latest_start(now);
+        while let Some(position) = self.backlog.due(latest) {
+            self.skip_position(position, dispatch::SkipCause::Deadline, None, now);
+        }
+        while let Some(attempt) = self.attempts.due(now) {
+            self.overdue(attempt, view, now);
+        }
+        while let Some((time, key)) = self.wakes.first().map(|(wake, ())| *wake) {
+            if now < time {
+                break;
+            }
+            self.wakes.remove(&(time, key));
+            self.fill(key, view, now);
+        }
+    }
+
+    /// Reports an attempt at its deadline and frees its permit after the margin.
+    fn overdue(&mut self, id: ids::AttemptId, view: &view::View, now: time::Instant) {
+        let Some(attempt) = self.attempts.get(id) else {
+            return;
+        };
+        let end = attempt.entry.deadline + DEADLINE_MARGIN;
+        let (key, sent, reported) = (attempt.server, attempt.sent, attempt.reported);
+        if !reported {
+            let elapsed = now.duration_since(sent);
+            // A caller with a short deadline is no sign of a slow server.
+            let median = self.times.quantile(500, now);
+            let slow = median.is_none_or(|median| elapsed > median * 2);
+            self.times.record(key, elapsed, now);
+            self.fail_attempt(id, dispatch::FailureCause::Timeout);
+            if slow {
+                self.note_failure(key, view, now);
+            }
+        }
+        if now < end {
+            self.attempts.set_timer(id, end);
+        } else if let Some(attempt) = self.end_attempt(id) {
+            let fingerprint = attempt.entry.request.fingerprint;
+            self.after_end(key, fingerprint, view, now);
+        }
+    }
+
+    /// Takes note of a connection that was opened ahead of need, or could not be.
+    pub(super) fn opened(
+        &mut self,
+        name: &str,
+        incarnation: ids::Incarnation,
+        success: bool,
+        view: &view::View,
+        now: time::Instant,
+    ) {
+        let Some(key) = self.fleet.find(name) else {
+            return;
+        };
+        let Some(server) = self.fleet.get_mut(key) else {
+            return;
+        };
+        let core = server.core_mut();
+        if core.incarnation != incarnation || core.connections.opening == 0 {
+            return;
+        }
+        core.connections.opening -= 1;
+        if success {
+            core.connections.open += 1;
+        } else {
+            self.cool(key);
+            self.note_failure(key, view, now);
+        }
+        self.fill(key, view, now);
+    }
+
+    /// Puts a server on the list of those that want another connection.
+    pub(super) fn list_wanting(&mut self, key: fleet::ServerKey) {
+        if let Some(server) = self.fleet.get_mut(key) {
+            let usable = server.is_usable();
+            let connections = &mut server.core_mut().connections;
+            if usable && connections.wants_more() && !connections.listed {
+                connections.listed = true;
+                self.wanting.push_back(key);
+            }
+        }
+    }
+
+    /// Opens at most one connection ahead of need.
+    pub(super) fn open_ahead(&mut self, view: &view::View, now: time::Instant) {
+        if self.wanting.is_empty() || self.next_open.is_some_and(|next| now < next) {
+            return;
+        }
+        if !view.may_act(now) {
+            // The next lease brings a new view, which lists the servers again.
+            self.unlist_all();
+            return;
+        }
+        while let Some(key) = self.wanting.pop_front() {
+            let allowed = self.may_send(key, view, now);
+            let Some(server) = self.fleet.get_mut(key) else {
+                continue;
+            };
+            let usable = server.is_usable();
+            let core = server.core_mut();
+            core.connections.listed = false;
+            if !allowed || !usable || !core.connections.wants_more() {
+                continue;
+            }
+            core.connections.opening += 1;
+            self.actions.push(dispatch::Action::Open {
+                server: core.name.clone(),
+                incarnation: core.incarnation,
+                address: core.address,
+                count: 1,
+            });
+            self.list_wanting(key);
+            let jitter = time::Duration::from_micros(self.entropy % OPEN_JITTER_MICROS);
+            self.next_open = Some(now + OPEN_INTERVAL + jitter);
+            return;
+        }
+    }
+
+    fn unlist_all(&mut self) {
+        while let Some(key) = self.wanting.pop_front() {
+            if let Some(server) = self.fleet.get_mut(key) {
+                server.core_mut().connections.listed = false;
+            }
+        }
+    }
+
+    /// Begins to give a server up; what runs there is finished.
+    pub(super) fn begin_leave(&mut self, key: fleet::ServerKey, now: time::Instant) {
+        let Some(server) = self.fleet.get_mut(key) else {
+            return;
+        };
+        if server.is_leaving() {
+            return;
+        }
+        let targets = std::mem::take(&mut server.core_mut().targets);
+        for target in &targets {
+            if let Some(group) = self.backlog.group_mut(*target) {
+                group.servers.retain(|known| *known != key);
+            }
+        }
+        self.fleet.transform(key, server::Server::leave);
+        self.leaving.push(key);
+        for target in targets {
+            self.reassess(target, now);
+        }
+    }
+
+    /// Closes and releases servers whose last attempt has ended.
+    pub(super) fn finish_leaving(&mut self, view: &view::View, now: time::Instant) {
+        if self.draining {
+            self.leave_unused(now);
+        }
+        let mut position = 0;
+        while let Some(key) = self.leaving.get(position).copied() {
+            let idle = match self.fleet.get(key) {
+                Some(server::Server::Leaving(server)) => server.is_idle(),
+                _ => false,
+            };
+            if !idle {
+                position += 1;
+                continue;
+            }
+            self.leaving.remove(position);
+            if let Some(server::Server::Leaving(server)) = self.fleet.remove(key) {
+                let (name, incarnation) = server.close();
+                self.actions.push(dispatch::Action::CloseServer {
+                    server: name.clone(),
+                });
+                self.actions.push(dispatch::Action::Released {
+                    server: name.clone(),
+                });
+                let record = view.servers.get(&name);
+                if record.is_some_and(|record| record.owner == Some(self.node)) {
+                    self.departed.insert(name, incarnation);
+                }
+            }
+        }
+    }
+
+    /// Gives up the servers that nothing waits for.
+    fn leave_unused(&mut self, now: time::Instant) {
+        for key in self.fleet.keys() {
+            let Some(server) = self.fleet.get(key) else {
+                continue;
+            };
+            let mut targets = server.core().targets.iter();
+            let needed = targets.any(|target| {
+                let group = self.backlog.group(*target);
+                group.is_some_and(|group| group.waiting() > 0)
+            });
+            if !needed {
+                self.begin_leave(key, now);
+            }
+        }
+    }
+}
