Add planning, the coordinator of a query, admission and the peak meter

Cause: the query path had no decision code between the listener and the owners. Change: plan pins one index version; gather sends, hedges, retries and merges; admission orders and refuses; peak counts sub-requests per minute.

--- /dev/null
+++ b/crates/fireflyspool/src/admission/admission.rs
@@ -0,0 +1,204 @@
+//! Admission of requests on one entry VM.
+
+use std::time;
+
+use crate::{admission, ids, outcome, sorted};
+
+/// Shortest time after which a refused caller is told to try again.
+pub(crate) const MIN_RETRY: time::Duration = time::Duration::from_millis(50);
+
+/// Interval at which held-back requests are looked at again near the peak,
+/// because nothing else reports that the peak has passed.
+const PACED_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Times the usual duration of a request before its deadline at which a
+/// held-back request is started at the latest.
+const PACED_SLACK: u32 = 3;
+
+/// Decides which request runs, waits or is refused.
+#[derive(Clone, Debug, Default)]
+pub struct Admission {
+    pub(super) queue: admission::queue::Queue,
+    running: sorted::SortedMap<ids::Ticket, Started>,
+    /// Cost of everything that runs.
+    load: u64,
+    pub(super) limit: admission::ConcurrencyLimit,
+    shares: admission::low_shares::LowShares,
+    wake: Option<time::Instant>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Started {
+    cost: u64,
+    at: time::Instant,
+}
+
+impl Admission {
+    /// Admission without requests.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes an event and returns the decisions that follow, in order.
+    pub fn handle(
+        &mut self,
+        event: admission::Event,
+        limits: &admission::Limits,
+        now: time::Instant,
+    ) -> Vec<admission::Action> {
+        let mut actions = Vec::new();
+        self.expire(now, &mut actions);
+        match event {
+            admission::Event::Arrived {
+                ticket,
+                kind,
+                deadline,
+                cost,
+            } => {
+                let waiting = admission::queue::Waiting {
+                    ticket,
+                    deadline,
+                    cost: cost.max(1),
+                    held: false,
+                };
+                self.arrive(kind, waiting, limits, now, &mut actions);
+            }
+            admission::Event::Ended { ticket, end } => self.end(ticket, end, now),
+            admission::Event::Timer => {}
+        }
+        self.start(limits, now, &mut actions);
+        self.trim(limits, &mut actions);
+        self.wake = self.find_wake(limits, now);
+        actions
+    }
+
+    /// When [`admission::Event::Timer`] is due; `None` while nothing waits.
+    pub fn next_wake(&self) -> Option<time::Instant> {
+        self.wake
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Requests that were started and have not ended.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// The adaptive limit of the work under way.
+    pub fn limit(&self) -> &admission::ConcurrencyLimit {
+        &self.limit
+    }
+
+    fn end(&mut self, ticket: ids::Ticket, end: admission::End, now: time::Instant) {
+        let Some(started) = self.running.remove(&ticket) else {
+            self.queue.remove(ticket);
+            return;
+        };
+        let held = now.saturating_duration_since(started.at);
+        match end {
+            admission::End::InTime => {
+                self.limit.ended_in_time(started.cost, self.load, held);
+            }
+            admission::End::Late => self.limit.ended_late(held, now),
+            admission::End::Gone => {}
+        }
+        self.load -= started.cost;
+    }
+
+    fn expire(&mut self, now: time::Instant, actions: &mut Vec<admission::Action>) {
+        for kind in outcome::Kind::ALL {
+            while self
+                .queue
+                .first(kind)
+                .is_some_and(|first| first.deadline <= now)
+            {
+                let Some(expired) = self.queue.pop_first(kind) else {
+                    break;
+                };
+                actions.push(admission::Action::Refuse {
+                    ticket: expired.ticket,
+                    reason: if expired.held {
+                        outcome::RefusalReason::Paced
+                    } else {
+                        outcome::RefusalReason::Deadline
+                    },
+                    retry_after: self.limit.hold().max(MIN_RETRY),
+                });
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        limits: &admission::Limits,
+        now: time::Instant,
+        actions: &mut Vec<admission::Action>,
+    ) {
+        while let Some(kind) = self.next_kind(limits, now) {
+            let fits = self
+                .queue
+                .first(kind)
+                .is_some_and(|first| self.fits(u64::from(first.cost)));
+            // A request that does not fit blocks those behind it; otherwise wide ones starve.
+            if !fits {
+                return;
+            }
+            let Some(next) = self.queue.pop_first(kind) else {
+                return;
+            };
+            let queue = &self.queue;
+            self.shares
+                .started(kind, |other| queue.count(other) > 0, limits.low_share);
+            let cost = u64::from(next.cost);
+            self.load += cost;
+            self.running.insert(next.ticket, Started { cost, at: now });
+            actions.push(admission::Action::Start {
+                ticket: next.ticket,
+            });
+        }
+    }
+
+    fn next_kind(
+        &mut self,
+        limits: &admission::Limits,
+        now: time::Instant,
+    ) -> Option<outcome::Kind> {
+        let paced = limits.paced && self.latest_start().is_some_and(|latest| now < latest);
+        if paced && let Some(first) = self.queue.first_mut(outcome::Kind::Deferrable) {
+            first.held = true;
+        }
+        let can_start = |kind: &outcome::Kind| {
+            self.queue.count(*kind) > 0 && !(paced && *kind == outcome::Kind::Deferrable)
+        };
+        let due = |kind: &outcome::Kind| self.shares.is_due(*kind, limits.low_share);
+        let kinds = outcome::Kind::ALL.into_iter().filter(can_start);
+        kinds.clone().rev().find(due).or_else(|| kinds.min())
+    }
+
+    /// Latest start of the first deferrable request near the peak.
+    fn latest_start(&self) -> Option<time::Instant> {
+        let first = self.queue.first(outcome::Kind::Deferrable)?;
+        let slack = self.limit.hold() * PACED_SLACK;
+        Some(first.deadline.checked_sub(slack).unwrap_or(first.deadline))
+    }
+
+    pub(super) fn fits(&self, cost: u64) -> bool {
+        self.load == 0 || self.load + cost <= self.limit.current()
+    }
+
+    fn find_wake(&self, limits: &admission::Limits, now: time::Instant) -> Option<time::Instant> {
+        let kinds = outcome::Kind::ALL.into_iter();
+        let firsts = kinds.filter_map(|kind| self.queue.first(kind));
+        let expiry = firsts.map(|first| first.deadline).min()?;
+        let paced = limits.paced && self.queue.count(outcome::Kind::Deferrable) > 0;
+        if !paced {
+            return Some(expiry);
+        }
+        let latest = self.latest_start().filter(|latest| now < *latest);
+        let look = latest.map_or(expiry, |latest| latest.min(now + PACED_INTERVAL));
+        Some(expiry.min(look))
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/admission/limits.rs
@@ -0,0 +1,33 @@
+//! Limits that operators and the peak meter set.
+
+use crate::state;
+
+/// Limits that apply to one event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Requests that may wait, all kinds together.
+    pub queue: usize,
+    /// Share of starts and of the queue that each kind below urgent keeps, in permille.
+    pub low_share: u64,
+    /// Whether deferrable requests are held back, see [`crate::peak::PeakMeter::is_peak`].
+    pub paced: bool,
+}
+
+impl Limits {
+    /// Limits from the catalog.
+    pub fn from_catalog(catalog: &state::Catalog, paced: bool) -> Self {
+        let queue = catalog.number(state::Value::QueueLimit);
+        Self {
+            queue: usize::try_from(queue).unwrap_or(usize::MAX),
+            low_share: catalog.number(state::Value::LowShare),
+            paced,
+        }
+    }
+
+    /// Places in the queue that each kind below urgent keeps. Bounded by a
+    /// quarter, so that the two kinds together leave half to urgent requests.
+    pub(super) fn reserve(&self) -> usize {
+        let share = usize::try_from(self.low_share).unwrap_or(0);
+        (self.queue.saturating_mul(share) / 1_000).min(self.queue / 4)
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/admission/mod.rs
@@ -0,0 +1,36 @@
+//! Order and limits of the requests that one entry VM runs.
+//!
+//! [`Admission`] holds arriving requests in a bounded queue and starts them by
+//! kind and deadline while the work under way stays below a limit. The limit
+//! follows what this VM completes in time. A request that cannot be served by
+//! its deadline is refused at once, while its caller can still go elsewhere;
+//! such a refusal is always "not run", because nothing was sent.
+//!
+//! Kinds below urgent keep a share of the starts and of the queue, so that they
+//! do not starve. Near the month's peak deferrable requests are held back until
+//! the last moment at which they can still be served.
+//!
+//! [`InFlight`] lets identical reads on the same snapshot share one run.
+
+mod action;
+#[expect(
+    clippy::module_inception,
+    reason = "one type a file, the file named after it"
+)]
+mod admission;
+mod arriving;
+mod concurrency_limit;
+mod end;
+mod event;
+mod limits;
+mod low_shares;
+mod queue;
+
+pub(crate) use admission::MIN_RETRY;
+
+pub use action::Action;
+pub use admission::Admission;
+pub use concurrency_limit::ConcurrencyLimit;
+pub use end::End;
+pub use event::Event;
+pub use limits::Limits;
--- /dev/null
+++ b/crates/fireflyspool/src/gather/budgets.rs
@@ -0,0 +1,86 @@
+//! What the queries of one entry VM share.
+
+use std::time;
+
+use crate::{gather, ids, peak, sorted, state, view};
+
+/// Budgets, observations and numbers that all queries of one entry VM share.
+///
+/// There is one per process. Query tasks use it for microseconds at a time, so
+/// one mutex around it is enough; no method waits or does I/O.
+#[derive(Clone, Debug)]
+pub struct Budgets {
+    /// Demand of this entry VM.
+    pub peak: peak::PeakMeter,
+    incarnation: ids::Incarnation,
+    next_sub: ids::SubRequestId,
+    hedges: gather::TokenBucket,
+    retries: gather::TokenBucket,
+    services: sorted::SortedMap<ids::ServiceName, gather::ServiceTraffic>,
+}
+
+impl Budgets {
+    /// Budgets of a process that just started.
+    pub fn new(incarnation: ids::Incarnation, peak: peak::PeakMeter) -> Self {
+        Self {
+            peak,
+            incarnation,
+            next_sub: 1,
+            hedges: gather::TokenBucket::default(),
+            retries: gather::TokenBucket::default(),
+            services: sorted::SortedMap::new(),
+        }
+    }
+
+    /// Incarnation of this process.
+    pub fn incarnation(&self) -> ids::Incarnation {
+        self.incarnation
+    }
+
+    /// Next number of a sub-request of this process.
+    pub fn next_sub(&mut self) -> ids::SubRequestId {
+        self.next_sub += 1;
+        self.next_sub - 1
+    }
+
+    /// Observations of a service.
+    pub fn traffic(&mut self, service: &str) -> &mut gather::ServiceTraffic {
+        self.services
+            .get_or_insert_with(service.to_owned(), gather::ServiceTraffic::default)
+    }
+
+    /// Counts first attempts, which earn hedges and retries.
+    pub fn count_firsts(&mut self, firsts: u64, view: &view::View, now: time::Instant) {
+        self.peak.count(peak::Cause::First, firsts, now);
+        let hedge_share = view.catalog.number(state::Value::HedgeBudget);
+        let retry_share = view.catalog.number(state::Value::RetryBudget);
+        self.hedges.earn(firsts, hedge_share);
+        self.retries.earn(firsts, retry_share);
+    }
+
+    /// Counts an attempt that replaces one of which nothing ran; it needs no
+    /// budget because it puts no additional work on backend servers.
+    pub fn count_redirect(&mut self, now: time::Instant) {
+        self.peak.count(peak::Cause::Retry, 1, now);
+    }
+
+    /// Takes a hedge from the budget; none are sent in the peak minute.
+    pub fn take_hedge(&mut self, view: &view::View, now: time::Instant) -> bool {
+        let share = view.catalog.number(state::Value::HedgeBudget);
+        let taken = !self.peak.is_peak(now) && self.hedges.spend(share);
+        if taken {
+            self.peak.count(peak::Cause::Hedge, 1, now);
+        }
+        taken
+    }
+
+    /// Takes a retry from the budget; none are sent in the peak minute.
+    pub fn take_retry(&mut self, view: &view::View, now: time::Instant) -> bool {
+        let share = view.catalog.number(state::Value::RetryBudget);
+        let taken = !self.peak.is_peak(now) && self.retries.spend(share);
+        if taken {
+            self.peak.count(peak::Cause::Retry, 1, now);
+        }
+        taken
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/gather/passed_over.rs
@@ -0,0 +1,12 @@
+//! A candidate that was not chosen.
+
+use crate::{gather, ids};
+
+/// Candidate owner that was not chosen, with the reason.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+pub struct PassedOver {
+    /// The candidate.
+    pub owner: ids::NodeId,
+    /// Why another one was chosen.
+    pub cause: gather::PassCause,
+}
--- /dev/null
+++ b/crates/fireflyspool/src/gather/query.rs
@@ -0,0 +1,11 @@
+//! A search and its life.
+
+/// Search in one state of its life: [`super::Planned`], [`super::Running`] or
+/// [`super::Finished`].
+///
+/// A transition consumes the query, so a finished one can neither send nor
+/// finish again.
+#[derive(Clone, Debug)]
+pub struct Query<S> {
+    pub(super) state: S,
+}
--- /dev/null
+++ b/crates/fireflyspool/src/gather/reason.rs
@@ -0,0 +1,30 @@
+//! Reasons for sending a sub-request.
+
+use crate::peak;
+
+/// Why a sub-request was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// First attempt for the shard.
+    First,
+    /// First attempt for the shard after the query moved to another version.
+    Moved,
+    /// The attempt under way is slow.
+    Hedge,
+    /// The attempt before failed or was refused by an overloaded owner.
+    Retry,
+    /// The owner before stated that nothing ran there.
+    Redirect,
+}
+
+impl Reason {
+    /// Cause under which the peak meter counts it.
+    pub fn cause(self) -> peak::Cause {
+        match self {
+            Self::First | Self::Moved => peak::Cause::First,
+            Self::Hedge => peak::Cause::Hedge,
+            Self::Retry | Self::Redirect => peak::Cause::Retry,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/gather/sending.rs
@@ -0,0 +1,186 @@
+//! Choosing owners and sending attempts.
+
+use std::time;
+
+use crate::{dispatch, gather, ids, outcome, plan, view};
+
+impl gather::Running {
+    /// Opens every shard and sends its first attempt.
+    pub(super) fn send_firsts(
+        &mut self,
+        reason: gather::Reason,
+        scene: &mut gather::scene::Scene<'_>,
+        batch: &mut gather::batch::Batch,
+    ) {
+        let total = self.plan.routes.total();
+        self.shards = vec![gather::progress::Progress::new(); total];
+        self.subs = Vec::with_capacity(total + total / 8);
+        self.open = total;
+        self.missing = 0;
+        let mut firsts = 0;
+        for shard in (0..).take(total) {
+            if self.send(shard, reason, false, scene, batch) {
+                firsts += 1;
+            } else {
+                self.give_up(shard);
+            }
+        }
+        scene.budgets.count_firsts(firsts, scene.view, scene.now);
+    }
+
+    /// Hedges the shards whose attempt is slow, as far as the budget allows.
+    pub(super) fn send_hedges(
+        &mut self,
+        scene: &mut gather::scene::Scene<'_>,
+        batch: &mut gather::batch::Batch,
+    ) {
+        let may_hedge = self.search.kind != outcome::Kind::Deferrable
+            && self.suspicion.allows_copies()
+            && scene.view.may_act(scene.now)
+            && scene.now < self.ends_at;
+        for shard in (0..).take(self.shards.len()) {
+            let progress = &mut self.shards[shard as usize];
+            let due = progress.hedge_at.is_some_and(|at| at <= scene.now);
+            if !due || progress.attempts.len() != 1 {
+                continue;
+            }
+            // A hedge that the budget refuses now may be allowed later.
+            progress.hedge_at = Some(scene.now + self.hedge_delay);
+            let sent = may_hedge
+                && self.has_candidate(shard, false, scene)
+                && scene.budgets.take_hedge(scene.view, scene.now)
+                && self.send(shard, gather::Reason::Hedge, false, scene, batch);
+            if sent {
+                self.shards[shard as usize].hedge_at = None;
+            }
+        }
+    }
+
+    /// Whether a candidate is left that may be sent this shard.
+    pub(super) fn has_candidate(
+        &self,
+        shard: ids::ShardNumber,
+        same_owner: bool,
+        scene: &gather::scene::Scene<'_>,
+    ) -> bool {
+        let candidates = self.plan.routes.candidates(shard).iter();
+        let tried = &self.shards[shard as usize].tried;
+        candidates
+            .copied()
+            .any(|candidate| is_usable(candidate, tried, same_owner, scene.view))
+    }
+
+    /// Sends one attempt to the best candidate; false if there is none.
+    ///
+    /// With `same_owner` an owner that was tried may be tried again if it has
+    /// more replicas than attempts; the servers that were tried are excluded.
+    pub(super) fn send(
+        &mut self,
+        shard: ids::ShardNumber,
+        reason: gather::Reason,
+        same_owner: bool,
+        scene: &mut gather::scene::Scene<'_>,
+        batch: &mut gather::batch::Batch,
+    ) -> bool {
+        let (view, now) = (scene.view, scene.now);
+        let draw = scene.entropy.draw();
+        let candidates = self.plan.routes.candidates(shard);
+        let progress = &mut self.shards[shard as usize];
+        let usable = candidates
+            .iter()
+            .copied()
+            .filter(|candidate| is_usable(*candidate, &progress.tried, same_owner, view));
+        let loads = &mut scene.budgets.traffic(&self.search.service).loads;
+        let Some(owner) = loads.choose(usable, shard, now, draw) else {
+            return false;
+        };
+        let decision = gather::Decision {
+            request: self.search.request.clone(),
+            snapshot: self.plan.snapshot.clone(),
+            shard,
+            owner,
+            reason,
+            passed_over: candidates
+                .iter()
+                .filter(|candidate| candidate.owner != owner)
+                .map(|candidate| gather::PassedOver {
+                    owner: candidate.owner,
+                    cause: pass_cause(*candidate, &progress.tried, shard, loads, view, now),
+                })
+                .collect(),
+        };
+        loads.sent(owner, shard);
+        let sub = scene.budgets.next_sub();
+        let hedge = reason == gather::Reason::Hedge;
+        progress.tried.push(owner);
+        progress.hedged |= hedge;
+        progress.hedge_at = (!progress.hedged).then(|| now + self.hedge_delay);
+        progress.attempts.push(gather::attempt::Attempt {
+            sub,
+            owner,
+            sent: now,
+        });
+        let request = dispatch::SubRequest {
+            sub,
+            coordinator: view.node,
+            incarnation: scene.budgets.incarnation(),
+            request: self.search.request.clone(),
+            fingerprint: self.fingerprint,
+            service: self.search.service.clone(),
+            kind: self.search.kind,
+            hedge,
+            remaining: self.ends_at.saturating_duration_since(now),
+            excluded: progress.excluded.clone(),
+            work: dispatch::Work::Search {
+                snapshot: self.plan.snapshot.clone(),
+                shard,
+                text: self.search.text.clone(),
+                limit: self.search.limit,
+            },
+        };
+        self.subs.push((sub, shard));
+        batch.dispatch(owner, request, decision);
+        true
+    }
+
+    /// Ends a shard without an answer.
+    pub(super) fn give_up(&mut self, shard: ids::ShardNumber) {
+        let progress = &mut self.shards[shard as usize];
+        if progress.is_open() {
+            progress.stage = gather::progress::Stage::Missing;
+            progress.parked = false;
+            self.open -= 1;
+            self.missing += 1;
+        }
+    }
+}
+
+fn is_usable(
+    candidate: plan::Candidate,
+    tried: &[ids::NodeId],
+    same_owner: bool,
+    view: &view::View,
+) -> bool {
+    let attempts = tried.iter().filter(|owner| **owner == candidate.owner);
+    let allowed = if same_owner { candidate.replicas } else { 1 };
+    attempts.count() < allowed as usize && view.members.contains_key(&candidate.owner)
+}
+
+fn pass_cause(
+    candidate: plan::Candidate,
+    tried: &[ids::NodeId],
+    shard: ids::ShardNumber,
+    loads: &gather::OwnerLoads,
+    view: &view::View,
+    now: time::Instant,
+) -> gather::PassCause {
+    if tried.contains(&candidate.owner) {
+        gather::PassCause::Tried
+    } else if !view.members.contains_key(&candidate.owner) {
+        gather::PassCause::Gone
+    } else if loads.is_avoided(candidate.owner, shard, now) {
+        gather::PassCause::Avoided
+    } else {
+        gather::PassCause::Load
+    }
+}
--- a/crates/fireflyspool/src/lib.rs
+++ b/crates/fireflyspool/src/lib.rs
@@ -13,10 +13,14 @@
 //! or random sources: an event and the current time go in, actions come out.
 //! `docs/design.md` explains the reasons.
 
+pub mod admission;
 pub mod backend;
 pub mod dispatch;
+pub mod gather;
 pub mod ids;
 pub mod outcome;
+pub mod peak;
+pub mod plan;
 pub mod sorted;
 pub mod state;
 pub mod timer;
--- /dev/null
+++ b/crates/fireflyspool/src/peak/cause.rs
@@ -0,0 +1,42 @@
+//! Causes for which sub-requests are sent.
+
+/// Why a sub-request was sent.
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// First attempt for a shard or submission.
+    First,
+    /// Second copy of an attempt that is slow.
+    Hedge,
+    /// Attempt after a failure or a refusal.
+    Retry,
+    /// Warm-up of a backend server.
+    WarmUp,
+}
+
+impl Cause {
+    /// All causes.
+    pub const ALL: [Self; 4] = [Self::First, Self::Hedge, Self::Retry, Self::WarmUp];
+
+    /// Position in [`Cause::ALL`].
+    pub fn index(self) -> usize {
+        match self {
+            Self::First => 0,
+            Self::Hedge => 1,
+            Self::Retry => 2,
+            Self::WarmUp => 3,
+        }
+    }
+
+    /// Name as it stands in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Hedge => "hedge",
+            Self::Retry => "retry",
+            Self::WarmUp => "warm_up",
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/peak/peak_error.rs
@@ -0,0 +1,12 @@
+//! Errors of a stored peak record.
+
+/// Why a stored record cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum PeakError {
+    /// The checksum does not match, so the record is damaged.
+    #[error("the peak record is damaged")]
+    Damaged,
+    /// The content is no peak record.
+    #[error("the peak record cannot be read")]
+    Malformed(#[source] serde_json::Error),
+}
--- /dev/null
+++ b/crates/fireflyspool/src/plan/mod.rs
@@ -0,0 +1,30 @@
+//! Index version and owners for one query.
+//!
+//! [`plan`] pins one index version and lists, for every shard of that
+//! version's shard map, the entry VMs that own eligible replicas of it. It
+//! decides nothing about single owners: [`crate::gather`] chooses among the
+//! candidates, because that choice depends on what is under way.
+//!
+//! A version is pinned whole. The newest version whose shards all have a
+//! candidate is used, so a version that is still being loaded is left alone
+//! until every shard of it can answer.
+
+mod candidate;
+mod pin;
+#[expect(
+    clippy::module_inception,
+    reason = "one type a file, the file named after it"
+)]
+mod plan;
+mod plan_error;
+mod routes;
+mod search;
+
+pub(crate) use pin::plan_without;
+
+pub use candidate::Candidate;
+pub use pin::plan;
+pub use plan::Plan;
+pub use plan_error::PlanError;
+pub use routes::Routes;
+pub use search::Search;
--- /dev/null
+++ b/crates/fireflyspool/src/plan/pin.rs
@@ -0,0 +1,96 @@
+//! Choice of the index version.
+
+use std::{sync, time};
+
+use crate::{ids, outcome, plan, view};
+
+/// Pins the index version of a search and collects the owners of its shards.
+///
+/// The newest version whose shards all have a candidate is pinned. If there is
+/// none, the version with the best coverage is pinned, provided that the
+/// coverage meets the caller's requirement or the caller prefers a partial
+/// answer. The choice is deterministic: `_entropy` is part of the signature of
+/// every decision function and has no effect here.
+///
+/// # Errors
+///
+/// Returns a [`plan::PlanError`] if the lease has ended, the names do not
+/// exist in the catalog, or the coverage that can be reached is too small.
+pub fn plan(
+    search: &plan::Search,
+    view: &view::View,
+    now: time::Instant,
+    _entropy: u64,
+) -> Result<plan::Plan, plan::PlanError> {
+    plan_without(search, view, &[], now)
+}
+
+/// Like [`plan`], but never pins one of the given versions.
+pub(crate) fn plan_without(
+    search: &plan::Search,
+    view: &view::View,
+    vanished: &[ids::IndexVersion],
+    now: time::Instant,
+) -> Result<plan::Plan, plan::PlanError> {
+    check(search, view, now)?;
+    let routes = plan::Routes::collect(view, &search.service, &search.collection);
+    let usable = routes.into_iter().filter(|routes| {
+        let version = routes.version();
+        search.version.is_none_or(|asked| asked == version) && !vanished.contains(&version)
+    });
+    let Some(best) = usable.rev().reduce(better) else {
+        let version = search.version.unwrap_or_default();
+        return Err(plan::PlanError::UnknownVersion(snapshot(search, version)));
+    };
+    let snapshot = snapshot(search, best.version());
+    let reachable = best.reachable();
+    let admitted = reachable == best.total()
+        || reachable > 0 && (search.partial || search.coverage.is_met_by(&best.coverage()));
+    if admitted {
+        let routes = sync::Arc::new(best);
+        Ok(plan::Plan { snapshot, routes })
+    } else {
+        Err(plan::PlanError::Coverage {
+            snapshot,
+            covered: reachable,
+            total: best.total(),
+        })
+    }
+}
+
+fn check(
+    search: &plan::Search,
+    view: &view::View,
+    now: time::Instant,
+) -> Result<(), plan::PlanError> {
+    if !view.may_act(now) {
+        return Err(plan::PlanError::NoLease);
+    }
+    let collection = view.catalog.collections.get(&search.collection);
+    let collection =
+        collection.ok_or_else(|| plan::PlanError::UnknownCollection(search.collection.clone()))?;
+    if collection.services.binary_search(&search.service).is_err() {
+        return Err(plan::PlanError::NotReader {
+            collection: search.collection.clone(),
+            service: search.service.clone(),
+        });
+    }
+    Ok(())
+}
+
+fn snapshot(search: &plan::Search, version: ids::IndexVersion) -> outcome::Snapshot {
+    outcome::Snapshot {
+        collection: search.collection.clone(),
+        version,
+    }
+}
+
+/// The route set with the greater covered share; the newer one if they are equal.
+fn better(newer: plan::Routes, older: plan::Routes) -> plan::Routes {
+    // Shares are compared by cross-multiplication because shard counts differ between versions.
+    if older.reachable() * newer.total() > newer.reachable() * older.total() {
+        older
+    } else {
+        newer
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/plan/routes.rs
@@ -0,0 +1,105 @@
+//! Owners of the replicas of one index version.
+
+use crate::{ids, outcome, plan, view};
+
+/// Candidate owners of every shard of one index version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Routes {
+    version: ids::IndexVersion,
+    shards: Vec<Vec<plan::Candidate>>,
+}
+
+impl Routes {
+    /// Routes of every index version of a collection, ascending by version.
+    ///
+    /// A replica counts only if its server is ready, not taken out, and owned
+    /// by a live entry VM.
+    pub fn collect(view: &view::View, service: &str, collection: &str) -> Vec<Self> {
+        let Some(known) = view.catalog.collections.get(collection) else {
+            return Vec::new();
+        };
+        let mut routes: Vec<Self> = known
+            .versions
+            .iter()
+            .map(|(version, shards)| Self {
+                version: *version,
+                shards: vec![Vec::new(); *shards as usize],
+            })
+            .collect();
+        for record in view.servers.values() {
+            let announcement = &record.announcement;
+            if announcement.service != service || !view.is_eligible(record) {
+                continue;
+            }
+            let Some(owner) = record.owner.filter(|o| view.members.contains_key(o)) else {
+                continue;
+            };
+            let slots = view.slots(record);
+            let hosted = &announcement.hosted;
+            let start = hosted.partition_point(|shard| shard.collection.as_str() < collection);
+            for shard in &hosted[start..] {
+                if shard.collection != collection {
+                    break;
+                }
+                let found = routes.binary_search_by_key(&shard.version, |route| route.version);
+                if let Ok(position) = found {
+                    routes[position].add(shard.shard, owner, slots);
+                }
+            }
+        }
+        routes
+    }
+
+    /// Index version.
+    pub fn version(&self) -> ids::IndexVersion {
+        self.version
+    }
+
+    /// Number of shards in the shard map.
+    pub fn total(&self) -> usize {
+        self.shards.len()
+    }
+
+    /// Number of shards that have a candidate.
+    pub fn reachable(&self) -> usize {
+        self.shards.iter().filter(|shard| !shard.is_empty()).count()
+    }
+
+    /// Candidates of a shard; empty if it has none or lies outside the shard map.
+    pub fn candidates(&self, shard: ids::ShardNumber) -> &[plan::Candidate] {
+        self.shards.get(shard as usize).map_or(&[], Vec::as_slice)
+    }
+
+    /// Shards that have a candidate and shards that have none.
+    pub fn coverage(&self) -> outcome::Coverage {
+        let mut coverage = outcome::Coverage::default();
+        for (shard, candidates) in (0..).zip(&self.shards) {
+            if candidates.is_empty() {
+                coverage.missing.push(shard);
+            } else {
+                coverage.covered.push(shard);
+            }
+        }
+        coverage
+    }
+
+    fn add(&mut self, shard: ids::ShardNumber, owner: ids::NodeId, slots: u32) {
+        let Some(candidates) = self.shards.get_mut(shard as usize) else {
+            return;
+        };
+        match candidates
+            .iter_mut()
+            .find(|candidate| candidate.owner == owner)
+        {
+            Some(candidate) => {
+                candidate.replicas += 1;
+                candidate.slots = candidate.slots.saturating_add(slots);
+            }
+            None => candidates.push(plan::Candidate {
+                owner,
+                replicas: 1,
+                slots,
+            }),
+        }
+    }
+}
