--- a/crates/fireflyspool/src/lib.rs
+++ b/crates/fireflyspool/src/lib.rs
@@ -13,16 +13,20 @@
 //! or random sources: an event and the current time go in, actions come out.
 //! `docs/design.md` explains the reasons.
 
+pub mod admission;
 pub mod backend;
 pub mod directory;
 pub mod consensus;
 pub mod dispatch;
 pub mod hashing;
+pub mod gather;
 pub mod ids;
 pub mod language;
 pub mod outcome;
 pub mod settings;
 pub mod shutdown;
+pub mod peak;
+pub mod plan;
 pub mod sorted;
 pub mod state;
 pub mod telemetry;
