Add the stand-in backend server of the bench package

Cause: tests and measurements need backend servers whose limits and faults can be controlled, without software of other parties.

--- /dev/null
+++ b/crates/bench/src/cli/arguments.rs
@@ -0,0 +1,20 @@
+//! Commands of the program.
+
+use crate::cli;
+
+/// Stand-in backend servers and the load tool.
+#[derive(Debug, clap::Parser)]
+#[command(version)]
+pub(crate) enum Arguments {
+    /// Runs stand-in backend servers.
+    Searcher(Box<cli::SearcherArguments>),
+}
+
+impl Arguments {
+    /// Runs the command.
+    pub(crate) async fn run(self) -> anyhow::Result<()> {
+        match self {
+            Self::Searcher(arguments) => arguments.run().await,
+        }
+    }
+}
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,3 +1,10 @@
-//! Backend server stand-in and load tool.
+//! Stand-in backend servers and the load tool of fireflyspool.
 
-fn main() {}
+mod cli;
+
+use clap::Parser as _;
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    cli::Arguments::parse().run().await
+}
