--- a/crates/fireflyspool/src/dispatch/backlog.rs
+++ b/crates/fireflyspool/src/dispatch/backlog.rs
@@ -2,23 +2,15 @@
 
 use std::time;
 
-use crate::dispatch::{group, queue_key, waiting};
-use crate::{outcome, sorted};
-
-/// Where a waiting sub-request stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct Position {
-    pub(super) target: group::TargetKey,
-    pub(super) kind: outcome::Kind,
-    pub(super) key: queue_key::QueueKey,
-}
+use crate::dispatch::{group, position, queue_key, target, waiting};
+use crate::sorted;
 
 /// Queues by target, with the deadlines of everything in them.
 #[derive(Debug, Default)]
 pub(super) struct Backlog {
-    targets: sorted::SortedMap<group::Target, group::TargetKey>,
+    targets: sorted::SortedMap<target::Target, target::TargetKey>,
     groups: Vec<Option<group::Group>>,
-    deadlines: sorted::SortedMap<(time::Instant, u64), Position>,
+    deadlines: sorted::SortedMap<(time::Instant, u64), position::Position>,
 }
 
 impl Backlog {
@@ -30,12 +22,12 @@
         self.deadlines.is_empty()
     }
 
-    pub(super) fn find(&self, target: &group::Target) -> Option<group::TargetKey> {
+    pub(super) fn find(&self, target: &target::Target) -> Option<target::TargetKey> {
         self.targets.get(target).copied()
     }
 
     /// Number of a target, registered first if it is new.
-    pub(super) fn register(&mut self, target: group::Target) -> group::TargetKey {
+    pub(super) fn register(&mut self, target: target::Target) -> target::TargetKey {
         if let Some(known) = self.find(&target) {
             return known;
         }
@@ -51,16 +43,16 @@
         key
     }
 
-    pub(super) fn group(&self, target: group::TargetKey) -> Option<&group::Group> {
+    pub(super) fn group(&self, target: target::TargetKey) -> Option<&group::Group> {
         self.groups.get(target)?.as_ref()
     }
 
-    pub(super) fn group_mut(&mut self, target: group::TargetKey) -> Option<&mut group::Group> {
+    pub(super) fn group_mut(&mut self, target: target::TargetKey) -> Option<&mut group::Group> {
         self.groups.get_mut(target)?.as_mut()
     }
 
     /// Numbers of all targets.
-    pub(super) fn target_keys(&self) -> Vec<group::TargetKey> {
+    pub(super) fn target_keys(&self) -> Vec<target::TargetKey> {
         self.targets.values().copied().collect()
     }
 
@@ -79,8 +71,12 @@
     }
 
     /// Adds a sub-request and returns its position.
-    pub(super) fn push(&mut self, entry: Box<waiting::Waiting>, hedges_first: bool) -> Position {
-        let position = Position {
+    pub(super) fn push(
+        &mut self,
+        entry: Box<waiting::Waiting>,
+        hedges_first: bool,
+    ) -> position::Position {
+        let position = position::Position {
             target: entry.target,
             kind: entry.request.kind,
             key: queue_key::QueueKey {
@@ -98,7 +94,7 @@
     }
 
     /// Removes a sub-request.
-    pub(super) fn take(&mut self, position: Position) -> Option<Box<waiting::Waiting>> {
+    pub(super) fn take(&mut self, position: position::Position) -> Option<Box<waiting::Waiting>> {
         let group = self.group_mut(position.target)?;
         let entry = group.queues[position.kind.index()].remove(&position.key)?;
         self.deadlines
@@ -112,7 +108,7 @@
     }
 
     /// Position of what has the earliest deadline, if that is not after the given time.
-    pub(super) fn due(&self, latest: time::Instant) -> Option<Position> {
+    pub(super) fn due(&self, latest: time::Instant) -> Option<position::Position> {
         let (key, position) = self.deadlines.first()?;
         (key.0 <= latest).then_some(*position)
     }
@@ -121,14 +117,14 @@
     pub(super) fn positions(
         &self,
         mut fits: impl FnMut(&waiting::Waiting) -> bool,
-    ) -> Vec<Position> {
+    ) -> Vec<position::Position> {
         let all = self.deadlines.values().copied();
         all.filter(|position| self.entry(*position).is_some_and(&mut fits))
             .collect()
     }
 
     /// Sub-request at a position.
-    pub(super) fn entry(&self, position: Position) -> Option<&waiting::Waiting> {
+    pub(super) fn entry(&self, position: position::Position) -> Option<&waiting::Waiting> {
         let group = self.group(position.target)?;
         let entry = group.queues[position.kind.index()].get(&position.key)?;
         Some(entry)
--- a/crates/fireflyspool/src/dispatch/dispatcher.rs
+++ b/crates/fireflyspool/src/dispatch/dispatcher.rs
@@ -2,16 +2,9 @@
 
 use std::{collections, time};
 
-use crate::dispatch::{attempts, backlog, fleet, group, service_times, suspects, waiting};
+use crate::dispatch::{attempts, backlog, fleet, place, service_times, suspects, target, waiting};
 use crate::{dispatch, ids, sorted, view};
 
-/// Where an accepted sub-request is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Place {
-    Waiting(backlog::Position),
-    Running(ids::AttemptId),
-}
-
 /// Queues the sub-requests of one service and sends them to the backend servers it owns.
 ///
 /// The driver passes every event with the latest view, the current time and a
@@ -25,7 +18,7 @@
     pub(super) fleet: fleet::Fleet,
     pub(super) backlog: backlog::Backlog,
     pub(super) attempts: attempts::Attempts,
-    pub(super) places: sorted::SortedMap<waiting::SubKey, Place>,
+    pub(super) places: sorted::SortedMap<waiting::SubKey, place::Place>,
     /// Cancellations on their way, with the server and incarnation they went to.
     pub(super) cancels: sorted::SortedMap<ids::AttemptId, (fleet::ServerKey, ids::Incarnation)>,
     pub(super) suspects: suspects::Suspects,
@@ -55,7 +48,7 @@
         config: dispatch::Config,
     ) -> Self {
         let mut backlog = backlog::Backlog::default();
-        backlog.register(group::Target::Any);
+        backlog.register(target::Target::Any);
         Self {
             node,
             attempts: attempts::Attempts::new(first_attempt(node, incarnation, &service)),
--- a/crates/fireflyspool/src/dispatch/group.rs
+++ b/crates/fireflyspool/src/dispatch/group.rs
@@ -1,19 +1,7 @@
 //! Sub-requests that the same backend servers can serve.
 
 use crate::dispatch::{fleet, queue_key, waiting};
-use crate::{backend, outcome, sorted};
-
-/// What a sub-request needs from a backend server.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Target {
-    /// Any backend server of the service.
-    Any,
-    /// A backend server that hosts the shard.
-    Shard(backend::HostedShard),
-}
-
-/// Number of a target at this dispatcher.
-pub(super) type TargetKey = usize;
+use crate::{outcome, sorted};
 
 pub(super) type Queue = sorted::SortedMap<queue_key::QueueKey, Box<waiting::Waiting>>;
 
--- a/crates/fireflyspool/src/dispatch/health.rs
+++ b/crates/fireflyspool/src/dispatch/health.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::dispatch::{attempt, fleet, group, server};
+use crate::dispatch::{attempt, fleet, server, target};
 use crate::{dispatch, ids, view};
 
 /// Service times above this multiple of the peers' median are late for a warming server.
@@ -125,7 +125,7 @@
     }
 
     /// Takes note that a server does not host a shard that it announced.
-    pub(super) fn deny(&mut self, key: fleet::ServerKey, target: group::TargetKey) {
+    pub(super) fn deny(&mut self, key: fleet::ServerKey, target: target::TargetKey) {
         if let Some(server) = self.fleet.get_mut(key) {
             let core = server.core_mut();
             core.targets.retain(|known| *known != target);
--- a/crates/fireflyspool/src/dispatch/intake.rs
+++ b/crates/fireflyspool/src/dispatch/intake.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::dispatch::{attempt, backlog, dispatcher, group, waiting};
+use crate::dispatch::{attempt, place, position, target, waiting};
 use crate::{backend, dispatch, ids, outcome, view};
 
 impl dispatch::Dispatcher {
@@ -22,7 +22,7 @@
         let entry = Box::new(waiting::Waiting {
             arrived: now,
             deadline: now + request.remaining,
-            target: target.unwrap_or(group::TargetKey::MAX),
+            target: target.unwrap_or(target::TargetKey::MAX),
             sequence: self.sequence,
             refusal: None,
             request,
@@ -85,27 +85,7 @@
     pub(super) fn enqueue(&mut self, entry: Box<waiting::Waiting>) {
         let key = entry.key();
         let position = self.backlog.push(entry, self.config.hedges_first);
-        self.places
-            .insert(key, dispatcher::Place::Waiting(position));
-    }
-
-    pub(super) fn cancel(&mut self, key: waiting::SubKey, view: &view::View, now: time::Instant) {
-        match self.places.get(&key).copied() {
-            Some(dispatcher::Place::Waiting(position)) => {
-                self.skip_position(position, dispatch::SkipCause::Cancelled, None, now);
-            }
-            Some(dispatcher::Place::Running(attempt)) => {
-                self.fail_attempt(attempt, dispatch::FailureCause::Cancelled);
-                // A cancelled straggler would otherwise be missing from the service times,
-                // and hedges would be sent earlier and earlier.
-                if let Some(running) = self.attempts.get(attempt) {
-                    let elapsed = now.duration_since(running.sent);
-                    self.times.record(running.server, elapsed, now);
-                }
-                self.start_cancel(attempt, view, now);
-            }
-            None => {}
-        }
+        self.places.insert(key, place::Place::Waiting(position));
     }
 
     /// Reports the result of an attempt that may have run; its permit is still held.
@@ -125,7 +105,7 @@
 
     pub(super) fn skip_position(
         &mut self,
-        position: backlog::Position,
+        position: position::Position,
         cause: dispatch::SkipCause,
         retry_after: Option<time::Duration>,
         now: time::Instant,
@@ -164,7 +144,7 @@
     /// Puts a sub-request that a server did not run back into the queue, or ends it.
     pub(super) fn put_back(
         &mut self,
-        attempt: Box<attempt::Attempt>,
+        attempt: attempt::Attempt,
         server: &str,
         cause: dispatch::SkipCause,
         was_sent: bool,
@@ -195,15 +175,15 @@
 }
 
 /// What a sub-request needs from a backend server.
-fn target_of(request: &dispatch::SubRequest) -> group::Target {
+fn target_of(request: &dispatch::SubRequest) -> target::Target {
     match &request.work {
         dispatch::Work::Search {
             snapshot, shard, ..
-        } => group::Target::Shard(backend::HostedShard {
+        } => target::Target::Shard(backend::HostedShard {
             collection: snapshot.collection.clone(),
             version: snapshot.version,
             shard: *shard,
         }),
-        dispatch::Work::Submit { .. } => group::Target::Any,
+        dispatch::Work::Submit { .. } => target::Target::Any,
     }
 }
--- a/crates/fireflyspool/src/dispatch/mod.rs
+++ b/crates/fireflyspool/src/dispatch/mod.rs
@@ -22,7 +22,7 @@
 //!
 //! Parts: `intake` accepts and ends sub-requests, `placement` chooses servers
 //! and work, `verdict` decides whether waiting makes sense, `replies` checks
-//! what servers say, `health` and `ejection` judge servers, `upkeep` runs
+//! what servers say, `cancellation` stops attempts, `health` and `ejection` judge servers, `upkeep` runs
 //! timers and connections, `sync` follows the view.
 
 mod action;
@@ -31,8 +31,10 @@
 mod backend_server;
 mod backlog;
 mod body;
+mod cancellation;
 mod config;
 mod connections;
+mod crash;
 mod decision;
 mod dispatcher;
 mod ejection;
@@ -46,10 +48,13 @@
 mod leaving;
 mod low_credit;
 mod pass_cause;
+mod place;
 mod placement;
 mod placement_reason;
+mod position;
 mod queue_key;
 mod replies;
+mod sample;
 mod server;
 mod server_core;
 mod service_times;
@@ -58,7 +63,9 @@
 mod sub_outcome;
 mod sub_request;
 mod suspects;
+mod suspicion;
 mod sync;
+mod target;
 mod upkeep;
 mod verdict;
 mod waiting;
--- /dev/null
+++ b/crates/fireflyspool/src/dispatch/place.rs
@@ -0,0 +1,11 @@
+//! Place of an accepted sub-request.
+
+use crate::dispatch::position;
+use crate::ids;
+
+/// Where an accepted sub-request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Place {
+    Waiting(position::Position),
+    Running(ids::AttemptId),
+}
--- a/crates/fireflyspool/src/dispatch/placement.rs
+++ b/crates/fireflyspool/src/dispatch/placement.rs
@@ -2,20 +2,20 @@
 
 use std::time;
 
-use crate::dispatch::{attempt, backlog, dispatcher, fleet, group, upkeep, waiting};
+use crate::dispatch::{attempt, fleet, place, position, target, upkeep, waiting};
 use crate::{backend, dispatch, ids, outcome, view};
 
 impl dispatch::Dispatcher {
     /// Offers free permits to a sub-request that has just been queued.
     pub(super) fn place(
         &mut self,
-        target: group::TargetKey,
+        target: target::TargetKey,
         key: waiting::SubKey,
         view: &view::View,
         now: time::Instant,
     ) {
         let mut tried = Vec::new();
-        while let Some(dispatcher::Place::Waiting(position)) = self.places.get(&key).copied() {
+        while let Some(place::Place::Waiting(position)) = self.places.get(&key).copied() {
             let Some(server) = self.preferred(target, position, &tried, now) else {
                 return;
             };
@@ -27,8 +27,8 @@
     /// Best backend server with a free permit for a waiting sub-request.
     fn preferred(
         &self,
-        target: group::TargetKey,
-        position: backlog::Position,
+        target: target::TargetKey,
+        position: position::Position,
         tried: &[fleet::ServerKey],
         now: time::Instant,
     ) -> Option<fleet::ServerKey> {
@@ -87,9 +87,9 @@
         &mut self,
         key: fleet::ServerKey,
         now: time::Instant,
-    ) -> Option<(backlog::Position, dispatch::PlacementReason)> {
+    ) -> Option<(position::Position, dispatch::PlacementReason)> {
         let core = self.fleet.get(key)?.core();
-        let mut heads: [Option<backlog::Position>; outcome::Kind::ALL.len()] = [None; 3];
+        let mut heads: [Option<position::Position>; outcome::Kind::ALL.len()] = [None; 3];
         for target in &core.targets {
             let Some(group) = self.backlog.group(*target) else {
                 continue;
@@ -104,7 +104,7 @@
                 };
                 let head = &mut heads[kind.index()];
                 if head.is_none_or(|head| *first < head.key) {
-                    *head = Some(backlog::Position {
+                    *head = Some(position::Position {
                         target: *target,
                         kind,
                         key: *first,
@@ -112,7 +112,7 @@
                 }
             }
         }
-        let rank = |position: &backlog::Position| (position.key.first_attempt, position.kind);
+        let rank = |position: &position::Position| (position.key.first_attempt, position.kind);
         let ahead = heads.iter().flatten().min_by_key(|p| rank(p)).copied()?;
         let waits = heads.map(|head| head.is_some());
         let share = self.low_share;
@@ -154,7 +154,7 @@
     fn send(
         &mut self,
         key: fleet::ServerKey,
-        position: backlog::Position,
+        position: position::Position,
         reason: dispatch::PlacementReason,
         view: &view::View,
         now: time::Instant,
@@ -181,8 +181,7 @@
             body: body(&entry, id, now),
             timeout: entry.deadline.duration_since(now) + upkeep::DEADLINE_MARGIN,
         });
-        self.places
-            .insert(entry.key(), dispatcher::Place::Running(id));
+        self.places.insert(entry.key(), place::Place::Running(id));
         let attempt = attempt::Attempt {
             server: key,
             incarnation: core.incarnation,
--- a/crates/fireflyspool/src/dispatch/replies.rs
+++ b/crates/fireflyspool/src/dispatch/replies.rs
@@ -128,7 +128,7 @@
         self.reassess_server(key, now);
         self.reassess(attempt.entry.target, now);
         let fingerprint = attempt.entry.request.fingerprint;
-        self.put_back(attempt, &name, cause, true, view, now);
+        self.put_back(*attempt, &name, cause, true, view, now);
         self.after_end(key, fingerprint, view, now);
     }
 
@@ -164,7 +164,7 @@
         self.note_failure(key, view, now);
         let cause = dispatch::SkipCause::NoServer;
         let fingerprint = attempt.entry.request.fingerprint;
-        self.put_back(attempt, &name, cause, false, view, now);
+        self.put_back(*attempt, &name, cause, false, view, now);
         self.after_end(key, fingerprint, view, now);
     }
 
@@ -183,69 +183,6 @@
         self.start_cancel(id, view, now);
     }
 
-    pub(super) fn cancel_answered(
-        &mut self,
-        id: ids::AttemptId,
-        state: Option<backend::CancelState>,
-        view: &view::View,
-        now: time::Instant,
-    ) {
-        if let Some((key, incarnation)) = self.cancels.remove(&id)
-            && let Some(server) = self.fleet.get_mut(key)
-            && server.core().incarnation == incarnation
-        {
-            server.core_mut().connections.release();
-            self.fill(key, view, now);
-        }
-        // A server that does not know the attempt may still receive it.
-        let ended = matches!(
-            state,
-            Some(backend::CancelState::Cancelled | backend::CancelState::Finished)
-        );
-        if ended
-            && self
-                .attempts
-                .get(id)
-                .is_some_and(|attempt| attempt.reported)
-        {
-            let attempt = self.end_attempt(id);
-            if let Some(attempt) = attempt {
-                let fingerprint = attempt.entry.request.fingerprint;
-                self.after_end(attempt.server, fingerprint, view, now);
-            }
-        }
-    }
-
-    /// Asks the backend server to stop an attempt whose result nobody needs.
-    pub(super) fn start_cancel(
-        &mut self,
-        id: ids::AttemptId,
-        view: &view::View,
-        now: time::Instant,
-    ) {
-        let Some(attempt) = self.attempts.get(id) else {
-            return;
-        };
-        let (key, incarnation) = (attempt.server, attempt.incarnation);
-        if self.cancels.contains_key(&id) || !view.may_act(now) {
-            return;
-        }
-        let Some(server) = self.fleet.get_mut(key) else {
-            return;
-        };
-        let core = server.core_mut();
-        if !core.connections.has_room() {
-            return;
-        }
-        core.connections.acquire();
-        self.cancels.insert(id, (key, incarnation));
-        self.actions.push(dispatch::Action::CancelAttempt {
-            attempt: id,
-            server: core.name.clone(),
-            address: core.address,
-        });
-    }
-
     /// Frees the permit of an attempt.
     pub(super) fn end_attempt(&mut self, id: ids::AttemptId) -> Option<Box<attempt::Attempt>> {
         let attempt = self.attempts.remove(id)?;
--- a/crates/fireflyspool/src/dispatch/server_core.rs
+++ b/crates/fireflyspool/src/dispatch/server_core.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, time};
 
-use crate::dispatch::{connections, group, low_credit};
+use crate::dispatch::{connections, low_credit, target};
 use crate::{backend, ids};
 
 /// Latest service times kept per backend server.
@@ -26,7 +26,7 @@
     pub(super) slots: u32,
     /// Whether the view lets it receive new work.
     pub(super) eligible: bool,
-    pub(super) targets: Vec<group::TargetKey>,
+    pub(super) targets: Vec<target::TargetKey>,
     /// Hosted shards that `targets` was made from.
     pub(super) hosted: Vec<backend::HostedShard>,
     /// Sequence of the latest announcement.
--- a/crates/fireflyspool/src/dispatch/service_times.rs
+++ b/crates/fireflyspool/src/dispatch/service_times.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::dispatch::fleet;
+use crate::dispatch::{fleet, sample};
 
 /// Samples kept; enough for the 99th percentile to rest on several of them.
 const CAPACITY: usize = 512;
@@ -16,17 +16,10 @@
 /// New samples after which the sorted copy is renewed; sorting at every sample is too slow.
 const RENEW_AFTER: usize = 32;
 
-#[derive(Clone, Copy, Debug)]
-struct Sample {
-    taken: time::Instant,
-    server: fleet::ServerKey,
-    micros: u32,
-}
-
 /// Sliding window of service times.
 #[derive(Debug, Default)]
 pub(super) struct ServiceTimes {
-    samples: collections::VecDeque<Sample>,
+    samples: collections::VecDeque<sample::Sample>,
     sorted: Vec<u32>,
     new: usize,
 }
@@ -38,11 +31,11 @@
         elapsed: time::Duration,
         now: time::Instant,
     ) {
-        let old = |sample: &Sample| now.duration_since(sample.taken) > WINDOW;
+        let old = |sample: &sample::Sample| now.duration_since(sample.taken) > WINDOW;
         while self.samples.len() >= CAPACITY || self.samples.front().is_some_and(old) {
             self.samples.pop_front();
         }
-        self.samples.push_back(Sample {
+        self.samples.push_back(sample::Sample {
             taken: now,
             server,
             micros: u32::try_from(elapsed.as_micros()).unwrap_or(u32::MAX),
--- a/crates/fireflyspool/src/dispatch/suspects.rs
+++ b/crates/fireflyspool/src/dispatch/suspects.rs
@@ -2,6 +2,7 @@
 
 use std::time;
 
+use crate::dispatch::{crash, suspicion};
 use crate::{ids, sorted};
 
 /// Backend servers that may crash under a content before it is refused.
@@ -16,23 +17,10 @@
 /// Contents remembered; the one that expires first makes room.
 const CAPACITY: usize = 1_024;
 
-#[derive(Clone, Debug)]
-struct Crash {
-    server: ids::ServerName,
-    incarnation: ids::Incarnation,
-    time: time::Instant,
-}
-
-#[derive(Clone, Debug)]
-struct Suspicion {
-    crashed: Vec<Crash>,
-    until: time::Instant,
-}
-
 /// Crashes seen by this owner and those it was told of.
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
-    seen: sorted::SortedMap<ids::Fingerprint, Suspicion>,
+    seen: sorted::SortedMap<ids::Fingerprint, suspicion::Suspicion>,
     told: std::sync::Arc<sorted::SortedMap<ids::Fingerprint, u32>>,
 }
 
@@ -85,16 +73,18 @@
                 self.seen.remove(&first);
             }
         }
-        let suspicion = self.seen.get_or_insert_with(fingerprint, || Suspicion {
-            crashed: Vec::new(),
-            until,
-        });
+        let suspicion = self
+            .seen
+            .get_or_insert_with(fingerprint, || suspicion::Suspicion {
+                crashed: Vec::new(),
+                until,
+            });
         let known = suspicion
             .crashed
             .iter()
             .any(|crash| crash.server == server && crash.incarnation == incarnation);
         if !known {
-            suspicion.crashed.push(Crash {
+            suspicion.crashed.push(crash::Crash {
                 server: server.to_owned(),
                 incarnation,
                 time: now,
--- a/crates/fireflyspool/src/dispatch/sync.rs
+++ b/crates/fireflyspool/src/dispatch/sync.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use crate::dispatch::{fleet, group, server, server_core};
+use crate::dispatch::{fleet, server, server_core, target};
 use crate::{backend, dispatch, ids, state, view};
 
 impl dispatch::Dispatcher {
@@ -110,9 +110,9 @@
 
     /// Enters a server in the groups of the shards that it hosts.
     fn assign_targets(&mut self, key: fleet::ServerKey, hosted: &[backend::HostedShard]) {
-        let shards = hosted.iter().cloned().map(group::Target::Shard);
+        let shards = hosted.iter().cloned().map(target::Target::Shard);
         let targets = shards
-            .chain([group::Target::Any])
+            .chain([target::Target::Any])
             .map(|target| self.backlog.register(target))
             .collect::<Vec<_>>();
         let Some(server) = self.fleet.get_mut(key) else {
--- a/crates/fireflyspool/src/dispatch/verdict.rs
+++ b/crates/fireflyspool/src/dispatch/verdict.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::dispatch::{fleet, group, server, waiting};
+use crate::dispatch::{fleet, group, server, target, waiting};
 use crate::{dispatch, ids, view};
 
 /// Rests up to this long are waited for; a coordinator has no faster way to another replica.
@@ -49,7 +49,7 @@
     }
 
     /// Ends everything that waits for a target without hope.
-    pub(super) fn reassess(&mut self, target: group::TargetKey, now: time::Instant) {
+    pub(super) fn reassess(&mut self, target: target::TargetKey, now: time::Instant) {
         let waiting = self.backlog.group(target).map_or(0, group::Group::waiting);
         if waiting == 0 {
             return;
--- a/crates/fireflyspool/src/dispatch/waiting.rs
+++ b/crates/fireflyspool/src/dispatch/waiting.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::dispatch::group;
+use crate::dispatch::target;
 use crate::{dispatch, ids};
 
 /// Coordinator, its incarnation and its number for a sub-request.
@@ -15,7 +15,7 @@
     pub(super) request: dispatch::SubRequest,
     pub(super) arrived: time::Instant,
     pub(super) deadline: time::Instant,
-    pub(super) target: group::TargetKey,
+    pub(super) target: target::TargetKey,
     pub(super) sequence: u64,
     /// Cause of the latest truthful refusal by a backend server.
     pub(super) refusal: Option<dispatch::SkipCause>,
