Add command receipts, claims, the lease holder and the leader's roster

The control state had a catalog only. Commands now have receipts that answer resends, non-idempotent requests have claims, and entry VMs follow a leader's roster by deltas.

--- /dev/null
+++ b/crates/fireflyspool/src/lease/mod.rs
@@ -0,0 +1,29 @@
+//! Lease of an entry VM.
+//!
+//! A [`Holder`] renews the lease of one process, keeps its catalog and roster
+//! up to date and decides which backend servers it may act on. The lease is
+//! counted from the time at which a request was sent, so it ends before the
+//! leader takes it for ended.
+//!
+//! Replies are handled in the order of their requests; a late reply to an
+//! earlier request and a reply of an earlier term are ignored. A reply whose
+//! changes leave a gap does not extend the lease, and the next request asks for
+//! the whole catalog or roster.
+//!
+//! When the lease ends, all ownership ends with it and only a new grant brings
+//! it back. Traffic threads need no notice of that, because every
+//! [`crate::view::View`] carries the end of its lease.
+
+mod catalog_copy;
+mod config;
+mod effect;
+mod hearing;
+mod hold;
+mod holder;
+mod holds;
+mod replica;
+mod reports;
+
+pub use config::Config;
+pub use effect::Effect;
+pub use holder::Holder;
--- /dev/null
+++ b/crates/fireflyspool/src/lease/replica.rs
@@ -0,0 +1,121 @@
+//! Copy of the roster at a holder.
+
+use std::sync;
+
+use crate::{ids, roster, sorted, view};
+
+/// Records as last published by a leader.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Replica {
+    /// Version of the records; `None` asks for the whole roster.
+    pub(super) version: Option<roster::Version>,
+    /// Greatest version ever held.
+    pub(super) seen: roster::Version,
+    pub(super) members: sync::Arc<sorted::SortedMap<ids::NodeId, view::Member>>,
+    pub(super) servers: sync::Arc<sorted::SortedMap<ids::ServerName, view::ServerRecord>>,
+    pub(super) suspects: sync::Arc<sorted::SortedMap<ids::Fingerprint, u32>>,
+    /// Records that the current leader has not named since its last whole update.
+    unnamed: Unnamed,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Unnamed {
+    members: sorted::SortedMap<ids::NodeId, ()>,
+    servers: sorted::SortedMap<ids::ServerName, ()>,
+    suspects: sorted::SortedMap<ids::Fingerprint, ()>,
+}
+
+impl Replica {
+    /// Whether an update continues what is held.
+    pub(super) fn fits(&self, update: &roster::Update) -> bool {
+        let held = self.version.filter(|held| held.term == update.version.term);
+        update.base == 0 || held.is_some_and(|held| update.base <= held.sequence)
+    }
+
+    /// Whether a change was not yet in the records.
+    pub(super) fn is_new(&self, update: &roster::Update, sequence: u64) -> bool {
+        let held = self.version.filter(|held| held.term == update.version.term);
+        held.is_none_or(|held| sequence > held.sequence)
+    }
+
+    /// Takes over members and suspects, and notes which records the leader named.
+    pub(super) fn apply(&mut self, update: &roster::Update) {
+        if update.base == 0 {
+            self.mark_unnamed();
+        }
+        let new = |sequence| self.is_new(update, sequence);
+        let members: Vec<_> = update.members.iter().filter(|c| new(c.sequence)).collect();
+        let suspects: Vec<_> = update.suspects.iter().filter(|c| new(c.sequence)).collect();
+        if !members.is_empty() {
+            let records = sync::Arc::make_mut(&mut self.members);
+            for change in members {
+                match &change.record {
+                    Some(record) => records.insert(change.node, record.clone()),
+                    None => records.remove(&change.node),
+                };
+            }
+        }
+        if !suspects.is_empty() {
+            let records = sync::Arc::make_mut(&mut self.suspects);
+            for change in suspects {
+                if change.deaths > 0 {
+                    records.insert(change.fingerprint, change.deaths);
+                } else {
+                    records.remove(&change.fingerprint);
+                }
+            }
+        }
+        for change in &update.members {
+            self.unnamed.members.remove(&change.node);
+        }
+        for change in &update.servers {
+            self.unnamed.servers.remove(&change.server);
+        }
+        for change in &update.suspects {
+            self.unnamed.suspects.remove(&change.fingerprint);
+        }
+    }
+
+    /// Sets or removes the record of a backend server.
+    pub(super) fn set_server(&mut self, server: &str, record: Option<view::ServerRecord>) {
+        let records = sync::Arc::make_mut(&mut self.servers);
+        match record {
+            Some(record) => records.insert(server.to_owned(), record),
+            None => records.remove(server),
+        };
+    }
+
+    /// Removes the owner of a backend server from its record.
+    pub(super) fn clear_owner(&mut self, server: &str) {
+        let records = sync::Arc::make_mut(&mut self.servers);
+        if let Some(record) = records.get_mut(server) {
+            record.owner = None;
+        }
+    }
+
+    /// Drops what a settled leader has not named; returns the dropped backend servers.
+    pub(super) fn drop_unnamed(&mut self) -> Vec<ids::ServerName> {
+        let unnamed = std::mem::take(&mut self.unnamed);
+        if !unnamed.members.is_empty() {
+            let gone = |node: &_| unnamed.members.contains_key(node);
+            sync::Arc::make_mut(&mut self.members).retain(|node, _| !gone(node));
+        }
+        if !unnamed.suspects.is_empty() {
+            let gone = |fingerprint: &_| unnamed.suspects.contains_key(fingerprint);
+            sync::Arc::make_mut(&mut self.suspects).retain(|print, _| !gone(print));
+        }
+        if !unnamed.servers.is_empty() {
+            let gone = |server: &String| unnamed.servers.contains_key(server);
+            sync::Arc::make_mut(&mut self.servers).retain(|server, _| !gone(server));
+        }
+        unnamed.servers.keys().cloned().collect()
+    }
+
+    fn mark_unnamed(&mut self) {
+        self.unnamed = Unnamed {
+            members: self.members.keys().map(|node| (*node, ())).collect(),
+            servers: self.servers.keys().map(|name| (name.clone(), ())).collect(),
+            suspects: self.suspects.keys().map(|print| (*print, ())).collect(),
+        };
+    }
+}
--- a/crates/fireflyspool/src/lib.rs
+++ b/crates/fireflyspool/src/lib.rs
@@ -16,7 +16,9 @@
 pub mod backend;
 pub mod dispatch;
 pub mod ids;
+pub mod lease;
 pub mod outcome;
+pub mod roster;
 pub mod sorted;
 pub mod state;
 pub mod timer;
--- /dev/null
+++ b/crates/fireflyspool/src/roster/lease_table.rs
@@ -0,0 +1,109 @@
+//! Leases that may be outstanding.
+
+use std::time;
+
+use super::holder_key;
+use crate::{ids, roster, sorted};
+
+/// Lease of one holder as the leader counts it.
+#[derive(Clone, Debug)]
+pub(super) struct Lease {
+    until: time::Instant,
+    revision: ids::Revision,
+    number: u64,
+    /// Backend servers that it holds or has claimed to hold, ascending.
+    pub(super) servers: Vec<ids::ServerName>,
+}
+
+/// Outstanding leases by holder.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LeaseTable {
+    leases: sorted::SortedMap<holder_key::HolderKey, Lease>,
+}
+
+impl LeaseTable {
+    /// Renews a lease; returns whether the request is newer than those handled before.
+    pub(super) fn renew(
+        &mut self,
+        key: holder_key::HolderKey,
+        request: &roster::RenewRequest,
+        until: time::Instant,
+    ) -> bool {
+        let lease = self.leases.get_or_insert_with(key, || Lease {
+            until,
+            revision: request.revision,
+            number: 0,
+            servers: Vec::new(),
+        });
+        lease.until = lease.until.max(until);
+        lease.revision = lease.revision.max(request.revision);
+        let newer = request.number > lease.number;
+        lease.number = lease.number.max(request.number);
+        newer
+    }
+
+    /// Backend servers that a holder holds or has claimed to hold.
+    pub(super) fn servers(&self, key: holder_key::HolderKey) -> Vec<ids::ServerName> {
+        let lease = self.leases.get(&key);
+        lease.map_or_else(Vec::new, |lease| lease.servers.clone())
+    }
+
+    /// Notes that a holder holds a backend server, or claims to.
+    pub(super) fn add_server(&mut self, key: holder_key::HolderKey, server: &str) {
+        if let Some(lease) = self.leases.get_mut(&key)
+            && let Err(position) = lease
+                .servers
+                .binary_search_by(|name| name.as_str().cmp(server))
+        {
+            lease.servers.insert(position, server.to_owned());
+        }
+    }
+
+    /// Notes that a holder no longer holds a backend server.
+    pub(super) fn remove_server(&mut self, key: holder_key::HolderKey, server: &str) {
+        if let Some(lease) = self.leases.get_mut(&key) {
+            lease.servers.retain(|name| name != server);
+        }
+    }
+
+    /// Removes and returns the leases that have ended.
+    pub(super) fn take_expired(
+        &mut self,
+        now: time::Instant,
+    ) -> Vec<(holder_key::HolderKey, Lease)> {
+        let mut expired = Vec::new();
+        self.leases.retain(|key, lease| {
+            let valid = now < lease.until;
+            if !valid {
+                expired.push((*key, lease.clone()));
+            }
+            valid
+        });
+        expired
+    }
+
+    /// Earliest end of a lease.
+    pub(super) fn next_end(&self) -> Option<time::Instant> {
+        self.leases.values().map(|lease| lease.until).min()
+    }
+
+    /// Valid leases whose holders have not confirmed a revision: their nodes and their last end.
+    pub(super) fn behind(
+        &self,
+        revision: ids::Revision,
+        now: time::Instant,
+    ) -> Option<(time::Instant, Vec<ids::NodeId>)> {
+        let lagging = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.revision < revision && now < lease.until);
+        let mut until = None;
+        let mut nodes = Vec::new();
+        for (key, lease) in lagging {
+            until = until.max(Some(lease.until));
+            nodes.push(key.node);
+        }
+        nodes.dedup();
+        Some((until?, nodes))
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/roster/news.rs
@@ -0,0 +1,12 @@
+//! Announcement with a change.
+
+use crate::backend;
+
+/// Announcement that differs from what the roster holds.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct News {
+    /// The announcement.
+    pub announcement: backend::Announcement,
+    /// Its age when the renewal was sent, in milliseconds.
+    pub age_ms: u64,
+}
--- /dev/null
+++ b/crates/fireflyspool/src/roster/suspect.rs
@@ -0,0 +1,61 @@
+//! A fingerprint under which backend servers died.
+
+use std::time;
+
+use crate::ids;
+
+/// Deaths counted per fingerprint; further ones do not change any decision.
+const MAX_DEATHS: usize = 8;
+
+/// Deaths under one fingerprint.
+#[derive(Clone, Debug)]
+pub(super) struct Suspect {
+    reported: Vec<(ids::ServerName, ids::Incarnation)>,
+    inherited: u32,
+    pub(super) last: time::Instant,
+    pub(super) changed: u64,
+}
+
+impl Suspect {
+    pub(super) fn new(now: time::Instant) -> Self {
+        Self {
+            reported: Vec::new(),
+            inherited: 0,
+            last: now,
+            changed: 0,
+        }
+    }
+
+    /// Deaths counted here, or those known from an earlier term if they are more.
+    pub(super) fn deaths(&self) -> u32 {
+        let reported = u32::try_from(self.reported.len()).unwrap_or(u32::MAX);
+        self.inherited.max(reported)
+    }
+
+    /// Counts a death once; returns whether the number changed.
+    ///
+    /// Deaths of earlier terms carry no names, so a death that is reported again
+    /// after a change of leader may count twice. That errs on the safe side.
+    pub(super) fn add(&mut self, server: &str, incarnation: ids::Incarnation) -> bool {
+        let known = self
+            .reported
+            .iter()
+            .any(|(name, life)| name == server && *life == incarnation);
+        if known || self.reported.len() >= MAX_DEATHS {
+            return false;
+        }
+        let before = self.deaths();
+        self.reported.push((server.to_owned(), incarnation));
+        if self.inherited > 0 {
+            self.inherited = self.inherited.saturating_add(1);
+        }
+        self.deaths() != before
+    }
+
+    /// Takes over the number of an earlier term; returns whether the number changed.
+    pub(super) fn inherit(&mut self, deaths: u32) -> bool {
+        let before = self.deaths();
+        self.inherited = self.inherited.max(deaths);
+        self.deaths() != before
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/roster/suspect_change.rs
@@ -0,0 +1,14 @@
+//! Change of one suspect.
+
+use crate::ids;
+
+/// New number of deaths under a fingerprint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct SuspectChange {
+    /// Number of this change.
+    pub sequence: u64,
+    /// Hash of the content of a request.
+    pub fingerprint: ids::Fingerprint,
+    /// Backend servers that died under it; 0 if it is no longer suspect.
+    pub deaths: u32,
+}
--- /dev/null
+++ b/crates/fireflyspool/src/state/claim_book.rs
@@ -0,0 +1,124 @@
+//! Retained claims.
+
+use std::time;
+
+use crate::{ids, sorted, state};
+
+/// Time after its issue during which a request id can be claimed.
+pub const CLAIM_RETENTION: time::Duration = time::Duration::from_secs(24 * 3600);
+
+/// How far the issue time of an id may lie ahead of the leader's clock.
+///
+/// Ids from the far future would be retained until their time has passed.
+pub const CLAIM_AHEAD: time::Duration = time::Duration::from_secs(300);
+
+/// Most claims retained; about 20 MB of memory on every control VM.
+const MAX_CLAIMS: usize = 100_000;
+
+/// Claims dropped at once when there are too many; removal moves the whole vector.
+const DROP_BATCH: usize = 1_024;
+
+/// Age beyond the retained period at which claims are dropped, for the same reason.
+const DROP_SLACK_MS: u64 = 60_000;
+
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+struct Record {
+    digest: ids::Fingerprint,
+    outcome: Option<String>,
+}
+
+/// Claims by issue time and id.
+///
+/// `floor` only rises, and an id issued at or below it is refused before any
+/// look-up. Only claims at or below it are dropped, so a dropped id never runs
+/// again.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ClaimBook {
+    clock: u64,
+    floor: u64,
+    records: sorted::SortedMap<(u64, ids::RequestId), Record>,
+}
+
+impl ClaimBook {
+    /// Number of retained claims.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no claim is retained.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Takes the leader's time from an entry; an earlier time than before is ignored.
+    pub(super) fn advance(&mut self, stamped: u64) {
+        self.clock = self.clock.max(stamped);
+        let retained = millis(CLAIM_RETENTION);
+        self.floor = self.floor.max(self.clock.saturating_sub(retained));
+        let first = self.records.first().map(|((issued, _), _)| *issued);
+        if first.is_some_and(|issued| issued.saturating_add(DROP_SLACK_MS) <= self.floor) {
+            self.drop_old();
+        }
+    }
+
+    /// Decides on a claim and records it if granted.
+    pub(super) fn claim(&mut self, claim: &state::Claim) -> state::ClaimReply {
+        self.advance(claim.issued);
+        let Some(issued) = state::Claim::issue_time(&claim.request) else {
+            return state::ClaimReply::Invalid;
+        };
+        if issued <= self.floor {
+            return state::ClaimReply::TooOld;
+        }
+        let key = (issued, claim.request.clone());
+        if let Some(record) = self.records.get(&key) {
+            return match &record.outcome {
+                _ if record.digest != claim.digest => state::ClaimReply::Conflict,
+                Some(receipt) => state::ClaimReply::Known {
+                    receipt: receipt.clone(),
+                },
+                None => state::ClaimReply::Unknown,
+            };
+        }
+        if issued > self.clock.saturating_add(millis(CLAIM_AHEAD)) {
+            return state::ClaimReply::Invalid;
+        }
+        let record = Record {
+            digest: claim.digest,
+            outcome: None,
+        };
+        self.records.insert(key, record);
+        self.bound();
+        state::ClaimReply::Granted
+    }
+
+    /// Records that a claimed request ran; the first outcome stays.
+    pub(super) fn record(&mut self, outcome: &state::ClaimOutcome) {
+        let Some(issued) = state::Claim::issue_time(&outcome.request) else {
+            return;
+        };
+        let record = self.records.get_mut(&(issued, outcome.request.clone()));
+        if let Some(record) = record {
+            let receipt = || outcome.receipt.clone();
+            record.outcome.get_or_insert_with(receipt);
+        }
+    }
+
+    fn bound(&mut self) {
+        if self.records.len() > MAX_CLAIMS {
+            let newest_dropped = self.records.keys().nth(DROP_BATCH - 1);
+            let issued = newest_dropped.map_or(0, |(issued, _)| *issued);
+            self.floor = self.floor.max(issued);
+            self.drop_old();
+        }
+    }
+
+    fn drop_old(&mut self) {
+        let floor = self.floor;
+        self.records.retain(|(issued, _), _| *issued > floor);
+    }
+}
+
+fn millis(duration: time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/fireflyspool/src/state/control_state.rs
@@ -0,0 +1,103 @@
+//! The replicated state machine.
+
+use crate::{ids, state};
+
+/// Everything that the replicated log determines.
+///
+/// Equal sequences of entries lead to equal states, and a state restored with
+/// [`Self::decode`] gives the same results as the one that was encoded.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct ControlState {
+    /// What entry VMs hold.
+    pub catalog: state::Catalog,
+    /// Accepted changes of the catalog.
+    pub history: state::History,
+    /// Receipts of operators.
+    pub receipts: state::ReceiptBook,
+    /// Claims of non-idempotent requests.
+    pub claims: state::ClaimBook,
+}
+
+impl ControlState {
+    /// Applies a committed entry.
+    pub fn apply(&mut self, entry: &state::Entry) -> state::Applied {
+        match entry {
+            state::Entry::Command { command, stamped } => {
+                self.claims.advance(*stamped);
+                state::Applied::Command(self.run(command))
+            }
+            state::Entry::Claims(claims) => {
+                let replies = claims.iter().map(|claim| self.claims.claim(claim));
+                state::Applied::Claims(replies.collect())
+            }
+            state::Entry::ClaimOutcomes(outcomes) => {
+                for outcome in outcomes {
+                    self.claims.record(outcome);
+                }
+                state::Applied::ClaimOutcomes
+            }
+        }
+    }
+
+    /// Snapshot of the state.
+    pub fn encode(&self) -> Vec<u8> {
+        // No field has a fallible serializer or a map with other than string keys.
+        serde_json::to_vec(self).expect("the control state has a JSON form")
+    }
+
+    /// Restores a snapshot made by [`Self::encode`].
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`state::DecodeError`] if the bytes are no such snapshot.
+    pub fn decode(bytes: &[u8]) -> Result<Self, state::DecodeError> {
+        Ok(serde_json::from_slice(bytes)?)
+    }
+
+    fn run(&mut self, command: &state::Command) -> state::Receipt {
+        if let Some(receipt) = self.receipts.find(command) {
+            return receipt;
+        }
+        let receipt = self
+            .lost_race(command.expected)
+            .unwrap_or_else(|| self.carry_out(command));
+        self.receipts.record(command, &receipt);
+        receipt
+    }
+
+    fn lost_race(&self, expected: Option<ids::Revision>) -> Option<state::Receipt> {
+        let expected = expected.filter(|revision| *revision != self.catalog.revision)?;
+        if expected > self.catalog.revision {
+            let cause = state::ChangeError::OutOfRange(format!("expected revision {expected}"));
+            return Some(state::Receipt::Refused { cause });
+        }
+        // The change right after the expected revision won; if it is no longer kept, the oldest is named.
+        let kept = self.history.iter();
+        let winner = kept.into_iter().find(|record| record.revision > expected)?;
+        Some(state::Receipt::LostRace {
+            operator: winner.operator.clone(),
+            number: winner.number,
+            revision: self.catalog.revision,
+        })
+    }
+
+    fn carry_out(&mut self, command: &state::Command) -> state::Receipt {
+        let state::Directive::Change(change) = &command.change else {
+            return state::Receipt::Accepted {
+                revision: self.catalog.revision,
+            };
+        };
+        match self.catalog.apply(change) {
+            Ok(revision) => {
+                self.history.push(state::RevisionRecord {
+                    revision,
+                    operator: command.operator.clone(),
+                    number: command.number,
+                    change: change.clone(),
+                });
+                state::Receipt::Accepted { revision }
+            }
+            Err(cause) => state::Receipt::Refused { cause },
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/state/decode_error.rs
@@ -0,0 +1,6 @@
+//! Failure to read a snapshot of the control state.
+
+/// Why a snapshot cannot be restored.
+#[derive(Debug, thiserror::Error)]
+#[error("the snapshot of the control state is not valid")]
+pub struct DecodeError(#[from] serde_json::Error);
--- a/crates/fireflyspool/src/state/mod.rs
+++ b/crates/fireflyspool/src/state/mod.rs
@@ -8,19 +8,51 @@
 //! [`Catalog`] is the part that entry VMs hold too. It changes only by
 //! [`Change`], and each accepted change raises the revision by one, so an
 //! entry VM that applies the same changes in order holds the same catalog.
+//!
+//! [`ControlState`] applies an [`Entry`] and returns what its proposer is told
+//! ([`Applied`]). Operators number their commands; a resend gets the recorded
+//! [`Receipt`]. A [`Claim`] is granted once and protects a non-idempotent
+//! request from running twice. Both books are bounded, and what they drop can
+//! never run again: see [`ReceiptBook`] and [`ClaimBook`].
 
+mod applied;
 mod catalog;
 mod change;
 mod change_error;
+mod claim;
+mod claim_book;
+mod claim_outcome;
+mod claim_reply;
 mod collection;
+mod command;
+mod control_state;
+mod decode_error;
+mod directive;
+mod entry;
+mod history;
+mod receipt;
+mod receipt_book;
 mod revision_record;
 mod service;
 mod value;
 
+pub use applied::Applied;
 pub use catalog::Catalog;
 pub use change::Change;
 pub use change_error::ChangeError;
+pub use claim::Claim;
+pub use claim_book::{CLAIM_AHEAD, CLAIM_RETENTION, ClaimBook};
+pub use claim_outcome::ClaimOutcome;
+pub use claim_reply::ClaimReply;
 pub use collection::Collection;
+pub use command::Command;
+pub use control_state::ControlState;
+pub use decode_error::DecodeError;
+pub use directive::Directive;
+pub use entry::Entry;
+pub use history::{HISTORY_LIMIT, History};
+pub use receipt::Receipt;
+pub use receipt_book::{RECEIPT_WINDOW, ReceiptBook};
 pub use revision_record::RevisionRecord;
 pub use service::Service;
 pub use value::Value;
--- /dev/null
+++ b/crates/fireflyspool/tests/control_state.rs
@@ -0,0 +1,245 @@
+//! Commands and claims of the replicated control state.
+
+mod common;
+
+use fireflyspool::state;
+
+fn define(service: &str, slots: u32) -> state::Directive {
+    state::Directive::Change(state::Change::DefineService {
+        service: service.to_owned(),
+        slots,
+        connections: 55,
+        setup: std::time::Duration::from_millis(6),
+    })
+}
+
+fn command(
+    operator: &str,
+    number: u64,
+    expected: Option<u64>,
+    change: state::Directive,
+) -> state::Command {
+    state::Command {
+        operator: operator.to_owned(),
+        number,
+        expected,
+        change,
+    }
+}
+
+fn apply(control: &mut state::ControlState, command: &state::Command) -> state::Receipt {
+    let entry = state::Entry::Command {
+        command: command.clone(),
+        stamped: 1_000_000,
+    };
+    match control.apply(&entry) {
+        state::Applied::Command(receipt) => receipt,
+        other => panic!("a command gives a receipt, not {other:?}"),
+    }
+}
+
+fn restart(control: &state::ControlState) -> state::ControlState {
+    state::ControlState::decode(&control.encode()).expect("own snapshots are valid")
+}
+
+/// Guards against taking two operators' commands for one because their numbers are equal,
+/// and against a lost update: the loser must learn who won.
+#[test]
+fn operators_race_with_equal_numbers() {
+    let mut control = state::ControlState::default();
+    let first = apply(&mut control, &command("ann", 1, Some(0), define("a", 2)));
+    let second = apply(&mut control, &command("bob", 1, Some(0), define("b", 2)));
+    assert_eq!(first, state::Receipt::Accepted { revision: 1 });
+    let lost = state::Receipt::LostRace {
+        operator: "ann".to_owned(),
+        number: 1,
+        revision: 1,
+    };
+    assert_eq!(second, lost);
+    assert!(!control.catalog.services.contains_key("b"));
+    let third = apply(&mut control, &command("bob", 2, Some(1), define("b", 2)));
+    assert_eq!(third, state::Receipt::Accepted { revision: 2 });
+    // The loser's resend must not turn into a success because the state moved on.
+    let again = apply(&mut control, &command("bob", 1, Some(0), define("b", 2)));
+    assert_eq!(again, lost);
+}
+
+/// Guards against naming the latest change instead of the one that overtook the command.
+#[test]
+fn a_lost_race_names_the_first_change_that_came_before() {
+    let mut control = state::ControlState::default();
+    for (number, operator) in (1..=3).zip(["ann", "bob", "cy"]) {
+        apply(
+            &mut control,
+            &command(operator, number, None, define("a", 2)),
+        );
+    }
+    let lost = apply(&mut control, &command("dee", 9, Some(1), define("a", 3)));
+    let winner = state::Receipt::LostRace {
+        operator: "bob".to_owned(),
+        number: 2,
+        revision: 3,
+    };
+    assert_eq!(lost, winner);
+}
+
+/// Guards against an expected revision from another site or a typing error being accepted.
+#[test]
+fn a_future_expectation_is_refused() {
+    let mut control = state::ControlState::default();
+    let receipt = apply(&mut control, &command("ann", 1, Some(7), define("a", 2)));
+    assert!(
+        matches!(receipt, state::Receipt::Refused { .. }),
+        "{receipt:?}"
+    );
+}
+
+/// Guards against running other content under a number that has a receipt.
+#[test]
+fn same_number_with_other_content_is_a_conflict() {
+    let mut control = state::ControlState::default();
+    apply(&mut control, &command("ann", 1, None, define("a", 2)));
+    let other = [
+        command("ann", 1, None, define("a", 3)),
+        command("ann", 1, Some(0), define("a", 2)),
+    ];
+    for command in &other {
+        for mut control in [control.clone(), restart(&control)] {
+            assert_eq!(apply(&mut control, command), state::Receipt::Conflict);
+            assert_eq!(control.catalog.revision, 1);
+        }
+    }
+}
+
+/// Guards against a membership command without a receipt, and one that raises the revision.
+#[test]
+fn membership_commands_are_recorded() {
+    let add = state::Directive::AddControl {
+        node: 4,
+        rpc: "127.0.0.1:7004".parse().expect("an address"),
+    };
+    let remove = state::Directive::RemoveControl { node: 4 };
+    let mut control = state::ControlState::default();
+    let accepted = state::Receipt::Accepted { revision: 0 };
+    assert_eq!(
+        apply(&mut control, &command("ann", 1, None, add.clone())),
+        accepted
+    );
+    assert_eq!(apply(&mut control, &command("ann", 1, None, add)), accepted);
+    let conflict = apply(&mut control, &command("ann", 1, None, remove));
+    assert_eq!(conflict, state::Receipt::Conflict);
+}
+
+/// Guards against running a number again after its receipt was dropped.
+#[test]
+fn numbers_below_the_window_never_run() {
+    let mut control = state::ControlState::default();
+    let window = u64::try_from(state::RECEIPT_WINDOW).expect("a small number");
+    // Odd numbers only, so that unused numbers lie below the window too.
+    for step in 0..window + 10 {
+        let receipt = apply(
+            &mut control,
+            &command("ann", 2 * step + 1, None, define("a", 2)),
+        );
+        assert!(
+            matches!(receipt, state::Receipt::Accepted { .. }),
+            "{receipt:?}"
+        );
+    }
+    let revision = control.catalog.revision;
+    for number in [1, 2, 19, 20] {
+        let receipt = apply(&mut control, &command("ann", number, None, define("a", 9)));
+        assert_eq!(receipt, state::Receipt::TooOld { oldest: 21 });
+    }
+    assert_eq!(control.catalog.revision, revision);
+    let kept = apply(&mut control, &command("ann", 21, None, define("a", 2)));
+    assert_eq!(kept, state::Receipt::Accepted { revision: 11 });
+    // Another operator's window is its own.
+    let other = apply(&mut control, &command("bob", 1, None, define("a", 2)));
+    assert!(
+        matches!(other, state::Receipt::Accepted { .. }),
+        "{other:?}"
+    );
+}
+
+/// Guards against a resend that runs again or gets another answer, also after the state
+/// was restored from a snapshot.
+#[test]
+fn resends_get_the_recorded_receipt_across_snapshots() {
+    common::with_seeds(200, |seed| {
+        let mut random = common::Random::new(seed);
+        let mut control = state::ControlState::default();
+        let mut sent: Vec<(state::Command, state::Receipt)> = Vec::new();
+        let mut accepted = 0;
+        for _ in 0..200 {
+            let resend = !sent.is_empty() && random.chance(40);
+            if resend {
+                let position = random.below(sent.len() as u64) as usize;
+                let (command, receipt) = sent[position].clone();
+                assert_eq!(apply(&mut control, &command), receipt);
+            } else {
+                let operator = ["ann", "bob", "cy"][random.below(3) as usize];
+                let expected = random
+                    .chance(50)
+                    .then(|| control.catalog.revision.saturating_sub(random.below(3)));
+                let service = format!("s{}", random.below(4));
+                let change = if random.chance(30) {
+                    state::Directive::Change(state::Change::DropService { service })
+                } else {
+                    define(&service, 1 + random.below(4) as u32)
+                };
+                let number = 1 + random.below(60);
+                let new = command(operator, number, expected, change);
+                let used = sent
+                    .iter()
+                    .find(|(old, _)| old.operator == operator && old.number == number)
+                    .cloned();
+                let receipt = apply(&mut control, &new);
+                match used {
+                    Some((old, recorded)) if old == new => assert_eq!(receipt, recorded),
+                    Some(_) => assert_eq!(receipt, state::Receipt::Conflict),
+                    None => {
+                        accepted += u64::from(matches!(receipt, state::Receipt::Accepted { .. }));
+                        sent.push((new, receipt));
+                    }
+                }
+            }
+            assert_eq!(control.catalog.revision, accepted);
+            assert_eq!(control.history.len() as u64, accepted);
+            if random.chance(5) {
+                let restored = restart(&control);
+                assert_eq!(restored, control);
+                control = restored;
+            }
+        }
+    });
+}
+
+/// Guards against a holder that follows the history and ends with another catalog.
+#[test]
+fn history_replays_to_the_catalog() {
+    let mut control = state::ControlState::default();
+    let count = state::HISTORY_LIMIT as u64 + 100;
+    for number in 0..count {
+        let change = define(&format!("s{}", number % 7), 1 + (number % 5) as u32);
+        apply(&mut control, &command("ann", number, None, change));
+    }
+    assert!(control.history.since(99).is_none());
+    let mut catalog = state::Catalog::default();
+    for number in 0..count {
+        let state::Directive::Change(change) =
+            define(&format!("s{}", number % 7), 1 + (number % 5) as u32)
+        else {
+            unreachable!("define makes catalog changes");
+        };
+        if number == 100 {
+            break;
+        }
+        catalog.apply(&change).expect("accepted before");
+    }
+    for record in control.history.since(100).expect("kept") {
+        assert_eq!(catalog.apply(&record.change), Ok(record.revision));
+    }
+    assert_eq!(catalog, control.catalog);
+    assert_eq!(control.history.since(count).expect("kept").count(), 0);
+}
