--- a/crates/fireflyspool/src/admission/mod.rs
+++ b/crates/fireflyspool/src/admission/mod.rs
@@ -22,9 +22,14 @@
 mod concurrency_limit;
 mod end;
 mod event;
+mod in_flight;
+mod join;
 mod limits;
 mod low_shares;
 mod queue;
+mod read_key;
+mod reader;
+mod release;
 
 pub(crate) use admission::MIN_RETRY;
 
@@ -33,4 +38,9 @@
 pub use concurrency_limit::ConcurrencyLimit;
 pub use end::End;
 pub use event::Event;
+pub use in_flight::InFlight;
+pub use join::Join;
 pub use limits::Limits;
+pub use read_key::ReadKey;
+pub use reader::Reader;
+pub use release::Release;
--- a/crates/fireflyspool/src/gather/mod.rs
+++ b/crates/fireflyspool/src/gather/mod.rs
@@ -55,6 +55,7 @@
 mod scene;
 mod sending;
 mod service_traffic;
+mod submission;
 mod suspicion;
 mod token_bucket;
 
@@ -74,4 +75,8 @@
 pub use reason::Reason;
 pub use running::Running;
 pub use service_traffic::ServiceTraffic;
+pub use submission::{
+    Claim, ClaimAnswer, Claiming, Closed, Sent, Submission, SubmissionAction,
+    SubmissionCoordinator, SubmissionEvent, Submit,
+};
 pub use token_bucket::TokenBucket;
--- /dev/null
+++ b/crates/fireflyspool/src/gather/submission/mod.rs
@@ -0,0 +1,37 @@
+//! Requests that must run at most once.
+//!
+//! A submission opens a claim before anything is sent, so that no other entry
+//! VM runs the same request id, and hands itself to one owner at a time. Only
+//! an owner's statement that nothing ran lets it go to another owner, under
+//! the same claim. Any other failure after dispatch leaves the outcome
+//! unknown: the claim stays without an ending, and nobody runs the request
+//! again.
+//!
+//! A refusal speaks of this sending. If the claim could not be consulted, an
+//! earlier sending of the same request id may have run.
+
+mod claim;
+mod claim_answer;
+mod claiming;
+mod closed;
+mod sent;
+#[expect(
+    clippy::module_inception,
+    reason = "one type a file, the file named after it"
+)]
+mod submission;
+mod submission_action;
+mod submission_coordinator;
+mod submission_event;
+mod submit;
+
+pub use claim::Claim;
+pub use claim_answer::ClaimAnswer;
+pub use claiming::Claiming;
+pub use closed::Closed;
+pub use sent::Sent;
+pub use submission::Submission;
+pub use submission_action::SubmissionAction;
+pub use submission_coordinator::SubmissionCoordinator;
+pub use submission_event::SubmissionEvent;
+pub use submit::Submit;
--- /dev/null
+++ b/crates/fireflyspool/tests/coordination/mod.rs
@@ -0,0 +1,219 @@
+//! Small site for the tests of the coordinator's side.
+
+#![allow(dead_code, reason = "each test binary uses a part of it")]
+
+use std::{net, sync, time};
+
+use fireflyspool::{backend, gather, ids, outcome, peak, plan, sorted, state, view};
+
+pub(crate) const COLLECTION: &str = "dossiers";
+pub(crate) const SERVICE: &str = "intake-desk";
+
+/// Numbers from a seed, so that a failure can be repeated.
+pub(crate) struct Draws(pub(crate) u64);
+
+impl Draws {
+    pub(crate) fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        let z = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        let z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        z ^ (z >> 31)
+    }
+
+    pub(crate) fn below(&mut self, bound: u64) -> u64 {
+        self.next() % bound
+    }
+
+    pub(crate) fn chance(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+}
+
+pub(crate) fn millis(count: u64) -> time::Duration {
+    time::Duration::from_millis(count)
+}
+
+pub(crate) fn address() -> net::SocketAddr {
+    net::SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+/// Catalog with one collection; `versions` are pairs of version and shard count.
+pub(crate) fn catalog(versions: &[(u64, u32)]) -> state::Catalog {
+    let mut catalog = state::Catalog::default();
+    let service = state::Change::DefineService {
+        service: SERVICE.into(),
+        slots: 2,
+        connections: 55,
+        setup: millis(6),
+    };
+    catalog.apply(&service).expect("defines the service");
+    for (number, (version, shards)) in versions.iter().enumerate() {
+        let (collection, version, shards) = (COLLECTION.into(), *version, *shards);
+        let services = vec![SERVICE.into()];
+        let change = if number == 0 {
+            state::Change::CreateCollection {
+                collection,
+                version,
+                shards,
+                services,
+            }
+        } else {
+            state::Change::AddVersion {
+                collection,
+                version,
+                shards,
+            }
+        };
+        catalog.apply(&change).expect("adds the version");
+    }
+    catalog
+}
+
+pub(crate) fn set(view: &mut view::View, value: state::Value, number: u64) {
+    let change = state::Change::SetValue {
+        key: value.key().into(),
+        value: number.to_string(),
+    };
+    sync::Arc::make_mut(&mut view.catalog)
+        .apply(&change)
+        .expect("sets the value");
+}
+
+/// View of VM 1 with this many entry VMs and no backend servers.
+pub(crate) fn view(catalog: state::Catalog, owners: u64, now: time::Instant) -> view::View {
+    let mut view = view::View::empty(1);
+    view.lease_until = Some(now + millis(3_600_000));
+    view.catalog = sync::Arc::new(catalog);
+    let members = (1..=owners).map(|node| {
+        let zone = format!("z{}", node % 3);
+        let member = view::Member {
+            node,
+            incarnation: 1,
+            zone,
+            http: address(),
+            rpc: address(),
+            leaving: false,
+            load: 0,
+        };
+        (node, member)
+    });
+    view.members = sync::Arc::new(members.collect());
+    view
+}
+
+/// Adds a ready backend server that hosts these shards as (version, shard).
+pub(crate) fn add_server(
+    view: &mut view::View,
+    owner: ids::NodeId,
+    shards: &[(u64, u32)],
+) -> String {
+    let servers = sync::Arc::make_mut(&mut view.servers);
+    let server = format!("s{:04}", servers.len());
+    let mut hosted: Vec<_> = shards
+        .iter()
+        .map(|(version, shard)| backend::HostedShard {
+            collection: COLLECTION.into(),
+            version: *version,
+            shard: *shard,
+        })
+        .collect();
+    hosted.sort();
+    let announcement = backend::Announcement {
+        server: server.clone(),
+        incarnation: 1,
+        sequence: 1,
+        service: SERVICE.into(),
+        zone: format!("z{}", owner % 3),
+        address: address(),
+        slots: 2,
+        connections: 55,
+        phase: backend::Phase::Ready,
+        hosted,
+        load: backend::Load::default(),
+    };
+    let record = view::ServerRecord {
+        announcement,
+        owner: Some(owner),
+    };
+    servers.insert(server.clone(), record);
+    server
+}
+
+/// View in which every shard of the versions has this many replicas at distinct owners.
+pub(crate) fn full_view(
+    versions: &[(u64, u32)],
+    owners: u64,
+    replicas: u64,
+    now: time::Instant,
+) -> view::View {
+    let mut view = view(catalog(versions), owners, now);
+    let shards = versions
+        .iter()
+        .map(|(_, shards)| *shards)
+        .max()
+        .unwrap_or(0);
+    for shard in 0..shards {
+        let hosted: Vec<_> = versions
+            .iter()
+            .filter(|(_, shards)| shard < *shards)
+            .map(|(version, _)| (*version, shard))
+            .collect();
+        for replica in 0..replicas {
+            let owner = 1 + (u64::from(shard) + replica * owners / replicas) % owners;
+            add_server(&mut view, owner, &hosted);
+        }
+    }
+    view
+}
+
+pub(crate) fn search(request: &str) -> plan::Search {
+    plan::Search {
+        request: request.into(),
+        collection: COLLECTION.into(),
+        service: SERVICE.into(),
+        text: "prior awards".into(),
+        kind: outcome::Kind::Interactive,
+        deadline: millis(200),
+        coverage: outcome::RequiredCoverage::Full,
+        version: None,
+        limit: 10,
+        partial: false,
+    }
+}
+
+pub(crate) fn budgets(now: time::Instant) -> gather::Budgets {
+    let wall = time::SystemTime::UNIX_EPOCH + millis(1_800_000_000_000);
+    gather::Budgets::new(7, peak::PeakMeter::new(wall, now))
+}
+
+/// Hit whose identity tells version and shard that it comes from.
+pub(crate) fn hit(version: u64, shard: u32, number: u32) -> outcome::Hit {
+    let score = f64::from((shard * 7 + number * 13) % 101);
+    outcome::Hit {
+        id: format!("{version}/{shard}/{number}"),
+        score,
+        shard: 0,
+    }
+}
+
+pub(crate) fn dispatched(
+    actions: &[gather::Action],
+) -> Vec<(ids::NodeId, fireflyspool::dispatch::SubRequest)> {
+    let mut list = Vec::new();
+    for action in actions {
+        if let gather::Action::Dispatch { owner, subs } = action {
+            list.extend(subs.iter().map(|sub| (*owner, sub.clone())));
+        }
+    }
+    list
+}
+
+pub(crate) fn finished(actions: &[gather::Action]) -> Option<outcome::Outcome> {
+    actions.iter().find_map(|action| match action {
+        gather::Action::Finish(outcome) => Some(outcome.clone()),
+        _ => None,
+    })
+}
+
+/// Map used by oracles.
+pub(crate) type Map<K, V> = sorted::SortedMap<K, V>;
