--- a/crates/fireflyspool/src/admission/admission.rs
+++ b/crates/fireflyspool/src/admission/admission.rs
@@ -87,6 +87,11 @@
         self.running.len()
     }
 
+    /// Cost of the requests that were started and have not ended.
+    pub fn load(&self) -> u64 {
+        self.load
+    }
+
     /// The adaptive limit of the work under way.
     pub fn limit(&self) -> &admission::ConcurrencyLimit {
         &self.limit
--- /dev/null
+++ b/crates/fireflyspool/src/cli/command_arguments.rs
@@ -0,0 +1,28 @@
+//! Arguments of `command`.
+
+use std::{net, path};
+
+/// An operator's command.
+#[derive(Debug, clap::Args)]
+pub struct CommandArguments {
+    /// Address of any VM of the tier
+    #[arg(long, value_name = "IP:PORT")]
+    pub entry: net::SocketAddr,
+    /// File with the key of the site
+    #[arg(long, value_name = "FILE")]
+    pub key_file: path::PathBuf,
+    /// Name of the operator
+    #[arg(long, default_value = "operator")]
+    pub operator: String,
+    /// Number of the command; a resend with the same number is not applied twice
+    #[arg(long, value_name = "N")]
+    pub number: Option<u64>,
+    /// Wait until the command is in force on every entry VM
+    #[arg(long)]
+    pub wait: bool,
+    /// Print the outcome as JSON
+    #[arg(long)]
+    pub json: bool,
+    /// Statement, such as: take out zone b expecting revision 12
+    pub statement: String,
+}
--- /dev/null
+++ b/crates/fireflyspool/src/cli/snapshot_arguments.rs
@@ -0,0 +1,16 @@
+//! Arguments of `snapshot`.
+
+use std::path;
+
+/// What to do with a data folder.
+#[derive(Debug, clap::Subcommand)]
+pub enum SnapshotArguments {
+    /// Print identity, vote, snapshot and log range of a data folder
+    Inspect {
+        /// Data folder
+        folder: path::PathBuf,
+        /// Print JSON
+        #[arg(long)]
+        json: bool,
+    },
+}
--- /dev/null
+++ b/crates/fireflyspool/src/control/mod.rs
@@ -0,0 +1,35 @@
+//! The control thread.
+//!
+//! One thread owns all control state of a process: on a control VM the replica
+//! of the log, the data folder, the replicated state and, while it leads, the
+//! roster; on an entry VM the holder of the lease. Other threads send it typed
+//! [`Event`]s through a bounded [`Mailbox`] and read what it publishes; nothing
+//! else reaches into its state, so no lock is needed.
+//!
+//! The thread takes all waiting events at once, lets the decision code handle
+//! them, writes and syncs what must be durable in one step, and only then
+//! sends messages and answers (group commit).
+//!
+//! When the disk fails, the thread reports it and ends: a replica that cannot
+//! keep its promises must not go on voting.
+
+mod control_error;
+mod control_thread;
+mod entry_side;
+mod event;
+mod mailbox;
+mod outlet;
+mod propose_reply;
+mod shown;
+mod voter;
+mod waiter;
+
+pub use control_error::ControlError;
+pub use control_thread::ControlThread;
+pub use entry_side::EntrySide;
+pub use event::Event;
+pub use mailbox::{Mailbox, MailboxClosed};
+pub use outlet::Outlet;
+pub use propose_reply::ProposeReply;
+pub use shown::Shown;
+pub use voter::Voter;
--- a/crates/fireflyspool/src/language/command_parser.rs
+++ b/crates/fireflyspool/src/language/command_parser.rs
@@ -165,9 +165,15 @@
     lexical::keyword("add").parse_next(input)?;
     lexical::required("control").parse_next(input)?;
     let node = lexical::number("the number of a VM").parse_next(input)?;
+    lexical::required("incarnation").parse_next(input)?;
+    let incarnation = lexical::number("the number that data init printed").parse_next(input)?;
     lexical::required("at").parse_next(input)?;
     let rpc = lexical::number("an address such as 127.0.0.1:7201").parse_next(input)?;
-    Ok(language::Order::AddControl { node, rpc })
+    Ok(language::Order::AddControl {
+        node,
+        incarnation,
+        rpc,
+    })
 }
 
 fn remove_control(input: &mut &str) -> Result<language::Order, lexical::Failure> {
--- a/crates/fireflyspool/src/language/order.rs
+++ b/crates/fireflyspool/src/language/order.rs
@@ -13,6 +13,8 @@
     AddControl {
         /// Number of the VM.
         node: ids::NodeId,
+        /// Incarnation of its data folder, as `data init` printed it.
+        incarnation: ids::Incarnation,
         /// Address of its listener for other processes of the tier.
         rpc: net::SocketAddr,
     },
--- /dev/null
+++ b/crates/fireflyspool/src/rim/backend_client.rs
@@ -0,0 +1,136 @@
+//! HTTP client of one backend server.
+
+use std::{net, time};
+
+use crate::{backend, dispatch, ids, rim};
+
+/// Idle connections are kept this long; opening one again costs up to 6 ms.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(60);
+
+/// Time for opening a connection.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_secs(1);
+
+/// Largest reply that is read; a reply holds at most 1,000 hits.
+const MAX_REPLY: usize = 1024 * 1024;
+
+/// Sends attempts to one backend server over its own connections.
+///
+/// Dropping the client closes its connections. Submissions take a fresh
+/// connection each: on a pooled one that the server just closed, the library
+/// could not tell whether the request arrived.
+#[derive(Clone)]
+pub struct BackendClient {
+    address: net::SocketAddr,
+    pooled: reqwest::Client,
+    fresh: reqwest::Client,
+}
+
+impl BackendClient {
+    /// Client with room for a number of idle connections.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the HTTP library if it cannot be set up.
+    pub fn new(address: net::SocketAddr, idle: usize) -> Result<Self, reqwest::Error> {
+        let pooled = base()
+            .pool_max_idle_per_host(idle)
+            .pool_idle_timeout(IDLE_TIMEOUT);
+        let fresh = base().pool_max_idle_per_host(0);
+        Ok(Self {
+            address,
+            pooled: pooled.build()?,
+            fresh: fresh.build()?,
+        })
+    }
+
+    /// Sends an attempt and waits for its end.
+    pub async fn send(&self, body: &dispatch::Body, timeout: time::Duration) -> rim::BackendReply {
+        let sent = match body {
+            dispatch::Body::Search(search) => {
+                let request = self.pooled.post(self.url("v1/search")).json(search);
+                request.timeout(timeout).send().await
+            }
+            dispatch::Body::Submit(submit) => {
+                let request = self.fresh.post(self.url("v1/submit")).json(submit);
+                request.timeout(timeout).send().await
+            }
+        };
+        match sent {
+            Ok(response) => read(body, response).await,
+            Err(error) => rim::BackendReply::Broken {
+                sent: !error.is_connect(),
+            },
+        }
+    }
+
+    /// Cancels an attempt; `None` if that could not be delivered.
+    pub async fn cancel(
+        &self,
+        attempt: ids::AttemptId,
+        timeout: time::Duration,
+    ) -> Option<backend::CancelState> {
+        #[derive(serde::Deserialize)]
+        struct CancelReply {
+            state: backend::CancelState,
+        }
+        let cancel = backend::CancelRequest { attempt };
+        let request = self.pooled.post(self.url("v1/cancel")).json(&cancel);
+        let response = request.timeout(timeout).send().await.ok()?;
+        let reply: CancelReply = response.json().await.ok()?;
+        Some(reply.state)
+    }
+
+    /// Opens a connection ahead of need; returns whether that worked.
+    pub async fn open(&self) -> bool {
+        let request = self.pooled.get(self.url("v1/health"));
+        match request.timeout(CONNECT_TIMEOUT).send().await {
+            // The connection returns to the pool only after the body was read.
+            Ok(response) => response.bytes().await.is_ok(),
+            Err(_) => false,
+        }
+    }
+
+    /// Address of the backend server.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}/{path}", self.address)
+    }
+}
+
+fn base() -> reqwest::ClientBuilder {
+    reqwest::Client::builder()
+        .no_proxy()
+        .redirect(reqwest::redirect::Policy::none())
+        .retry(reqwest::retry::never())
+        .tcp_nodelay(true)
+        .connect_timeout(CONNECT_TIMEOUT)
+        .http1_only()
+}
+
+async fn read(body: &dispatch::Body, response: reqwest::Response) -> rim::BackendReply {
+    let status = response.status().as_u16();
+    let too_long = response
+        .content_length()
+        .is_some_and(|length| length > MAX_REPLY as u64);
+    if too_long {
+        return rim::BackendReply::Unreadable;
+    }
+    let Ok(bytes) = response.bytes().await else {
+        return rim::BackendReply::Broken { sent: true };
+    };
+    let parsed = match (status, body) {
+        (200, dispatch::Body::Search(_)) => {
+            serde_json::from_slice(&bytes).map(rim::BackendReply::Searched)
+        }
+        (200, dispatch::Body::Submit(_)) => {
+            serde_json::from_slice(&bytes).map(rim::BackendReply::Submitted)
+        }
+        (409 | 410 | 503, _) => serde_json::from_slice(&bytes)
+            .map(|refused| rim::BackendReply::Refused(status, refused)),
+        _ => return rim::BackendReply::Unreadable,
+    };
+    parsed.unwrap_or(rim::BackendReply::Unreadable)
+}
--- /dev/null
+++ b/crates/fireflyspool/src/rim/method.rs
@@ -0,0 +1,41 @@
+//! Methods between processes of the tier.
+
+/// JSON-RPC method of the listener for other processes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Method {
+    /// Messages of the replicated log.
+    Consensus,
+    /// Renewal of a lease.
+    Renew,
+    /// Command for the leader.
+    Propose,
+    /// Waits until a revision is in force everywhere.
+    AwaitInForce,
+    /// Claim on a request id.
+    OpenClaim,
+    /// Outcome of a claim.
+    RecordClaim,
+    /// Part of the control state for operators.
+    Show,
+    /// Sub-request for an owner.
+    Dispatch,
+    /// Cancellation of sub-requests.
+    Cancel,
+}
+
+impl Method {
+    /// Name on the wire.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Consensus => "consensus.messages",
+            Self::Renew => "lease.renew",
+            Self::Propose => "command.propose",
+            Self::AwaitInForce => "command.await",
+            Self::OpenClaim => "claim.open",
+            Self::RecordClaim => "claim.record",
+            Self::Show => "control.show",
+            Self::Dispatch => "dispatch.run",
+            Self::Cancel => "dispatch.cancel",
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/rim/mod.rs
@@ -0,0 +1,44 @@
+//! Listeners and clients: the only place where messages are encoded.
+//!
+//! Callers, operators and backend servers speak HTTP, processes of the tier
+//! speak JSON-RPC over WebSocket among themselves. Everything here turns typed
+//! messages into bytes and back; it decides nothing. Another front end can be
+//! added beside these without touching a decision.
+
+mod authorized;
+mod backend_client;
+mod backend_reply;
+mod cancel_call;
+mod command_request;
+mod command_wait;
+mod control_outlet;
+mod http_listener;
+mod http_routes;
+mod key_layer;
+mod key_service;
+mod method;
+mod peer;
+mod peer_error;
+mod peers;
+mod query_request;
+mod rpc_error;
+mod rpc_listener;
+
+pub use authorized::Authorized;
+pub use backend_client::BackendClient;
+pub use backend_reply::BackendReply;
+pub use cancel_call::CancelCall;
+pub use command_request::CommandRequest;
+pub use command_wait::CommandWait;
+pub use control_outlet::ControlOutlet;
+pub use http_listener::http_listener;
+pub use http_routes::{http_catchers, http_routes};
+pub use key_layer::KeyLayer;
+pub use key_service::KeyService;
+pub use method::Method;
+pub use peer::Peer;
+pub use peer_error::PeerError;
+pub use peers::Peers;
+pub use query_request::QueryRequest;
+pub use rpc_error::RpcError;
+pub use rpc_listener::rpc_listener;
--- /dev/null
+++ b/crates/fireflyspool/src/rim/peer.rs
@@ -0,0 +1,121 @@
+//! Connection to one other process.
+
+use std::{net, sync, time};
+
+use jsonrpsee::{core::client, ws_client};
+use tokio::sync as async_sync;
+
+use crate::{rim, settings};
+
+/// Time for opening a connection; longer than any round trip within a region.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(500);
+
+/// Calls that may be in flight on one connection.
+const MAX_CALLS: usize = 4_096;
+
+type Client = sync::Arc<ws_client::WsClient>;
+
+/// Lazily opened connection that is opened again after it broke.
+pub struct Peer {
+    address: net::SocketAddr,
+    key: settings::SharedKey,
+    client: async_sync::RwLock<Option<Client>>,
+}
+
+impl Peer {
+    /// A peer that is not connected yet.
+    pub fn new(address: net::SocketAddr, key: settings::SharedKey) -> Self {
+        Self {
+            address,
+            key,
+            client: async_sync::RwLock::new(None),
+        }
+    }
+
+    /// Address of the other process.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Calls a method with one parameter.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`rim::PeerError`]; [`rim::PeerError::may_have_arrived`]
+    /// tells whether the other process may have seen the call.
+    pub async fn call<P, R>(
+        &self,
+        method: rim::Method,
+        parameter: &P,
+        timeout: time::Duration,
+    ) -> Result<R, rim::PeerError>
+    where
+        P: serde::Serialize + Sync,
+        R: serde::de::DeserializeOwned,
+    {
+        let client = self.connected().await?;
+        let parameters = jsonrpsee::rpc_params![parameter];
+        let call = client::ClientT::request(client.as_ref(), method.name(), parameters);
+        match tokio::time::timeout(timeout, call).await {
+            Ok(Ok(result)) => Ok(result),
+            Ok(Err(source)) => {
+                if !client.is_connected() {
+                    self.forget(&client).await;
+                }
+                let source = Box::new(source);
+                Err(rim::PeerError::Call {
+                    address: self.address,
+                    source,
+                })
+            }
+            Err(_) => Err(rim::PeerError::Timeout {
+                address: self.address,
+            }),
+        }
+    }
+
+    async fn connected(&self) -> Result<Client, rim::PeerError> {
+        if let Some(client) = self.client.read().await.as_ref()
+            && client.is_connected()
+        {
+            return Ok(sync::Arc::clone(client));
+        }
+        let mut slot = self.client.write().await;
+        if let Some(client) = slot.as_ref()
+            && client.is_connected()
+        {
+            return Ok(sync::Arc::clone(client));
+        }
+        let client = sync::Arc::new(self.connect().await?);
+        *slot = Some(sync::Arc::clone(&client));
+        Ok(client)
+    }
+
+    async fn connect(&self) -> Result<ws_client::WsClient, rim::PeerError> {
+        let mut headers = ws_client::HeaderMap::new();
+        if let Ok(value) = ws_client::HeaderValue::from_str(&self.key.header()) {
+            headers.insert("authorization", value);
+        }
+        ws_client::WsClientBuilder::default()
+            .set_headers(headers)
+            .set_tcp_no_delay(true)
+            .connection_timeout(CONNECT_TIMEOUT)
+            .max_concurrent_requests(MAX_CALLS)
+            .build(format!("ws://{}", self.address))
+            .await
+            .map_err(|source| rim::PeerError::Connect {
+                address: self.address,
+                source: Box::new(source),
+            })
+    }
+
+    async fn forget(&self, broken: &Client) {
+        let mut slot = self.client.write().await;
+        if slot
+            .as_ref()
+            .is_some_and(|client| sync::Arc::ptr_eq(client, broken))
+        {
+            *slot = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/rim/peer_error.rs
@@ -0,0 +1,40 @@
+//! Errors of calls between processes of the tier.
+
+use std::net;
+
+/// Why a call to another process gave no result.
+#[derive(Debug, thiserror::Error)]
+pub enum PeerError {
+    /// The address is not known.
+    #[error("no address is known for VM {0}")]
+    Unaddressed(u64),
+    /// No connection could be opened; nothing was sent.
+    #[error("cannot connect to {address}")]
+    Connect {
+        /// Address that was tried.
+        address: net::SocketAddr,
+        /// Error of the client library.
+        source: Box<jsonrpsee::core::ClientError>,
+    },
+    /// The call failed after it may have been sent.
+    #[error("call to {address} failed")]
+    Call {
+        /// Address that was called.
+        address: net::SocketAddr,
+        /// Error of the client library.
+        source: Box<jsonrpsee::core::ClientError>,
+    },
+    /// The called process gave no answer in time.
+    #[error("call to {address} timed out")]
+    Timeout {
+        /// Address that was called.
+        address: net::SocketAddr,
+    },
+}
+
+impl PeerError {
+    /// Whether the call may have reached the other process.
+    pub fn may_have_arrived(&self) -> bool {
+        matches!(self, Self::Call { .. } | Self::Timeout { .. })
+    }
+}
--- a/crates/fireflyspool/src/state/control_state.rs
+++ b/crates/fireflyspool/src/state/control_state.rs
@@ -12,6 +12,8 @@
     pub catalog: state::Catalog,
     /// Accepted changes of the catalog.
     pub history: state::History,
+    /// Members that operators want in the control group.
+    pub group: state::ControlGroup,
     /// Receipts of operators.
     pub receipts: state::ReceiptBook,
     /// Claims of non-idempotent requests.
@@ -82,10 +84,17 @@
     }
 
     fn carry_out(&mut self, command: &state::Command) -> state::Receipt {
-        let state::Directive::Change(change) = &command.change else {
-            return state::Receipt::Accepted {
-                revision: self.catalog.revision,
-            };
+        let revision = self.catalog.revision;
+        let change = match &command.change {
+            state::Directive::Change(change) => change,
+            state::Directive::AddControl {
+                node,
+                incarnation,
+                rpc,
+            } => return decided(self.group.add(*node, *incarnation, *rpc), revision),
+            state::Directive::RemoveControl { node } => {
+                return decided(self.group.remove(*node, command.number), revision);
+            }
         };
         match self.catalog.apply(change) {
             Ok(revision) => {
@@ -101,3 +110,10 @@
         }
     }
 }
+
+fn decided(result: Result<(), state::ChangeError>, revision: ids::Revision) -> state::Receipt {
+    match result {
+        Ok(()) => state::Receipt::Accepted { revision },
+        Err(cause) => state::Receipt::Refused { cause },
+    }
+}
--- a/crates/fireflyspool/src/state/directive.rs
+++ b/crates/fireflyspool/src/state/directive.rs
@@ -10,17 +10,19 @@
 pub enum Directive {
     /// Change of the catalog.
     Change(state::Change),
-    /// Adds a voter to the control group.
+    /// Adds a control VM.
     ///
-    /// The driver proposes the command after the membership change is
-    /// committed; here only its receipt is recorded.
+    /// The command records what the operator wants; the leader then adds the
+    /// VM as a learner and promotes it once it has caught up.
     AddControl {
         /// Control VM to add.
         node: ids::NodeId,
+        /// Incarnation of its data folder.
+        incarnation: ids::Incarnation,
         /// Address of its listener for other processes of the tier.
         rpc: net::SocketAddr,
     },
-    /// Removes a voter from the control group, under the same rule.
+    /// Removes a control VM for good.
     RemoveControl {
         /// Control VM to remove.
         node: ids::NodeId,
--- a/crates/fireflyspool/src/state/entry.rs
+++ b/crates/fireflyspool/src/state/entry.rs
@@ -18,3 +18,20 @@
     /// Outcomes of claimed requests.
     ClaimOutcomes(Vec<state::ClaimOutcome>),
 }
+
+impl Entry {
+    /// Payload for the replicated log.
+    pub fn encode(&self) -> Vec<u8> {
+        // No field has a fallible serializer or a map with other than string keys.
+        serde_json::to_vec(self).expect("an entry has a JSON form")
+    }
+
+    /// Reads a payload made by [`Self::encode`].
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`state::DecodeError`] if the bytes are no such payload.
+    pub fn decode(bytes: &[u8]) -> Result<Self, state::DecodeError> {
+        Ok(serde_json::from_slice(bytes)?)
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/traffic/mod.rs
@@ -0,0 +1,34 @@
+//! Drivers of the decision code on the traffic threads.
+//!
+//! Each service has one task that owns its dispatcher, each query one task
+//! that owns its coordinator, and one task owns admission. They read the
+//! published view, feed events to the decision code and execute its actions.
+//! No task waits for the control thread while it holds anything.
+
+mod admission_message;
+mod admission_task;
+mod command_outcome;
+mod control_client;
+mod entry_node;
+mod query_task;
+mod running_guard;
+mod service_message;
+mod service_table;
+mod service_task;
+mod shared;
+mod show_view;
+mod submission_task;
+
+pub use admission_message::AdmissionMessage;
+pub use admission_task::{AdmissionSender, AdmissionTask};
+pub use command_outcome::CommandOutcome;
+pub use control_client::ControlClient;
+pub use entry_node::EntryNode;
+pub use query_task::QueryTask;
+pub use running_guard::RunningGuard;
+pub use service_message::ServiceMessage;
+pub use service_table::ServiceTable;
+pub use service_task::{ServiceSender, ServiceTask};
+pub use shared::Shared;
+pub use show_view::show_view;
+pub use submission_task::SubmissionTask;
--- /dev/null
+++ b/crates/fireflyspool/src/traffic/submission_task.rs
@@ -0,0 +1,147 @@
+//! The task of one non-idempotent request.
+
+use std::{sync, time};
+
+use tokio::{sync::Notify, task};
+
+use crate::{gather, ids, outcome, state, traffic};
+
+/// Time beyond the deadline of a sub-request for its owner to report the end.
+const OWNER_GRACE: time::Duration = time::Duration::from_millis(250);
+
+/// When a refused claim can be tried again: an election takes less.
+const CLAIM_RETRY: time::Duration = time::Duration::from_secs(1);
+
+/// Drives one submission through claim, dispatch and record.
+pub struct SubmissionTask {
+    node: sync::Arc<traffic::EntryNode>,
+    submit: gather::Submit,
+    received: time::Instant,
+    calls: task::JoinSet<gather::SubmissionEvent>,
+    finished: Option<outcome::Outcome>,
+}
+
+impl SubmissionTask {
+    /// A submission that was received at that time.
+    pub fn new(
+        node: sync::Arc<traffic::EntryNode>,
+        submit: gather::Submit,
+        received: time::Instant,
+    ) -> Self {
+        Self {
+            node,
+            submit,
+            received,
+            calls: task::JoinSet::new(),
+            finished: None,
+        }
+    }
+
+    /// Runs the submission to its outcome.
+    pub async fn run(mut self) -> outcome::Outcome {
+        let (mut coordinator, actions) =
+            gather::SubmissionCoordinator::start(self.submit.clone(), self.received);
+        self.execute(actions).await;
+        let wake = sync::Arc::new(Notify::new());
+        if let Some(at) = coordinator.next_wake() {
+            let wake = sync::Arc::clone(&wake);
+            self.node
+                .shared()
+                .timer
+                .subscribe(at, move || wake.notify_one());
+        }
+        while self.finished.is_none() {
+            let event = tokio::select! {
+                ended = self.calls.join_next(), if !self.calls.is_empty() => match ended {
+                    Some(Ok(event)) => event,
+                    _ => continue,
+                },
+                () = wake.notified() => gather::SubmissionEvent::Timer,
+            };
+            let actions = self.step(&mut coordinator, event);
+            self.execute(actions).await;
+        }
+        self.finished.unwrap_or_else(|| outcome::Outcome::Unknown {
+            request: self.submit.request,
+            detail: "the submission ended without an outcome".to_owned(),
+        })
+    }
+
+    fn step(
+        &self,
+        coordinator: &mut gather::SubmissionCoordinator,
+        event: gather::SubmissionEvent,
+    ) -> Vec<gather::SubmissionAction> {
+        let shared = self.node.shared();
+        let view = shared.view.load_full();
+        let entropy = shared.entropy();
+        let mut budgets = shared.budgets();
+        coordinator.handle(event, &view, &mut budgets, time::Instant::now(), entropy)
+    }
+
+    async fn execute(&mut self, actions: Vec<gather::SubmissionAction>) {
+        for action in actions {
+            match action {
+                gather::SubmissionAction::OpenClaim { request, digest } => {
+                    self.open_claim(request, digest);
+                }
+                gather::SubmissionAction::Dispatch { owner, sub } => self.dispatch(owner, sub),
+                gather::SubmissionAction::Record { request, end } => {
+                    self.record(request, end).await;
+                }
+                gather::SubmissionAction::Finish(outcome) => self.finished = Some(outcome),
+            }
+        }
+    }
+
+    fn open_claim(&mut self, request: ids::RequestId, digest: ids::Fingerprint) {
+        let node = sync::Arc::clone(&self.node);
+        // The leader stamps the time of issue.
+        let claim = state::Claim {
+            request,
+            digest,
+            issued: 0,
+        };
+        self.calls.spawn(async move {
+            let answer = match node.control().open_claim(&claim).await {
+                Ok(state::ClaimReply::Granted) => gather::ClaimAnswer::Opened,
+                Ok(state::ClaimReply::Known { receipt }) => gather::ClaimAnswer::Ran(receipt),
+                Ok(state::ClaimReply::Unknown) => gather::ClaimAnswer::Pending,
+                Ok(state::ClaimReply::Conflict) => gather::ClaimAnswer::Conflict,
+                Ok(state::ClaimReply::TooOld | state::ClaimReply::Invalid) => {
+                    gather::ClaimAnswer::TooOld
+                }
+                Err(false) => gather::ClaimAnswer::Refused {
+                    retry_after: CLAIM_RETRY,
+                },
+                Err(true) => gather::ClaimAnswer::Lost,
+            };
+            gather::SubmissionEvent::Claimed(answer)
+        });
+    }
+
+    fn dispatch(&mut self, owner: ids::NodeId, sub_request: crate::dispatch::SubRequest) {
+        let node = sync::Arc::clone(&self.node);
+        let sub = sub_request.sub;
+        self.calls.spawn(async move {
+            let outcome = node.run_at_owner(owner, sub_request, OWNER_GRACE).await;
+            gather::SubmissionEvent::Replied {
+                sub,
+                owner,
+                outcome,
+            }
+        });
+    }
+
+    /// Makes the end durable before the caller is told, so that a resend finds it.
+    async fn record(&self, request: ids::RequestId, end: gather::Claim) {
+        let gather::Claim::Ran(receipt) = end else {
+            return;
+        };
+        let outcome = state::ClaimOutcome { request, receipt };
+        if self.node.control().record_claim(&outcome).await.is_err() {
+            slog::warn!(self.node.shared().logger, "the outcome of a claim could not be recorded";
+                "request" => &outcome.request);
+        }
+    }
+}
--- a/crates/fireflyspool/tests/control_state.rs
+++ b/crates/fireflyspool/tests/control_state.rs
@@ -116,6 +116,7 @@
 fn membership_commands_are_recorded() {
     let add = state::Directive::AddControl {
         node: 4,
+        incarnation: 70,
         rpc: "127.0.0.1:7004".parse().expect("an address"),
     };
     let remove = state::Directive::RemoveControl { node: 4 };
