Add the load tool and sample settings of both deployments

Cause: tail latency, coverage, extra load and truthfulness have to be measured with callers that behave as real ones, for both users. Change: load::Generator sends open-loop Poisson arrivals, load::Caller caches address responses, load::Verifier checks every response against the hits of the searchers, load::Census sums up counters, load::Report is written as JSON and as a table. A scenario file holds commands, instructions to searchers and signals.

--- a/crates/bench/src/cli/arguments.rs
+++ b/crates/bench/src/cli/arguments.rs
@@ -8,6 +8,10 @@
 pub(crate) enum Arguments {
     /// Runs stand-in backend servers.
     Searcher(Box<cli::SearcherArguments>),
+    /// Sends load and reports.
+    Load(Box<cli::LoadArguments>),
+    /// Puts two reports side by side.
+    Compare(cli::CompareArguments),
 }
 
 impl Arguments {
@@ -15,6 +19,8 @@
     pub(crate) async fn run(self) -> anyhow::Result<()> {
         match self {
             Self::Searcher(arguments) => arguments.run().await,
+            Self::Load(arguments) => arguments.run().await,
+            Self::Compare(arguments) => arguments.run(),
         }
     }
 }
--- a/crates/bench/src/cli/searcher_arguments.rs
+++ b/crates/bench/src/cli/searcher_arguments.rs
@@ -3,7 +3,7 @@
 use std::{net, path, time};
 
 use fireflyspool::{backend, ids};
-use fireflyspool_bench::searcher;
+use fireflyspool_bench::{load, searcher};
 
 /// Flags of one searcher, or a settings file for many.
 #[derive(Debug, clap::Args)]
@@ -11,6 +11,15 @@
     /// YAML file with many searchers; the flags below describe one more if `--name` is given.
     #[arg(long)]
     settings: Option<path::PathBuf>,
+    /// Settings file of the load tool, whose site is hosted.
+    #[arg(long)]
+    site: Option<path::PathBuf>,
+    /// Zone of the site to host, all if none is given; may be repeated.
+    #[arg(long)]
+    site_zone: Vec<ids::ZoneName>,
+    /// Scale of the site, in place of the one of the settings file.
+    #[arg(long)]
+    scale: Option<f64>,
     /// Name.
     #[arg(long, requires_all = ["service", "zone"])]
     name: Option<ids::ServerName>,
@@ -76,6 +85,11 @@
             None => searcher::Settings::default(),
         };
         settings.searchers.extend(self.profile()?);
+        if let Some(path) = &self.site {
+            let mut site = load::Settings::read(path)?.site;
+            site.scale = self.scale.unwrap_or(site.scale);
+            settings.searchers.extend(site.profiles(&self.site_zone));
+        }
         settings.entries.extend(self.entry);
         settings.key_file = self.key_file.or(settings.key_file);
         settings.listing = self.listing.or(settings.listing);
--- a/crates/bench/tests/searcher_http.rs
+++ b/crates/bench/tests/searcher_http.rs
@@ -197,20 +197,11 @@
     tokio::spawn(rocket.launch());
 }
 
-async fn free_port() -> u16 {
-    let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await;
-    listener
-        .expect("bind")
-        .local_addr()
-        .expect("address")
-        .port()
-}
-
 /// Guards against a change of phase that reaches one entry VM only, and against reused sequences.
 #[tokio::test]
 async fn announcements_rotate_and_phases_reach_every_entry() {
     let seen = Seen::default();
-    let ports = [free_port().await, free_port().await];
+    let ports = [support::free_port().await, support::free_port().await];
     for port in ports {
         entry(port, &seen).await;
     }
--- a/crates/bench/tests/support/mod.rs
+++ b/crates/bench/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod entry;
+
 use std::time;
 
 use fireflyspool::backend;
@@ -141,3 +143,13 @@
 pub(crate) async fn pause(milliseconds: u64) {
     tokio::time::sleep(time::Duration::from_millis(milliseconds)).await;
 }
+
+/// Port that was free a moment ago.
+pub(crate) async fn free_port() -> u16 {
+    let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await;
+    listener
+        .expect("bind")
+        .local_addr()
+        .expect("address")
+        .port()
+}
