Fuzz the dispatcher against an oracle and fix what it found

Random runs found: expired entries sent during a view change, permits freed at a new incarnation although attempts may run in the new process, connections forgotten at a restart, slow start kept after a return, a denial that was undone by any view change, and an unbounded retry of failed connections.

--- a/crates/fireflyspool/src/dispatch/backend_server.rs
+++ b/crates/fireflyspool/src/dispatch/backend_server.rs
@@ -2,13 +2,14 @@
 
 use std::time;
 
-use crate::dispatch::{Leaving, Serving, Warming, server_core};
-use crate::ids;
+use crate::dispatch::server_core;
+use crate::{dispatch, ids};
 
 /// Owned backend server in one state of its life cycle.
 ///
-/// A server begins in [`Warming`], is promoted to [`Serving`], falls back to
-/// [`Warming`] when it looks cold, and ends in [`Leaving`]. Every transition
+/// A server begins in [`dispatch::Warming`], is promoted to [`dispatch::Serving`], falls back to
+/// [`dispatch::Warming`] when it looks cold, and ends in [`dispatch::Leaving`],
+/// from which only a new process of the same server comes back. Every transition
 /// consumes the value, so a leaving server cannot be sent work by mistake: it
 /// has no method that gives out a permit.
 #[derive(Debug)]
@@ -18,12 +19,12 @@
     pub(super) stage: S,
 }
 
-impl BackendServer<Warming> {
+impl BackendServer<dispatch::Warming> {
     /// A server that was just met, or met again under a new incarnation.
     pub(super) fn meet(core: server_core::ServerCore) -> Self {
         Self {
             core: Box::new(core),
-            stage: Warming::start(),
+            stage: dispatch::Warming::start(),
         }
     }
 
@@ -40,56 +41,65 @@
     pub(super) fn restart(self) -> Self {
         Self {
             core: self.core,
-            stage: Warming::start(),
+            stage: dispatch::Warming::start(),
         }
     }
 
     /// Ends slow start.
-    pub(super) fn promote(mut self) -> BackendServer<Serving> {
+    pub(super) fn promote(mut self) -> BackendServer<dispatch::Serving> {
         self.core.forgive();
         BackendServer {
             core: self.core,
-            stage: Serving,
+            stage: dispatch::Serving,
         }
     }
 
     /// Begins to give it up.
-    pub(super) fn leave(self) -> BackendServer<Leaving> {
+    pub(super) fn leave(self) -> BackendServer<dispatch::Leaving> {
         BackendServer {
             core: self.core,
-            stage: Leaving,
+            stage: dispatch::Leaving,
         }
     }
 }
 
-impl BackendServer<Serving> {
+impl BackendServer<dispatch::Serving> {
     /// Permits that are free.
     pub(super) fn free_permits(&self) -> u32 {
         self.core.slots.saturating_sub(self.core.busy())
     }
 
     /// Returns to slow start, because the server looks cold.
-    pub(super) fn cool(mut self) -> BackendServer<Warming> {
+    pub(super) fn cool(mut self) -> BackendServer<dispatch::Warming> {
         self.core.forget_recent();
         BackendServer {
             core: self.core,
-            stage: Warming::start(),
+            stage: dispatch::Warming::start(),
         }
     }
 
     /// Begins to give it up.
-    pub(super) fn leave(self) -> BackendServer<Leaving> {
+    pub(super) fn leave(self) -> BackendServer<dispatch::Leaving> {
         BackendServer {
             core: self.core,
-            stage: Leaving,
+            stage: dispatch::Leaving,
         }
     }
 }
 
-impl BackendServer<Leaving> {
-    /// Whether the last attempt and the last cancellation there have ended.
+impl BackendServer<dispatch::Leaving> {
+    /// Whether nothing runs there and nothing is on its way there.
     pub(super) fn is_idle(&self) -> bool {
-        self.core.attempts.is_empty() && self.core.connections.used == 0
+        self.core.attempts.is_empty() && self.core.connections.is_quiet()
+    }
+
+    /// Takes it back as a new process; leaving is final for the old one only.
+    pub(super) fn renew(mut self) -> BackendServer<dispatch::Warming> {
+        self.core.forgive();
+        BackendServer {
+            core: self.core,
+            stage: dispatch::Warming::start(),
+        }
     }
 
     /// Ends its life here and returns its name and incarnation.
--- a/crates/fireflyspool/src/dispatch/cancellation.rs
+++ b/crates/fireflyspool/src/dispatch/cancellation.rs
@@ -32,11 +32,11 @@
         view: &view::View,
         now: time::Instant,
     ) {
-        if let Some((key, incarnation)) = self.cancels.remove(&id)
+        if let Some(key) = self.cancels.remove(&id)
             && let Some(server) = self.fleet.get_mut(key)
-            && server.core().incarnation == incarnation
         {
             server.core_mut().connections.release();
+            self.refresh_connections(key, now);
             self.fill(key, view, now);
         }
         // A server that does not know the attempt may still receive it.
@@ -50,7 +50,7 @@
                 .get(id)
                 .is_some_and(|attempt| attempt.reported)
         {
-            let attempt = self.end_attempt(id);
+            let attempt = self.end_attempt(id, now);
             if let Some(attempt) = attempt {
                 let fingerprint = attempt.entry.request.fingerprint;
                 self.after_end(attempt.server, fingerprint, view, now);
@@ -68,7 +68,7 @@
         let Some(attempt) = self.attempts.get(id) else {
             return;
         };
-        let (key, incarnation) = (attempt.server, attempt.incarnation);
+        let key = attempt.server;
         if self.cancels.contains_key(&id) || !view.may_act(now) {
             return;
         }
@@ -80,7 +80,7 @@
             return;
         }
         core.connections.acquire();
-        self.cancels.insert(id, (key, incarnation));
+        self.cancels.insert(id, key);
         self.actions.push(dispatch::Action::CancelAttempt {
             attempt: id,
             server: core.name.clone(),
--- a/crates/fireflyspool/src/dispatch/dispatcher.rs
+++ b/crates/fireflyspool/src/dispatch/dispatcher.rs
@@ -19,8 +19,8 @@
     pub(super) backlog: backlog::Backlog,
     pub(super) attempts: attempts::Attempts,
     pub(super) places: sorted::SortedMap<waiting::SubKey, place::Place>,
-    /// Cancellations on their way, with the server and incarnation they went to.
-    pub(super) cancels: sorted::SortedMap<ids::AttemptId, (fleet::ServerKey, ids::Incarnation)>,
+    /// Cancellations on their way, with the server they went to.
+    pub(super) cancels: sorted::SortedMap<ids::AttemptId, fleet::ServerKey>,
     pub(super) suspects: suspects::Suspects,
     pub(super) times: service_times::ServiceTimes,
     /// Times at which a server can receive work again after a pause, rest or ejection.
@@ -31,6 +31,8 @@
     pub(super) leaving: Vec<fleet::ServerKey>,
     /// Servers given up under an incarnation that the view still assigns to this VM.
     pub(super) departed: sorted::SortedMap<ids::ServerName, ids::Incarnation>,
+    /// Servers that refused work because they leave; final for their incarnation.
+    pub(super) gone: sorted::SortedMap<ids::ServerName, ids::Incarnation>,
     pub(super) low_share: u64,
     pub(super) sequence: u64,
     pub(super) draining: bool,
@@ -65,6 +67,7 @@
             next_open: None,
             leaving: Vec::new(),
             departed: sorted::SortedMap::new(),
+            gone: sorted::SortedMap::new(),
             low_share: 0,
             sequence: 0,
             draining: false,
@@ -87,6 +90,8 @@
         entropy: u64,
     ) -> Vec<dispatch::Action> {
         self.entropy = entropy;
+        // Before anything can be sent.
+        self.expire(now);
         if !self.has_seen(view) {
             self.sync(view, now);
         }
@@ -128,7 +133,7 @@
             dispatch::Event::ViewChanged | dispatch::Event::Timer => {}
             dispatch::Event::Drain => self.draining = true,
         }
-        self.finish_leaving(view, now);
+        self.finish_leaving(view);
         self.open_ahead(view, now);
         std::mem::take(&mut self.actions)
     }
--- a/crates/fireflyspool/src/dispatch/ejection.rs
+++ b/crates/fireflyspool/src/dispatch/ejection.rs
@@ -54,7 +54,10 @@
             }
             let relied_on = if record.owner == Some(self.node) {
                 let known = self.fleet.find(other).and_then(|key| self.fleet.get(key));
-                known.is_some_and(|server| server.is_usable() && !server.core().is_ejected(now))
+                known.is_some_and(|server| {
+                    let core = server.core();
+                    server.is_usable() && !core.is_ejected(now) && core.serves(shard)
+                })
             } else {
                 // Records are ordered by name, so the first replica is the one that stays.
                 place == 0
--- a/crates/fireflyspool/src/dispatch/health.rs
+++ b/crates/fireflyspool/src/dispatch/health.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::dispatch::{attempt, fleet, server, target};
+use crate::dispatch::{attempt, fleet, intake, server, target};
 use crate::{dispatch, ids, view};
 
 /// Service times above this multiple of the peers' median are late for a warming server.
@@ -114,6 +114,21 @@
         }
     }
 
+    /// Begins slow start anew, whatever the server has proved before.
+    pub(super) fn start_slowly(&mut self, key: fleet::ServerKey) {
+        if self.config.slow_start {
+            self.fleet.transform(key, server::Server::restart);
+        }
+    }
+
+    /// Puts a server whose connection broke back to one request at a time.
+    pub(super) fn collapse(&mut self, key: fleet::ServerKey) {
+        self.cool(key);
+        if let Some(server::Server::Warming(server)) = self.fleet.get_mut(key) {
+            server.stage.limit = 1;
+        }
+    }
+
     /// Leaves a server alone for the time that it asked for.
     pub(super) fn rest(&mut self, key: fleet::ServerKey, rest: time::Duration, now: time::Instant) {
         if let Some(server) = self.fleet.get_mut(key) {
@@ -125,14 +140,18 @@
     }
 
     /// Takes note that a server does not host a shard that it announced.
-    pub(super) fn deny(&mut self, key: fleet::ServerKey, target: target::TargetKey) {
-        if let Some(server) = self.fleet.get_mut(key) {
+    pub(super) fn deny(&mut self, attempt: &attempt::Attempt) {
+        let target::Target::Shard(shard) = intake::target_of(&attempt.entry.request) else {
+            return;
+        };
+        let target = attempt.entry.target;
+        if let Some(server) = self.fleet.get_mut(attempt.server) {
             let core = server.core_mut();
             core.targets.retain(|known| *known != target);
-            core.denied = true;
+            core.denied.push(shard);
         }
         if let Some(group) = self.backlog.group_mut(target) {
-            group.servers.retain(|known| *known != key);
+            group.servers.retain(|known| *known != attempt.server);
         }
     }
 
@@ -151,8 +170,9 @@
         };
         let fingerprint = attempt.entry.request.fingerprint;
         let name = self.server_name(attempt.server);
-        let incarnation = attempt.incarnation;
-        if self.suspects.record(fingerprint, &name, incarnation, now) {
+        let (incarnation, sent) = (attempt.incarnation, attempt.sent);
+        let suspects = &mut self.suspects;
+        if suspects.record(fingerprint, &name, incarnation, sent, now) {
             self.actions.push(dispatch::Action::ReportCrash {
                 fingerprint,
                 server: name,
--- a/crates/fireflyspool/src/dispatch/intake.rs
+++ b/crates/fireflyspool/src/dispatch/intake.rs
@@ -175,7 +175,7 @@
 }
 
 /// What a sub-request needs from a backend server.
-fn target_of(request: &dispatch::SubRequest) -> target::Target {
+pub(super) fn target_of(request: &dispatch::SubRequest) -> target::Target {
     match &request.work {
         dispatch::Work::Search {
             snapshot, shard, ..
--- a/crates/fireflyspool/src/dispatch/mod.rs
+++ b/crates/fireflyspool/src/dispatch/mod.rs
@@ -10,8 +10,9 @@
 //!
 //! - The `Refused` and `Answered` events carry replies as they came; the
 //!   dispatcher checks that they belong to the attempt.
-//! - An attempt stays open at the driver until its reply, its break, or its
-//!   timeout. A cancellation is a separate request and does not close it.
+//! - An attempt stays open at the driver until its reply, its break, its
+//!   timeout, or the answer `Cancelled` or `Finished` to its cancellation; then
+//!   the driver drops it. The cancellation itself is a separate request.
 //! - Each `CancelAttempt` ends with one `CancelAnswered` or `CancelFailed`, each
 //!   connection of an `Open` with one `Opened` or `OpenFailed`.
 //!
--- a/crates/fireflyspool/src/dispatch/placement.rs
+++ b/crates/fireflyspool/src/dispatch/placement.rs
@@ -179,7 +179,7 @@
             server: core.name.clone(),
             address: core.address,
             body: body(&entry, id, now),
-            timeout: entry.deadline.duration_since(now) + upkeep::DEADLINE_MARGIN,
+            timeout: entry.deadline.duration_since(now) + upkeep::GIVE_UP_MARGIN,
         });
         self.places.insert(entry.key(), place::Place::Running(id));
         let attempt = attempt::Attempt {
--- a/crates/fireflyspool/src/dispatch/replies.rs
+++ b/crates/fireflyspool/src/dispatch/replies.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::dispatch::{attempt, fleet};
+use crate::dispatch::{attempt, fleet, server};
 use crate::{backend, dispatch, ids, view};
 
 /// Rest of a shedding server that does not say for how long.
@@ -38,7 +38,7 @@
             return;
         }
         let queued = u32::try_from(self.backlog.len()).unwrap_or(u32::MAX);
-        let Some(attempt) = self.end_attempt(id) else {
+        let Some(attempt) = self.end_attempt(id, now) else {
             return;
         };
         let service_time = now.duration_since(attempt.sent);
@@ -73,7 +73,7 @@
             self.bad_reply(id, view, now);
             return;
         }
-        let Some(attempt) = self.end_attempt(id) else {
+        let Some(attempt) = self.end_attempt(id, now) else {
             return;
         };
         if !attempt.reported {
@@ -103,7 +103,7 @@
             self.bad_reply(id, view, now);
             return;
         }
-        let Some(attempt) = self.end_attempt(id) else {
+        let Some(attempt) = self.end_attempt(id, now) else {
             return;
         };
         let key = attempt.server;
@@ -116,17 +116,18 @@
                 dispatch::SkipCause::Shedding
             }
             409 => {
-                self.deny(key, attempt.entry.target);
+                self.deny(&attempt);
                 dispatch::SkipCause::NotHosted
             }
             410 => {
-                self.begin_leave(key, now);
+                self.gone.insert(name.clone(), attempt.incarnation);
+                self.begin_leave(key);
                 dispatch::SkipCause::NoServer
             }
             _ => dispatch::SkipCause::NoServer,
         };
-        self.reassess_server(key, now);
-        self.reassess(attempt.entry.target, now);
+        self.limit_ejections(view, now);
+        self.reassess_all(view, now);
         let fingerprint = attempt.entry.request.fingerprint;
         self.put_back(*attempt, &name, cause, true, view, now);
         self.after_end(key, fingerprint, view, now);
@@ -139,28 +140,28 @@
         view: &view::View,
         now: time::Instant,
     ) {
-        let Some(attempt) = self.attempts.get_mut(id) else {
+        let Some(key) = self.unlink(id, false, now) else {
             return;
         };
-        let was_linked = std::mem::take(&mut attempt.linked);
-        let key = attempt.server;
-        if was_linked && let Some(server) = self.fleet.get_mut(key) {
-            server.core_mut().connections.lose();
+        let deadline = self.attempts.get(id).map(|a| a.entry.deadline);
+        if sent && deadline.is_some_and(|deadline| now >= deadline) {
+            // The driver has given the attempt up, which says nothing about the server.
+            return;
         }
         if sent {
             self.note_crash(id, now);
             self.fail_attempt(id, dispatch::FailureCause::Reset);
-            self.cool(key);
+            self.collapse(key);
             self.note_failure(key, view, now);
             // The process may be alive behind a broken connection and still run the attempt.
             self.start_cancel(id, view, now);
             return;
         }
-        let Some(attempt) = self.end_attempt(id) else {
+        let Some(attempt) = self.end_attempt(id, now) else {
             return;
         };
         let name = self.server_name(key);
-        self.cool(key);
+        self.collapse(key);
         self.note_failure(key, view, now);
         let cause = dispatch::SkipCause::NoServer;
         let fingerprint = attempt.entry.request.fingerprint;
@@ -170,29 +171,58 @@
 
     /// Counts a reply that does not fit; the attempt may still run.
     pub(super) fn bad_reply(&mut self, id: ids::AttemptId, view: &view::View, now: time::Instant) {
-        let Some(attempt) = self.attempts.get_mut(id) else {
+        let Some(key) = self.unlink(id, true, now) else {
             return;
         };
+        self.fail_attempt(id, dispatch::FailureCause::BadReply);
+        self.note_failure(key, view, now);
+        self.start_cancel(id, view, now);
+    }
+
+    /// Takes note that an attempt no longer uses its connection, which stays open or closes.
+    pub(super) fn unlink(
+        &mut self,
+        id: ids::AttemptId,
+        keeps: bool,
+        now: time::Instant,
+    ) -> Option<fleet::ServerKey> {
+        let attempt = self.attempts.get_mut(id)?;
         let was_linked = std::mem::take(&mut attempt.linked);
         let key = attempt.server;
         if was_linked && let Some(server) = self.fleet.get_mut(key) {
-            server.core_mut().connections.release();
+            let connections = &mut server.core_mut().connections;
+            if keeps {
+                connections.release();
+            } else {
+                connections.lose();
+                self.list_wanting(key, now);
+            }
+            self.refresh_connections(key, now);
         }
-        self.fail_attempt(id, dispatch::FailureCause::BadReply);
-        self.note_failure(key, view, now);
-        self.start_cancel(id, view, now);
+        Some(key)
     }
 
     /// Frees the permit of an attempt.
-    pub(super) fn end_attempt(&mut self, id: ids::AttemptId) -> Option<Box<attempt::Attempt>> {
+    pub(super) fn end_attempt(
+        &mut self,
+        id: ids::AttemptId,
+        now: time::Instant,
+    ) -> Option<Box<attempt::Attempt>> {
         let attempt = self.attempts.remove(id)?;
+        let mut ready = None;
         if let Some(server) = self.fleet.get_mut(attempt.server) {
+            if let server::Server::Warming(server) = server {
+                server.stage.start_pause(now);
+                ready = server.stage.not_before;
+            }
             let core = server.core_mut();
             core.attempts.retain(|held| *held != id);
             if attempt.linked {
                 core.connections.release();
             }
         }
+        self.refresh_connections(attempt.server, now);
+        self.wake_at(attempt.server, ready);
         Some(attempt)
     }
 
--- a/crates/fireflyspool/src/dispatch/server.rs
+++ b/crates/fireflyspool/src/dispatch/server.rs
@@ -2,14 +2,15 @@
 
 use std::time;
 
-use crate::dispatch::{BackendServer, Leaving, Serving, Warming, server_core};
+use crate::dispatch;
+use crate::dispatch::server_core;
 
 /// Holds backend servers of all states together.
 #[derive(Debug)]
 pub(super) enum Server {
-    Warming(BackendServer<Warming>),
-    Serving(BackendServer<Serving>),
-    Leaving(BackendServer<Leaving>),
+    Warming(dispatch::BackendServer<dispatch::Warming>),
+    Serving(dispatch::BackendServer<dispatch::Serving>),
+    Leaving(dispatch::BackendServer<dispatch::Leaving>),
 }
 
 impl Server {
@@ -80,6 +81,13 @@
         }
     }
 
+    pub(super) fn renew(self) -> Self {
+        match self {
+            Self::Leaving(server) => Self::Warming(server.renew()),
+            other => other,
+        }
+    }
+
     pub(super) fn cool(self) -> Self {
         match self {
             Self::Serving(server) => Self::Warming(server.cool()),
--- a/crates/fireflyspool/src/dispatch/server_core.rs
+++ b/crates/fireflyspool/src/dispatch/server_core.rs
@@ -31,8 +31,8 @@
     pub(super) hosted: Vec<backend::HostedShard>,
     /// Sequence of the latest announcement.
     pub(super) announced: u64,
-    /// Whether it denied hosting a shard since that announcement.
-    pub(super) denied: bool,
+    /// Shards that it denied hosting since that announcement.
+    pub(super) denied: Vec<backend::HostedShard>,
     /// Attempts that hold a permit.
     pub(super) attempts: Vec<ids::AttemptId>,
     pub(super) connections: connections::Connections,
@@ -59,7 +59,7 @@
             targets: Vec::new(),
             hosted: Vec::new(),
             announced: 0,
-            denied: false,
+            denied: Vec::new(),
             attempts: Vec::new(),
             connections: connections::Connections::default(),
             credit: low_credit::LowCredit::default(),
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Whether it hosts a shard and has not denied it; `None` stands for a submission.
+    pub(super) fn serves(&self, shard: Option<&backend::HostedShard>) -> bool {
+        shard.is_none_or(|shard| self.hosted.contains(shard) && !self.denied.contains(shard))
+    }
+
     /// Permits in use.
     pub(super) fn busy(&self) -> u32 {
         u32::try_from(self.attempts.len()).unwrap_or(u32::MAX)
--- a/crates/fireflyspool/src/dispatch/suspects.rs
+++ b/crates/fireflyspool/src/dispatch/suspects.rs
@@ -57,12 +57,16 @@
         !self.seen.is_empty() || !self.told.is_empty()
     }
 
-    /// Takes note of a crash; returns whether it was not known yet.
+    /// Takes note of a crash under an attempt; returns whether it was not known yet.
+    ///
+    /// An attempt that was sent after a crash of the same incarnation reached
+    /// a new process that was not announced yet, so it counts as another one.
     pub(super) fn record(
         &mut self,
         fingerprint: ids::Fingerprint,
         server: &str,
         incarnation: ids::Incarnation,
+        sent: time::Instant,
         now: time::Instant,
     ) -> bool {
         self.seen.retain(|_, suspicion| now < suspicion.until);
@@ -79,10 +83,9 @@
                 crashed: Vec::new(),
                 until,
             });
-        let known = suspicion
-            .crashed
-            .iter()
-            .any(|crash| crash.server == server && crash.incarnation == incarnation);
+        let known = suspicion.crashed.iter().any(|crash| {
+            crash.server == server && crash.incarnation == incarnation && sent <= crash.time
+        });
         if !known {
             suspicion.crashed.push(crash::Crash {
                 server: server.to_owned(),
--- a/crates/fireflyspool/src/dispatch/sync.rs
+++ b/crates/fireflyspool/src/dispatch/sync.rs
@@ -17,12 +17,16 @@
                 record.owner == Some(node) && record.announcement.incarnation == *incarnation
             })
         });
+        self.gone.retain(|name, incarnation| {
+            let record = view.servers.get(name);
+            record.is_some_and(|record| record.announcement.incarnation == *incarnation)
+        });
         for key in self.fleet.keys() {
             self.follow(key, view, now);
         }
         for (name, record) in view.servers.iter() {
-            let departed = self.departed.contains_key(name);
-            if self.is_ours(record) && !departed && self.fleet.find(name).is_none() {
+            let given_up = self.departed.contains_key(name) || self.gone.contains_key(name);
+            if self.is_ours(record) && !given_up && self.fleet.find(name).is_none() {
                 self.adopt(record, view);
             }
         }
@@ -30,7 +34,7 @@
         self.limit_ejections(view, now);
         self.reassess_all(view, now);
         for key in self.fleet.keys() {
-            self.list_wanting(key);
+            self.list_wanting(key, now);
         }
         self.fill_all(view, now);
     }
@@ -66,11 +70,11 @@
         let incarnation = server.core().incarnation;
         let record = view.servers.get(&server.core().name);
         let Some(record) = record.filter(|record| self.is_ours(record)) else {
-            self.begin_leave(key, now);
+            self.begin_leave(key);
             return;
         };
         if record.announcement.incarnation != incarnation {
-            self.restart(key, record.announcement.incarnation, now);
+            self.restart(key, record.announcement.incarnation, view, now);
         }
         self.update(key, record, view);
     }
@@ -98,13 +102,13 @@
         let renewed = core.announced != announcement.sequence;
         core.announced = announcement.sequence;
         let stale = core.targets.is_empty() || core.hosted != announcement.hosted;
-        if stale || (core.denied && renewed) {
-            core.denied = false;
+        if stale || (!core.denied.is_empty() && renewed) {
+            core.denied.clear();
             self.assign_targets(key, &announcement.hosted);
         }
         if returns {
             // It may have lost its caches while it was out of service.
-            self.cool(key);
+            self.start_slowly(key);
         }
     }
 
@@ -135,33 +139,38 @@
         }
     }
 
-    /// Takes note that a server runs as a new process, so that nothing sent before runs any more.
+    /// Takes note that a server runs as a new process.
+    ///
+    /// Attempts keep their permits: some may have reached the new process
+    /// before it was announced, and run there.
     fn restart(
         &mut self,
         key: fleet::ServerKey,
         incarnation: ids::Incarnation,
+        view: &view::View,
         now: time::Instant,
     ) {
         let attempts = self.fleet.get(key).map(|s| s.core().attempts.clone());
         for id in attempts.unwrap_or_default() {
-            let unreported = self.attempts.get(id).is_some_and(|a| !a.reported);
-            if unreported {
+            if self.attempts.get(id).is_some_and(|a| !a.reported) {
                 self.note_crash(id, now);
                 self.fail_attempt(id, dispatch::FailureCause::Reset);
+                self.start_cancel(id, view, now);
             }
-            self.end_attempt(id);
         }
         if let Some(server) = self.fleet.get_mut(key) {
             let core = server.core_mut();
             core.incarnation = incarnation;
-            core.connections.reset();
-            core.rest_until = None;
+            core.connections.stale = true;
             core.ejected_until = None;
             core.forget_recent();
             core.forgive();
         }
-        if self.config.slow_start {
-            self.fleet.transform(key, server::Server::restart);
+        self.start_slowly(key);
+        if !self.draining {
+            self.fleet.transform(key, server::Server::renew);
+            self.leaving.retain(|leaving| *leaving != key);
         }
+        self.refresh_connections(key, now);
     }
 }
--- a/crates/fireflyspool/src/dispatch/upkeep.rs
+++ b/crates/fireflyspool/src/dispatch/upkeep.rs
@@ -11,6 +11,12 @@
 /// a retransmission included.
 pub(super) const DEADLINE_MARGIN: time::Duration = time::Duration::from_millis(50);
 
+/// Time after the deadline at which the driver gives an attempt up.
+///
+/// Late answers still warm a connection and end the attempt early; the driver
+/// must have closed it before the permit is given out again.
+pub(super) const GIVE_UP_MARGIN: time::Duration = time::Duration::from_millis(25);
+
 /// Least time between two connections opened ahead of need.
 const OPEN_INTERVAL: time::Duration = time::Duration::from_millis(4);
 
@@ -18,14 +24,18 @@
 const OPEN_JITTER_MICROS: u64 = 4_000;
 
 impl dispatch::Dispatcher {
-    pub(super) fn run_timers(&mut self, view: &view::View, now: time::Instant) {
-        if !self.backlog.is_empty() && !view.may_act(now) {
-            self.reassess_all(view, now);
-        }
+    /// Ends what can no longer be answered by its deadline.
+    pub(super) fn expire(&mut self, now: time::Instant) {
         let latest = self.latest_start(now);
         while let Some(position) = self.backlog.due(latest) {
             self.skip_position(position, dispatch::SkipCause::Deadline, None, now);
         }
+    }
+
+    pub(super) fn run_timers(&mut self, view: &view::View, now: time::Instant) {
+        if !self.backlog.is_empty() && !view.may_act(now) {
+            self.reassess_all(view, now);
+        }
         while let Some(attempt) = self.attempts.due(now) {
             self.overdue(attempt, view, now);
         }
@@ -34,6 +44,7 @@
                 break;
             }
             self.wakes.remove(&(time, key));
+            self.list_wanting(key, now);
             self.fill(key, view, now);
         }
     }
@@ -58,7 +69,7 @@
         }
         if now < end {
             self.attempts.set_timer(id, end);
-        } else if let Some(attempt) = self.end_attempt(id) {
+        } else if let Some(attempt) = self.end_attempt(id, now) {
             let fingerprint = attempt.entry.request.fingerprint;
             self.after_end(key, fingerprint, view, now);
         }
@@ -80,25 +91,47 @@
             return;
         };
         let core = server.core_mut();
-        if core.incarnation != incarnation || core.connections.opening == 0 {
+        if core.connections.opening == 0 {
             return;
         }
-        core.connections.opening -= 1;
+        let current = core.incarnation == incarnation;
         if success {
-            core.connections.open += 1;
+            core.connections.opened();
         } else {
+            let retry = core.connections.open_failed(now);
+            self.wake_at(key, retry);
+        }
+        self.refresh_connections(key, now);
+        if !success && current {
             self.cool(key);
             self.note_failure(key, view, now);
         }
         self.fill(key, view, now);
     }
 
+    /// Closes the connections to a process that has ended, once none is in use.
+    ///
+    /// Until then they count as open, because some may lead to the new process.
+    pub(super) fn refresh_connections(&mut self, key: fleet::ServerKey, now: time::Instant) {
+        let Some(server) = self.fleet.get_mut(key) else {
+            return;
+        };
+        let core = server.core_mut();
+        if core.connections.stale && core.connections.is_quiet() {
+            core.connections.reset();
+            self.actions.push(dispatch::Action::CloseServer {
+                server: core.name.clone(),
+            });
+            self.list_wanting(key, now);
+        }
+    }
+
     /// Puts a server on the list of those that want another connection.
-    pub(super) fn list_wanting(&mut self, key: fleet::ServerKey) {
+    pub(super) fn list_wanting(&mut self, key: fleet::ServerKey, now: time::Instant) {
         if let Some(server) = self.fleet.get_mut(key) {
             let usable = server.is_usable();
             let connections = &mut server.core_mut().connections;
-            if usable && connections.wants_more() && !connections.listed {
+            if usable && connections.wants_more(now) && !connections.listed {
                 connections.listed = true;
                 self.wanting.push_back(key);
             }
@@ -123,7 +156,7 @@
             let usable = server.is_usable();
             let core = server.core_mut();
             core.connections.listed = false;
-            if !allowed || !usable || !core.connections.wants_more() {
+            if !allowed || !usable || !core.connections.wants_more(now) {
                 continue;
             }
             core.connections.opening += 1;
@@ -133,7 +166,7 @@
                 address: core.address,
                 count: 1,
             });
-            self.list_wanting(key);
+            self.list_wanting(key, now);
             let jitter = time::Duration::from_micros(self.entropy % OPEN_JITTER_MICROS);
             self.next_open = Some(now + OPEN_INTERVAL + jitter);
             return;
@@ -149,7 +182,9 @@
     }
 
     /// Begins to give a server up; what runs there is finished.
-    pub(super) fn begin_leave(&mut self, key: fleet::ServerKey, now: time::Instant) {
+    ///
+    /// The caller reassesses what waits, after ejections were limited.
+    pub(super) fn begin_leave(&mut self, key: fleet::ServerKey) {
         let Some(server) = self.fleet.get_mut(key) else {
             return;
         };
@@ -157,22 +192,19 @@
             return;
         }
         let targets = std::mem::take(&mut server.core_mut().targets);
-        for target in &targets {
-            if let Some(group) = self.backlog.group_mut(*target) {
+        for target in targets {
+            if let Some(group) = self.backlog.group_mut(target) {
                 group.servers.retain(|known| *known != key);
             }
         }
         self.fleet.transform(key, server::Server::leave);
         self.leaving.push(key);
-        for target in targets {
-            self.reassess(target, now);
-        }
     }
 
     /// Closes and releases servers whose last attempt has ended.
-    pub(super) fn finish_leaving(&mut self, view: &view::View, now: time::Instant) {
+    pub(super) fn finish_leaving(&mut self, view: &view::View) {
         if self.draining {
-            self.leave_unused(now);
+            self.leave_unused();
         }
         let mut position = 0;
         while let Some(key) = self.leaving.get(position).copied() {
@@ -202,7 +234,7 @@
     }
 
     /// Gives up the servers that nothing waits for.
-    fn leave_unused(&mut self, now: time::Instant) {
+    fn leave_unused(&mut self) {
         for key in self.fleet.keys() {
             let Some(server) = self.fleet.get(key) else {
                 continue;
@@ -213,7 +245,7 @@
                 group.is_some_and(|group| group.waiting() > 0)
             });
             if !needed {
-                self.begin_leave(key, now);
+                self.begin_leave(key);
             }
         }
     }
--- a/crates/fireflyspool/src/dispatch/warming.rs
+++ b/crates/fireflyspool/src/dispatch/warming.rs
@@ -56,7 +56,8 @@
         self.start_pause(now);
     }
 
-    fn start_pause(&mut self, now: time::Instant) {
+    /// Starts the pause that follows every request while the limit is one.
+    pub(super) fn start_pause(&mut self, now: time::Instant) {
         let pauses = self.limit == 1 && !self.pause.is_zero();
         self.not_before = pauses.then(|| now + self.pause);
     }
--- /dev/null
+++ b/crates/fireflyspool/tests/dispatch/main.rs
@@ -0,0 +1,15 @@
+//! Tests of the owner's state machine.
+
+mod fixture;
+mod fuzz;
+mod happening;
+mod mode;
+mod op;
+mod order;
+mod sent;
+mod stand_in;
+mod sub;
+mod world;
+mod world_checks;
+mod world_driver;
+mod world_ops;
--- /dev/null
+++ b/crates/fireflyspool/tests/dispatch/order.rs
@@ -0,0 +1,1 @@
+//! Queue order.
