--- a/crates/fireflyspool/src/dispatch/intake.rs
+++ b/crates/fireflyspool/src/dispatch/intake.rs
@@ -43,22 +43,32 @@
         view: &view::View,
         now: time::Instant,
     ) -> Option<(dispatch::SkipCause, Option<time::Duration>)> {
-        if !view.may_act(now) {
-            return Some((dispatch::SkipCause::NoLease, None));
-        }
         if self.draining || entry.request.service != self.service {
             return Some((dispatch::SkipCause::NoServer, None));
         }
+        if self.backlog.len() >= self.queue_limit(&entry.request) {
+            let retry_after = self.times.quantile(500, now);
+            return Some((dispatch::SkipCause::QueueFull, retry_after));
+        }
+        self.hindrance(entry, view, now)
+    }
+
+    /// Cause for which a sub-request cannot wait, whether it is new or was refused by a server.
+    fn hindrance(
+        &self,
+        entry: &waiting::Waiting,
+        view: &view::View,
+        now: time::Instant,
+    ) -> Option<(dispatch::SkipCause, Option<time::Duration>)> {
+        if !view.may_act(now) {
+            return Some((dispatch::SkipCause::NoLease, None));
+        }
         if self.suspects.is_refused(entry.request.fingerprint, now) {
             return Some((dispatch::SkipCause::Suspect, None));
         }
         if entry.deadline <= self.latest_start(now) {
             return Some((dispatch::SkipCause::Deadline, None));
         }
-        if self.backlog.len() >= self.queue_limit(&entry.request) {
-            let retry_after = self.times.quantile(500, now);
-            return Some((dispatch::SkipCause::QueueFull, retry_after));
-        }
         self.verdict(entry, now)
     }
 
@@ -159,12 +169,8 @@
         entry.refusal = Some(cause);
         // A submission that left once is not sent again, even if it was refused.
         let sent_once = was_sent && entry.is_submission();
-        let verdict = match self.verdict(&entry, now) {
-            Some((_, retry_after)) => Some((cause, retry_after)),
-            None if sent_once => Some((cause, None)),
-            None => None,
-        };
-        if let Some((cause, retry_after)) = verdict {
+        let hindrance = self.hindrance(&entry, view, now);
+        if let Some((cause, retry_after)) = hindrance.or(sent_once.then_some((cause, None))) {
             self.skip(entry, cause, retry_after, now);
             return;
         }
