Check queries against an oracle under random events

Cause: the coordinator had tests of single courses only. Change: stateful fuzzing with an oracle; hits of a server that sends too many are selected, not cut; a reset without a probe keeps the suspicion raised; a retry that was refused under suspicion waits for the probe; two resets of one shard end it.

--- a/crates/fireflyspool/src/gather/progress.rs
+++ b/crates/fireflyspool/src/gather/progress.rs
@@ -33,6 +33,8 @@
     pub(super) named: bool,
     /// Failures after which it may have run.
     pub(super) failures: u32,
+    /// Failures that were resets.
+    pub(super) resets: u32,
     /// Waits for the result of the attempt that probes a suspicion.
     pub(super) parked: bool,
     /// An owner stated that the version is not hosted.
@@ -50,6 +52,7 @@
             excluded: Vec::new(),
             named: false,
             failures: 0,
+            resets: 0,
             parked: false,
             unhosted: false,
         }
--- a/crates/fireflyspool/src/gather/replies.rs
+++ b/crates/fireflyspool/src/gather/replies.rs
@@ -4,6 +4,10 @@
 
 use crate::{dispatch, gather, ids, outcome};
 
+/// Resets of one shard's attempts after which the content is not sent again; owners
+/// refuse a request under which this many servers crashed.
+const MAX_RESETS: u32 = 2;
+
 impl gather::Running {
     /// Takes the end of a sub-request; anything that is not under way at this
     /// owner is dropped.
@@ -77,7 +81,10 @@
         batch: &mut gather::batch::Batch,
     ) {
         self.may_have_run = true;
-        hits.truncate(self.search.limit as usize);
+        if hits.len() > self.search.limit as usize {
+            // The order of a server that sends too many is not relied on.
+            hits = gather::merge::merge(vec![hits], self.search.limit);
+        }
         for hit in &mut hits {
             hit.shard = shard;
         }
@@ -112,6 +119,13 @@
             return;
         }
         let probing = self.suspicion.is_probe(attempt.sub);
+        let repeated = self.shards[shard as usize].failures > 0;
+        let probe_elsewhere = matches!(self.suspicion, gather::suspicion::Suspicion::Probing(_));
+        if repeated && probe_elsewhere && !probing {
+            self.shards[shard as usize].parked = true;
+            return;
+        }
+        let raised = self.suspicion == gather::suspicion::Suspicion::Raised;
         let overloaded = matches!(
             cause,
             dispatch::SkipCause::Deadline
@@ -127,14 +141,14 @@
                 scene.budgets.count_redirect(scene.now);
                 self.send(shard, gather::Reason::Redirect, false, scene, batch)
             };
-        if sent && probing {
+        if sent && (probing || repeated && raised) {
             self.set_probe(shard);
         } else if !sent {
             self.unhosted |= self.shards[shard as usize].unhosted;
             self.give_up(shard);
             if probing {
                 // The probe did not run, so another shard can still be the probe.
-                self.suspicion = gather::suspicion::Suspicion::None;
+                self.suspicion = gather::suspicion::Suspicion::Raised;
                 self.release_parked(scene, batch);
             }
         }
@@ -155,13 +169,19 @@
         progress.failures += 1;
         progress.named = server.is_some();
         progress.excluded.extend(server);
-        if self.suspicion.is_probe(attempt.sub) {
+        let reset = cause == dispatch::FailureCause::Reset;
+        progress.resets += u32::from(reset);
+        // Two servers that reset under one shard are no coincidence, even if
+        // another shard's attempt was answered.
+        if self.suspicion.is_probe(attempt.sub) || reset && progress.resets >= MAX_RESETS {
             self.confirm_suspicion();
         }
-        let reset = cause == dispatch::FailureCause::Reset;
-        let suspicious = reset && self.suspicion == gather::suspicion::Suspicion::None;
+        if reset && self.suspicion == gather::suspicion::Suspicion::None {
+            self.suspicion = gather::suspicion::Suspicion::Raised;
+        }
+        let raised = self.suspicion == gather::suspicion::Suspicion::Raised;
         if let Some(twin) = self.shards[shard as usize].attempts.first() {
-            if suspicious {
+            if raised && reset {
                 self.suspicion = gather::suspicion::Suspicion::Probing(twin.sub);
             }
             return;
@@ -170,11 +190,7 @@
             self.shards[shard as usize].parked = true;
         } else if !self.retry(shard, scene, batch) {
             self.give_up(shard);
-            if suspicious {
-                // Without a probe nothing can show that the content is harmless.
-                self.confirm_suspicion();
-            }
-        } else if suspicious {
+        } else if raised {
             self.set_probe(shard);
         }
     }
--- a/crates/fireflyspool/src/gather/suspicion.rs
+++ b/crates/fireflyspool/src/gather/suspicion.rs
@@ -7,6 +7,8 @@
 pub(super) enum Suspicion {
     /// No attempt was reset.
     None,
+    /// An attempt was reset, and none under way shows whether the content is harmless.
+    Raised,
     /// This attempt alone shows whether the content is harmless.
     Probing(ids::SubRequestId),
     /// An attempt after a reset was answered.
--- /dev/null
+++ b/crates/fireflyspool/tests/query_oracle/mod.rs
@@ -0,0 +1,305 @@
+//! Oracle of one query: what was sent, what ran, and what may be said about it.
+
+use std::time;
+
+use super::coordination;
+use fireflyspool::{dispatch, gather, ids, outcome, plan};
+
+/// What truly happened to one sub-request.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Fate {
+    UnderWay,
+    Cancelled,
+    Answered(Vec<outcome::Hit>),
+    NotRun,
+    Failed(Option<String>),
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Sent {
+    pub(crate) owner: ids::NodeId,
+    pub(crate) request: dispatch::SubRequest,
+    pub(crate) version: u64,
+    pub(crate) shard: u32,
+    pub(crate) fate: Fate,
+    pub(crate) probe: bool,
+}
+
+pub(crate) struct Oracle {
+    pub(crate) search: plan::Search,
+    pub(crate) received: time::Instant,
+    /// Shard counts of the catalog.
+    pub(crate) shards: Vec<(u64, u32)>,
+    pub(crate) version: u64,
+    pub(crate) sent: Vec<Sent>,
+    pub(crate) outcome: Option<outcome::Outcome>,
+    /// A reset was seen before any retried attempt was answered.
+    suspicion: bool,
+    /// A retry under suspicion, or a twin of a reset attempt, was answered.
+    cleared: bool,
+    /// Shards under which attempts were reset, with repetition.
+    resets: Vec<(u64, u32)>,
+    pub(crate) hedges: u64,
+    pub(crate) firsts: u64,
+}
+
+impl Oracle {
+    pub(crate) fn new(
+        search: plan::Search,
+        version: u64,
+        shards: Vec<(u64, u32)>,
+        received: time::Instant,
+    ) -> Self {
+        Self {
+            search,
+            received,
+            shards,
+            version,
+            sent: Vec::new(),
+            outcome: None,
+            suspicion: false,
+            cleared: false,
+            resets: Vec::new(),
+            hedges: 0,
+            firsts: 0,
+        }
+    }
+
+    /// Notes a reply before the coordinator sees it; one that it must drop changes nothing.
+    pub(crate) fn reply(
+        &mut self,
+        sub: ids::SubRequestId,
+        owner: ids::NodeId,
+        outcome: &dispatch::SubOutcome,
+    ) {
+        let finished = self.outcome.is_some();
+        let found = self
+            .sent
+            .iter_mut()
+            .find(|sent| sent.request.sub == sub && sent.owner == owner);
+        let Some(sent) = found.filter(|sent| sent.fate == Fate::UnderWay && !finished) else {
+            return;
+        };
+        sent.fate = match outcome {
+            dispatch::SubOutcome::Answered { hits, .. } => {
+                let mut hits = hits.clone();
+                hits.iter_mut().for_each(|hit| hit.shard = sent.shard);
+                let reset = self.resets.contains(&(sent.version, sent.shard));
+                self.cleared |= reset || sent.probe;
+                self.suspicion &= !self.cleared;
+                Fate::Answered(hits)
+            }
+            dispatch::SubOutcome::NotRun { .. } => Fate::NotRun,
+            dispatch::SubOutcome::Failed { server, cause } => {
+                if *cause == dispatch::FailureCause::Reset {
+                    self.suspicion |= !self.cleared;
+                    self.resets.push((sent.version, sent.shard));
+                }
+                Fate::Failed(server.clone())
+            }
+            dispatch::SubOutcome::Submitted { server, .. } => Fate::Failed(Some(server.clone())),
+        };
+    }
+
+    pub(crate) fn lose(&mut self, owner: ids::NodeId) {
+        for sent in &mut self.sent {
+            if sent.owner == owner && sent.fate == Fate::UnderWay {
+                sent.fate = Fate::Failed(None);
+            }
+        }
+    }
+
+    /// Checks what the coordinator did in response to one event.
+    pub(crate) fn check(&mut self, actions: &[gather::Action], now: time::Instant) {
+        let finished = self.outcome.is_some();
+        assert!(
+            actions.is_empty() || !finished,
+            "acts after its end: {actions:?}"
+        );
+        for action in actions {
+            assert!(self.outcome.is_none(), "acts after its end");
+            match action {
+                gather::Action::Cancel { owner, subs } => {
+                    for sub in subs {
+                        let mut list = self.sent.iter_mut();
+                        let sent = list
+                            .find(|sent| sent.request.sub == *sub)
+                            .expect("was sent");
+                        assert_eq!((sent.owner, &sent.fate), (*owner, &Fate::UnderWay));
+                        sent.fate = Fate::Cancelled;
+                    }
+                }
+                gather::Action::Dispatch { owner, subs } => {
+                    for sub in subs {
+                        self.dispatch(*owner, sub, now);
+                    }
+                }
+                gather::Action::Finish(outcome) => self.finish(outcome, now),
+                gather::Action::Log(_) => {}
+            }
+        }
+        for (position, sent) in self.sent.iter().enumerate() {
+            let covered = self.answers().any(|other| other.shard == sent.shard);
+            let stale = sent.version != self.version || self.outcome.is_some() || covered;
+            assert!(
+                !stale || sent.fate != Fate::UnderWay,
+                "{position} was not cancelled"
+            );
+        }
+    }
+
+    fn dispatch(&mut self, owner: ids::NodeId, sub: &dispatch::SubRequest, now: time::Instant) {
+        let dispatch::Work::Search {
+            snapshot, shard, ..
+        } = &sub.work
+        else {
+            panic!("not a search");
+        };
+        assert_eq!(sub.request, self.search.request);
+        assert!(now + sub.remaining <= self.received + self.search.deadline);
+        if snapshot.version != self.version {
+            let under_way = self.sent.iter().filter(|sent| sent.fate == Fate::UnderWay);
+            assert_eq!(under_way.count(), 0, "two versions under way");
+            assert!(
+                self.sent
+                    .iter()
+                    .all(|sent| sent.version != snapshot.version)
+            );
+            assert_eq!(
+                self.search.version, None,
+                "left the version that was asked for"
+            );
+            self.version = snapshot.version;
+        }
+        let before = |sent: &&Sent| sent.version == snapshot.version && sent.shard == *shard;
+        let under_way: Vec<_> = self
+            .sent
+            .iter()
+            .filter(before)
+            .filter(|sent| sent.fate == Fate::UnderWay)
+            .collect();
+        if sub.hedge {
+            self.hedges += 1;
+            assert_eq!(under_way.len(), 1, "hedges one attempt");
+            assert_ne!(under_way[0].owner, owner, "hedges to the same owner");
+            let hedged = self
+                .sent
+                .iter()
+                .filter(before)
+                .any(|sent| sent.request.hedge);
+            assert!(!hedged, "two hedges for one shard");
+            assert_ne!(self.search.kind, outcome::Kind::Deferrable);
+            assert!(!self.suspicion, "hedges under suspicion");
+        } else {
+            assert!(under_way.is_empty(), "two attempts without a hedge");
+        }
+        let tried: Vec<_> = self.sent.iter().filter(before).collect();
+        self.firsts += u64::from(tried.is_empty());
+        for failed in &tried {
+            if let Fate::Failed(Some(server)) = &failed.fate {
+                assert!(sub.excluded.contains(server), "{server} is not excluded");
+            }
+        }
+        let after_failure = tried
+            .iter()
+            .any(|sent| matches!(sent.fate, Fate::Failed(_)));
+        let resets = self
+            .resets
+            .iter()
+            .filter(|reset| **reset == (snapshot.version, *shard));
+        assert!(resets.count() < 2, "sent again after two resets");
+        let probe = self.suspicion && after_failure;
+        if probe {
+            let probes = self.sent.iter().filter(|sent| sent.probe);
+            let open = probes.filter(|sent| !matches!(sent.fate, Fate::NotRun | Fate::Answered(_)));
+            assert_eq!(open.count(), 0, "a second retry of a suspicious request");
+        }
+        assert!(
+            self.sent.iter().all(|sent| sent.request.sub != sub.sub),
+            "number used twice"
+        );
+        self.sent.push(Sent {
+            owner,
+            request: sub.clone(),
+            version: snapshot.version,
+            shard: *shard,
+            fate: Fate::UnderWay,
+            probe,
+        });
+    }
+
+    fn answers(&self) -> impl Iterator<Item = &Sent> {
+        let current = self.sent.iter().filter(|sent| sent.version == self.version);
+        current.filter(|sent| matches!(sent.fate, Fate::Answered(_)))
+    }
+
+    fn finish(&mut self, outcome: &outcome::Outcome, now: time::Instant) {
+        let ran = self.sent.iter().any(|sent| sent.fate != Fate::NotRun);
+        match outcome {
+            outcome::Outcome::Complete(answer) => {
+                assert!(answer.coverage.missing.is_empty() && answer.sufficient);
+                self.check_answer(answer, now);
+            }
+            outcome::Outcome::Partial(answer) => {
+                assert!(
+                    !answer.coverage.missing.is_empty(),
+                    "complete, but said partial"
+                );
+                assert!(ran, "nothing ran, but said partial");
+                self.check_answer(answer, now);
+            }
+            outcome::Outcome::NotRun(refusal) => {
+                assert!(!ran, "ran, but said not run: {:?}", self.sent);
+                assert_eq!(refusal.request, self.search.request);
+                assert_eq!(refusal.deadline, self.search.deadline);
+            }
+            other => panic!("no outcome of a search: {other:?}"),
+        }
+        self.outcome = Some(outcome.clone());
+    }
+
+    fn check_answer(&self, answer: &outcome::Answer, now: time::Instant) {
+        assert_eq!(answer.request, self.search.request);
+        assert_eq!(answer.deadline, self.search.deadline);
+        assert_eq!(answer.elapsed, now - self.received);
+        assert_eq!(answer.snapshot.version, self.version, "another version");
+        let mut covered: Vec<_> = self.answers().map(|sent| sent.shard).collect();
+        covered.sort_unstable();
+        assert_eq!(answer.coverage.covered, covered, "false coverage");
+        let total = self
+            .shards
+            .iter()
+            .find(|entry| entry.0 == self.version)
+            .expect("exists")
+            .1;
+        let missing: Vec<_> = (0..total)
+            .filter(|shard| !covered.contains(shard))
+            .collect();
+        assert_eq!(answer.coverage.missing, missing, "false lack of coverage");
+        let share = covered.len() * 100 / total as usize;
+        let sufficient = !covered.is_empty()
+            && match self.search.coverage {
+                outcome::RequiredCoverage::Full => missing.is_empty(),
+                outcome::RequiredCoverage::AtLeast(percent) => share >= usize::from(percent),
+                outcome::RequiredCoverage::Any => true,
+            };
+        assert_eq!(answer.sufficient, sufficient);
+        let mut hits: Vec<_> = self
+            .answers()
+            .flat_map(|sent| match &sent.fate {
+                Fate::Answered(hits) => hits.clone(),
+                _ => Vec::new(),
+            })
+            .collect();
+        hits.sort_by(|a, b| b.score.total_cmp(&a.score).then(a.id.cmp(&b.id)));
+        hits.truncate(self.search.limit as usize);
+        assert_eq!(answer.hits, hits, "hits of something else");
+    }
+}
+
+/// Hits as a true backend server gives them for a shard of a version.
+pub(crate) fn hits(version: u64, shard: u32) -> Vec<outcome::Hit> {
+    (0..4)
+        .map(|number| coordination::hit(version, shard, number))
+        .collect()
+}
