--- a/crates/fireflyspool/src/gather/submission/closed.rs
+++ b/crates/fireflyspool/src/gather/submission/closed.rs
@@ -47,10 +47,9 @@
         event: gather::SubmissionEvent,
     ) -> (gather::SubmissionCoordinator, Vec<gather::SubmissionAction>) {
         let end = match event {
-            gather::SubmissionEvent::Claimed(gather::ClaimAnswer::Opened)
-                if self.state.unclaimed =>
-            {
-                Some(gather::Claim::NotRun)
+            gather::SubmissionEvent::Claimed(answer) if self.state.unclaimed => {
+                self.state.unclaimed = false;
+                (answer == gather::ClaimAnswer::Opened).then_some(gather::Claim::NotRun)
             }
             gather::SubmissionEvent::Replied {
                 sub,
@@ -68,7 +67,6 @@
             }
             _ => None,
         };
-        self.state.unclaimed &= end.is_none();
         let actions = end.map(|end| self.record(end)).into_iter().collect();
         (gather::SubmissionCoordinator::Closed(self), actions)
     }
--- /dev/null
+++ b/crates/fireflyspool/tests/shared_reads.rs
@@ -0,0 +1,180 @@
+//! Identical reads that share one run.
+
+mod coordination;
+
+use std::time;
+
+use coordination::millis;
+use fireflyspool::{admission, outcome, plan};
+
+struct Reads {
+    in_flight: admission::InFlight,
+    plan: plan::Plan,
+    now: time::Instant,
+}
+
+impl Reads {
+    fn new() -> Self {
+        let now = time::Instant::now();
+        let view = coordination::full_view(&[(4, 8)], 6, 3, now);
+        let plan = plan::plan(&coordination::search("1-a"), &view, now, 0).expect("has a plan");
+        Self {
+            in_flight: admission::InFlight::new(),
+            plan,
+            now,
+        }
+    }
+
+    fn join(&mut self, ticket: u64, search: &plan::Search) -> admission::Join {
+        let key = admission::ReadKey::new(search, &self.plan);
+        let reader = admission::Reader::new(ticket, search, self.now);
+        self.in_flight.join(key, reader)
+    }
+}
+
+fn search(request: &str, deadline: u64) -> plan::Search {
+    plan::Search {
+        deadline: millis(deadline),
+        ..coordination::search(request)
+    }
+}
+
+fn answer(plan: &plan::Plan, sufficient: bool) -> outcome::Answer {
+    outcome::Answer {
+        request: "1-a".into(),
+        snapshot: plan.snapshot.clone(),
+        coverage: outcome::Coverage {
+            covered: vec![0],
+            missing: vec![],
+        },
+        sufficient,
+        deadline: millis(100),
+        elapsed: millis(7),
+        hits: vec![coordination::hit(4, 0, 1)],
+    }
+}
+
+const FOLLOW: admission::Join = admission::Join::Follow { leader: 1 };
+
+/// Guards against callers that get another caller's request id or deadline
+/// with the shared hits.
+#[test]
+fn followers_get_equal_hits_and_their_own_ids() {
+    let mut reads = Reads::new();
+    assert_eq!(reads.join(1, &search("1-a", 100)), admission::Join::Lead);
+    reads.now += millis(20);
+    assert_eq!(reads.join(2, &search("2-b", 100)), FOLLOW);
+    assert_eq!(reads.join(3, &search("3-c", 900)), FOLLOW);
+    let answer = answer(&reads.plan, true);
+    let outcome = outcome::Outcome::Complete(answer.clone());
+    let now = reads.now + millis(30);
+    let releases = reads.in_flight.finished(1, &outcome, now);
+    assert_eq!(releases.len(), 2);
+    for (release, request, ticket, deadline) in
+        [(&releases[0], "2-b", 2, 100), (&releases[1], "3-c", 3, 900)]
+    {
+        let expected = outcome::Answer {
+            request: request.into(),
+            deadline: millis(deadline),
+            elapsed: millis(30),
+            ..answer.clone()
+        };
+        let outcome = outcome::Outcome::Complete(expected);
+        assert_eq!(release, &admission::Release::Answered { ticket, outcome });
+    }
+    assert!(reads.in_flight.is_empty());
+    assert!(reads.in_flight.finished(1, &outcome, now).is_empty());
+}
+
+/// Guards against a read that waits for one that is not identical, ends after
+/// its own deadline or is less urgent.
+#[test]
+fn reads_that_differ_run_themselves() {
+    let mut reads = Reads::new();
+    let first = search("1-a", 100);
+    assert_eq!(reads.join(1, &first), admission::Join::Lead);
+    let mut ticket = 2;
+    let mut leads = |changed: plan::Search| {
+        ticket += 1;
+        assert_eq!(
+            reads.join(ticket, &changed),
+            admission::Join::Lead,
+            "{changed:?}"
+        );
+    };
+    leads(search("2-b", 99));
+    leads(plan::Search {
+        text: "other".into(),
+        ..first.clone()
+    });
+    leads(plan::Search {
+        limit: 11,
+        ..first.clone()
+    });
+    leads(plan::Search {
+        service: "award-ledger".into(),
+        ..first.clone()
+    });
+    leads(plan::Search {
+        version: Some(4),
+        ..first.clone()
+    });
+    leads(plan::Search {
+        coverage: outcome::RequiredCoverage::Any,
+        ..first.clone()
+    });
+    leads(plan::Search {
+        partial: true,
+        ..first.clone()
+    });
+    leads(plan::Search {
+        kind: outcome::Kind::Urgent,
+        ..first.clone()
+    });
+    reads.plan.snapshot.version = 5;
+    assert_eq!(
+        reads.join(99, &first),
+        admission::Join::Lead,
+        "another snapshot"
+    );
+}
+
+/// Guards against a follower with time left being given an answer that the
+/// leader's short deadline cut down.
+#[test]
+fn insufficient_answer_is_run_again_by_one_follower() {
+    let mut reads = Reads::new();
+    reads.join(1, &search("1-a", 100));
+    reads.join(2, &search("2-b", 120));
+    reads.join(3, &search("3-c", 900));
+    reads.join(4, &search("4-d", 950));
+    let outcome = outcome::Outcome::Partial(answer(&reads.plan, false));
+    let releases = reads
+        .in_flight
+        .finished(1, &outcome, reads.now + millis(95));
+    let answered = |release: &admission::Release| {
+        matches!(release, admission::Release::Answered { ticket: 2, .. })
+    };
+    assert!(answered(&releases[0]));
+    assert_eq!(releases[1..], [admission::Release::Lead { ticket: 3 }]);
+    let again = reads
+        .in_flight
+        .finished(3, &outcome, reads.now + millis(800));
+    assert!(matches!(
+        again[..],
+        [admission::Release::Answered { ticket: 4, .. }]
+    ));
+}
+
+/// Guards against a run that is cancelled while others wait for it, or goes on for nobody.
+#[test]
+fn run_ends_when_its_last_caller_is_gone() {
+    let mut reads = Reads::new();
+    reads.join(1, &search("1-a", 100));
+    reads.join(2, &search("2-b", 100));
+    assert_eq!(reads.in_flight.leave(1), None);
+    assert_eq!(reads.join(3, &search("3-c", 100)), FOLLOW);
+    assert_eq!(reads.in_flight.leave(2), None);
+    assert_eq!(reads.in_flight.leave(3), Some(1));
+    assert!(reads.in_flight.is_empty());
+}
--- /dev/null
+++ b/crates/fireflyspool/tests/submission_fuzz.rs
@@ -0,0 +1,256 @@
+//! Submissions under random events, against an oracle that knows what ran.
+
+mod coordination;
+
+use std::time;
+
+use coordination::millis;
+use fireflyspool::{dispatch, gather, ids, outcome, view};
+
+const OWNERS: u64 = 4;
+
+/// What truly happened to one sub-request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fate {
+    UnderWay,
+    Ran,
+    NotRun,
+    Unclear,
+}
+
+struct Run {
+    choices: coordination::Choices,
+    now: time::Instant,
+    ends_at: time::Instant,
+    view: view::View,
+    budgets: gather::Budgets,
+    coordinator: gather::SubmissionCoordinator,
+    /// Whether the claim is open at the control side.
+    claimed: bool,
+    claim_answer: Option<gather::ClaimAnswer>,
+    sent: Vec<(ids::NodeId, dispatch::SubRequest, Fate)>,
+    recorded: Option<gather::Claim>,
+    outcome: Option<outcome::Outcome>,
+}
+
+impl Run {
+    fn new(list: Vec<u32>) -> Self {
+        let mut choices = coordination::Choices::new(list);
+        let now = time::Instant::now();
+        let mut view = coordination::view(coordination::catalog(&[(1, 1)]), OWNERS, now);
+        for _ in 0..choices.below(6) {
+            let owner = 1 + choices.below(OWNERS as usize) as u64;
+            coordination::add_server(&mut view, owner, &[(1, 0)]);
+        }
+        let submit = gather::Submit {
+            request: "1-s".into(),
+            service: coordination::SERVICE.into(),
+            kind: outcome::Kind::Interactive,
+            payload: "grant 4711".into(),
+            deadline: millis(100),
+        };
+        let (coordinator, actions) = gather::SubmissionCoordinator::start(submit, now);
+        assert!(matches!(
+            actions[..],
+            [gather::SubmissionAction::OpenClaim { .. }]
+        ));
+        Self {
+            choices,
+            now,
+            ends_at: now + millis(100),
+            view,
+            budgets: coordination::budgets(now),
+            coordinator,
+            claimed: false,
+            claim_answer: None,
+            sent: Vec::new(),
+            recorded: None,
+            outcome: None,
+        }
+    }
+
+    fn event(&mut self, event: gather::SubmissionEvent) {
+        let entropy = self.choices.below(100) as u64;
+        let actions =
+            self.coordinator
+                .handle(event, &self.view, &mut self.budgets, self.now, entropy);
+        for action in actions {
+            match action {
+                gather::SubmissionAction::OpenClaim { .. } => panic!("claims twice"),
+                gather::SubmissionAction::Dispatch { owner, sub } => {
+                    assert!(self.claimed, "dispatched without a claim");
+                    assert!(self.outcome.is_none() && self.recorded.is_none());
+                    let clear = self.sent.iter().all(|sent| sent.2 == Fate::NotRun);
+                    assert!(clear, "dispatched again: {:?}", self.sent);
+                    assert!(
+                        self.sent
+                            .iter()
+                            .all(|sent| sent.0 != owner && sent.1.sub != sub.sub)
+                    );
+                    self.sent.push((owner, sub, Fate::UnderWay));
+                }
+                gather::SubmissionAction::Record { end, .. } => {
+                    assert!(self.claimed, "recorded without a claim");
+                    assert_eq!(self.recorded, None, "recorded twice");
+                    let ran = self.sent.iter().any(|sent| sent.2 == Fate::Ran);
+                    let safe = self.sent.iter().all(|sent| sent.2 == Fate::NotRun);
+                    match &end {
+                        gather::Claim::Ran(receipt) => assert!(ran && receipt == "r"),
+                        gather::Claim::NotRun => assert!(safe, "recorded a false end"),
+                    }
+                    self.recorded = Some(end);
+                }
+                gather::SubmissionAction::Finish(outcome) => self.finish(outcome),
+            }
+        }
+    }
+
+    fn finish(&mut self, outcome: outcome::Outcome) {
+        assert!(self.outcome.is_none(), "finished twice");
+        let ran = self.sent.iter().any(|sent| sent.2 == Fate::Ran);
+        let safe = self.sent.iter().all(|sent| sent.2 == Fate::NotRun);
+        match &outcome {
+            outcome::Outcome::Submitted { receipt, .. } => assert!(ran && receipt == "r"),
+            outcome::Outcome::Known { receipt, .. } => assert_eq!(receipt, "earlier"),
+            outcome::Outcome::NotRun(_) => {
+                assert!(safe, "may have run, but said not run");
+                let closed = self.recorded == Some(gather::Claim::NotRun);
+                assert!(!self.claimed || closed, "the claim stays open");
+            }
+            outcome::Outcome::Unknown { .. } => assert!(!ran, "ran, but said unknown"),
+            other => panic!("no outcome of a submission: {other:?}"),
+        }
+        self.outcome = Some(outcome);
+    }
+
+    /// The control side answers; a doubled answer has the same content.
+    fn claim(&mut self) {
+        let answer = match self.choices.below(12) {
+            0 => gather::ClaimAnswer::Ran("earlier".into()),
+            1 => gather::ClaimAnswer::Pending,
+            2 => gather::ClaimAnswer::Conflict,
+            3 => gather::ClaimAnswer::TooOld,
+            4 => gather::ClaimAnswer::Refused {
+                retry_after: millis(9),
+            },
+            5 => gather::ClaimAnswer::Lost,
+            _ => gather::ClaimAnswer::Opened,
+        };
+        let answer = self.claim_answer.get_or_insert(answer).clone();
+        self.claimed = answer == gather::ClaimAnswer::Opened;
+        self.event(gather::SubmissionEvent::Claimed(answer));
+    }
+
+    fn reply(&mut self) {
+        if self.sent.is_empty() {
+            return;
+        }
+        let position = self.choices.below(self.sent.len());
+        let (mut owner, sub, fate) = (
+            self.sent[position].0,
+            self.sent[position].1.sub,
+            self.sent[position].2,
+        );
+        let genuine = !self.choices.chance(5);
+        if !genuine {
+            owner += 1;
+        }
+        let (outcome, truth) = match self.choices.below(6) {
+            0 | 1 => {
+                let receipt = "r".into();
+                (
+                    dispatch::SubOutcome::Submitted {
+                        server: "s".into(),
+                        receipt,
+                    },
+                    Fate::Ran,
+                )
+            }
+            2 | 3 => {
+                let cause = dispatch::SkipCause::QueueFull;
+                (
+                    dispatch::SubOutcome::NotRun {
+                        cause,
+                        retry_after: None,
+                    },
+                    Fate::NotRun,
+                )
+            }
+            4 => {
+                let cause = dispatch::FailureCause::Reset;
+                (
+                    dispatch::SubOutcome::Failed {
+                        server: None,
+                        cause,
+                    },
+                    Fate::Unclear,
+                )
+            }
+            _ => {
+                let cause = dispatch::FailureCause::Timeout;
+                (
+                    dispatch::SubOutcome::Failed {
+                        server: None,
+                        cause,
+                    },
+                    Fate::Unclear,
+                )
+            }
+        };
+        if genuine && fate == Fate::UnderWay {
+            self.sent[position].2 = truth;
+        } else if genuine && fate != truth {
+            // An owner ends a sub-request once; a doubled reply has the same content.
+            return;
+        }
+        self.event(gather::SubmissionEvent::Replied {
+            sub,
+            owner,
+            outcome,
+        });
+    }
+
+    fn step(&mut self) {
+        match self.choices.below(12) {
+            0 => self.now += millis(self.choices.below(40) as u64),
+            1 => self.event(gather::SubmissionEvent::Timer),
+            2 => self.event(gather::SubmissionEvent::CallerGone),
+            3 => {
+                let owner = 1 + self.choices.below(OWNERS as usize) as u64;
+                self.event(gather::SubmissionEvent::OwnerLost { owner });
+            }
+            4..=6 => self.claim(),
+            _ => self.reply(),
+        }
+    }
+}
+
+fn run(list: Vec<u32>) {
+    let mut run = Run::new(list);
+    while !run.choices.is_over() {
+        run.step();
+    }
+    run.now = run.now.max(run.ends_at);
+    run.event(gather::SubmissionEvent::Timer);
+    assert!(run.outcome.is_some(), "did not end at its deadline");
+    assert_eq!(run.coordinator.next_wake(), None);
+    for owner in 1..=OWNERS {
+        let loads = &run.budgets.traffic(coordination::SERVICE).loads;
+        assert_eq!(loads.outstanding(owner), 0, "load was not given back");
+    }
+    // A claim that was opened after the end is closed, because nothing was sent.
+    if run.claim_answer.is_none() {
+        run.claimed = true;
+        run.event(gather::SubmissionEvent::Claimed(
+            gather::ClaimAnswer::Opened,
+        ));
+        assert_eq!(run.recorded, Some(gather::Claim::NotRun));
+    }
+}
+
+/// Guards against a non-idempotent request that runs twice, a "not run" that is
+/// not true, and a claim that is closed with a false end.
+#[test]
+fn submissions_run_at_most_once_under_random_events() {
+    coordination::fuzz("submissions", 60, run);
+}
