--- a/crates/bench/src/cli/arguments.rs
+++ b/crates/bench/src/cli/arguments.rs
@@ -10,6 +10,8 @@
     Searcher(Box<cli::SearcherArguments>),
     /// Sends load and reports.
     Load(Box<cli::LoadArguments>),
+    /// Prints the operator's commands that create the site of the load tool.
+    Commands(cli::CommandsArguments),
     /// Puts two reports side by side.
     Compare(cli::CompareArguments),
 }
@@ -20,6 +22,7 @@
         match self {
             Self::Searcher(arguments) => arguments.run().await,
             Self::Load(arguments) => arguments.run().await,
+            Self::Commands(arguments) => arguments.run(),
             Self::Compare(arguments) => arguments.run(),
         }
     }
--- a/crates/bench/src/load/request.rs
+++ b/crates/bench/src/load/request.rs
@@ -49,7 +49,7 @@
         };
         let coverage = match template.coverage {
             outcome::RequiredCoverage::Full => "full".to_owned(),
-            outcome::RequiredCoverage::Any => "partial".to_owned(),
+            outcome::RequiredCoverage::Any => "any".to_owned(),
             outcome::RequiredCoverage::AtLeast(percent) => format!("{percent}%"),
         };
         let version = template.version;
