--- a/crates/fireflyspool/src/lease/hearing.rs
+++ b/crates/fireflyspool/src/lease/hearing.rs
@@ -2,13 +2,15 @@
 
 use std::time;
 
-use crate::{backend, ids, lease, roster, sorted, view};
+use crate::{backend, ids, lease, roster, sorted};
 
 #[derive(Clone, Debug)]
 struct Heard {
     announcement: backend::Announcement,
     at: time::Instant,
     reported: bool,
+    /// Whether the leader is not known to hold this content.
+    pending: bool,
 }
 
 /// Received announcements that have not expired, and the memory of incarnations.
@@ -30,30 +32,53 @@
         }
     }
 
-    /// Takes an announcement; returns whether it is to be forwarded at once.
+    /// Takes an announcement; `None` if it is not newer than what is remembered.
+    ///
+    /// Otherwise returns whether it is to be forwarded at once. `shown` is the
+    /// announcement that the current leader is known to hold.
     pub(super) fn hear(
         &mut self,
         announcement: &backend::Announcement,
-        record: Option<&view::ServerRecord>,
+        shown: Option<&backend::Announcement>,
         now: time::Instant,
-    ) -> bool {
+    ) -> Option<bool> {
         let known = self.heard.get(&announcement.server);
         if known.is_none() && self.heard.len() >= self.limit {
-            return false;
+            return None;
         }
         if self.incarnations.admit(announcement, now) == roster::Freshness::Stale {
-            return false;
+            return None;
         }
-        let before = known.map(|heard| &heard.announcement);
-        let before = before.or(record.map(|record| &record.announcement));
-        let changed = before.is_none_or(|before| !roster::is_same(before, announcement));
+        let differs = |other: &backend::Announcement| !roster::is_same(other, announcement);
+        let repeated = known.is_some_and(|known| !differs(&known.announcement));
+        // What was heard before may be in the record without the leader knowing it.
+        let pending = match known {
+            Some(known) => known.pending || !repeated,
+            None => shown.is_none_or(differs),
+        };
         let heard = Heard {
             announcement: announcement.clone(),
             at: now,
             reported: false,
+            pending,
         };
         self.heard.insert(announcement.server.clone(), heard);
-        changed
+        Some(pending && !repeated)
+    }
+
+    /// Notes what the current leader holds of a backend server.
+    pub(super) fn note_shown(&mut self, server: &str, shown: Option<&backend::Announcement>) {
+        if let Some(heard) = self.heard.get_mut(server) {
+            let same = |shown| roster::is_same(shown, &heard.announcement);
+            heard.pending = !shown.is_some_and(same);
+        }
+    }
+
+    /// Notes that a new leader may hold nothing.
+    pub(super) fn note_new_leader(&mut self) {
+        for heard in self.heard.values_mut() {
+            heard.pending = true;
+        }
     }
 
     /// Whether a published record is older than what is remembered.
@@ -68,14 +93,9 @@
 
     /// Adds what is to be forwarded to a request.
     ///
-    /// A change is repeated until the roster shows it; an announcement without
-    /// a change is forwarded once, because another follows within a second.
-    pub(super) fn forward(
-        &mut self,
-        records: &sorted::SortedMap<ids::ServerName, view::ServerRecord>,
-        request: &mut roster::RenewRequest,
-        now: time::Instant,
-    ) {
+    /// A change is repeated until the leader has published it; an announcement
+    /// without a change is forwarded once, because another follows within a second.
+    pub(super) fn forward(&mut self, request: &mut roster::RenewRequest, now: time::Instant) {
         let lifetime = self.lifetime;
         self.heard.retain(|_, heard| now < heard.at + lifetime);
         self.incarnations.expire(now);
@@ -83,10 +103,7 @@
             let age = now.saturating_duration_since(heard.at);
             let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
             let announcement = &heard.announcement;
-            let shown = records
-                .get(server)
-                .is_some_and(|record| roster::is_same(&record.announcement, announcement));
-            if !shown {
+            if heard.pending {
                 request.news.push(roster::News {
                     announcement: announcement.clone(),
                     age_ms,
@@ -102,21 +119,4 @@
             heard.reported = true;
         }
     }
-
-    /// Announcements that show a record's incarnation as leaving or ended.
-    pub(super) fn ahead<'a>(
-        &'a self,
-        records: &'a sorted::SortedMap<ids::ServerName, view::ServerRecord>,
-    ) -> impl Iterator<Item = &'a backend::Announcement> {
-        let announcements = self.heard.values().map(|heard| &heard.announcement);
-        announcements.filter(|announcement| {
-            records.get(&announcement.server).is_some_and(|record| {
-                let published = &record.announcement;
-                let leaves = announcement.phase == backend::Phase::Leaving
-                    && published.phase != backend::Phase::Leaving;
-                announcement.incarnation > published.incarnation
-                    || (announcement.incarnation == published.incarnation && leaves)
-            })
-        })
-    }
 }
--- a/crates/fireflyspool/src/lease/holder.rs
+++ b/crates/fireflyspool/src/lease/holder.rs
@@ -41,9 +41,20 @@
     }
 
     /// Takes an announcement; returns whether a renewal is due before the regular one.
+    ///
+    /// A new phase, incarnation or hosted set of a known backend server is in
+    /// the view at once, before the leader has published it.
     pub fn announce(&mut self, announcement: &backend::Announcement, now: time::Instant) -> bool {
-        let record = self.replica.servers.get(&announcement.server);
-        self.hearing.hear(announcement, record, now)
+        let named = self.replica.named_server(&announcement.server);
+        let shown = named.map(|record| &record.announcement);
+        let Some(due) = self.hearing.hear(announcement, shown, now) else {
+            return false;
+        };
+        let known = self.replica.servers.get(&announcement.server);
+        if known.is_some_and(|known| !roster::is_same(&known.announcement, announcement)) {
+            self.replica.set_announcement(announcement);
+        }
+        due
     }
 
     /// Next renewal. What it confirms must have been published before.
@@ -62,8 +73,7 @@
             crashes: Vec::new(),
             suspects: Vec::new(),
         };
-        let records = sync::Arc::clone(&self.replica.servers);
-        self.hearing.forward(&records, &mut request, now);
+        self.hearing.forward(&mut request, now);
         self.reports.fill(&mut request);
         request
     }
@@ -92,6 +102,7 @@
         if first_of_term {
             // The new leader does not know what was granted after this request.
             self.lose(Some(grant.number));
+            self.hearing.note_new_leader();
             let suspects = sync::Arc::clone(&self.replica.suspects);
             self.reports
                 .inherit(suspects.iter().map(|(print, deaths)| (*print, *deaths)));
@@ -104,7 +115,8 @@
             self.reports.confirm(grant.number);
         }
         if fits {
-            self.update_roster(update, now);
+            let granted = !grant.lease.is_zero();
+            self.update_roster(update, granted, now);
         } else {
             self.replica.version = None;
         }
@@ -116,20 +128,12 @@
 
     /// Snapshot for traffic threads.
     pub fn view(&self) -> view::View {
-        let mut servers = sync::Arc::clone(&self.replica.servers);
-        // A departure heard here is in force at once, before the leader has published it.
-        for announcement in self.hearing.ahead(&self.replica.servers) {
-            let records = sync::Arc::make_mut(&mut servers);
-            if let Some(record) = records.get_mut(&announcement.server) {
-                record.announcement = announcement.clone();
-            }
-        }
         view::View {
             node: self.member.node,
             lease_until: self.lease_until,
             catalog: sync::Arc::clone(&self.copy.catalog),
             members: sync::Arc::clone(&self.replica.members),
-            servers,
+            servers: sync::Arc::clone(&self.replica.servers),
             suspects: sync::Arc::clone(&self.replica.suspects),
         }
     }
@@ -183,16 +187,17 @@
         }
     }
 
-    fn update_roster(&mut self, update: &roster::Update, now: time::Instant) {
+    fn update_roster(&mut self, update: &roster::Update, granted: bool, now: time::Instant) {
         self.replica.apply(update);
         for change in &update.servers {
             if self.replica.is_new(update, change.sequence) {
-                self.update_server(change, update, now);
+                self.update_server(change, update, granted, now);
             }
         }
         if update.settled {
             for server in self.replica.drop_unnamed() {
                 self.holds.revoke(&server);
+                self.hearing.note_shown(&server, None);
             }
         }
         let version = Some(update.version);
@@ -204,11 +209,14 @@
         &mut self,
         change: &roster::ServerChange,
         update: &roster::Update,
+        granted: bool,
         now: time::Instant,
     ) {
         let server = &change.server;
         let known = self.replica.servers.get(server);
         let mut record = change.record.clone();
+        let shown = record.as_ref().map(|record| &record.announcement);
+        self.hearing.note_shown(server, shown);
         if let Some(published) = &mut record {
             let regresses = known.is_some_and(|known| {
                 roster::is_outdated(&known.announcement, &published.announcement)
@@ -230,7 +238,8 @@
                 let unseen = update.version.term > self.replica.seen.term
                     || change.sequence > self.replica.seen.sequence;
                 let leased = self.lease_until.is_some_and(|until| now < until);
-                if unseen && leased {
+                // Without a grant, the owner is another process of this VM.
+                if unseen && granted && leased {
                     self.holds.grant(server, self.number);
                 } else if !self.holds.owns(server) {
                     published.owner = None;
--- a/crates/fireflyspool/src/lease/replica.rs
+++ b/crates/fireflyspool/src/lease/replica.rs
@@ -2,7 +2,7 @@
 
 use std::sync;
 
-use crate::{ids, roster, sorted, view};
+use crate::{backend, ids, roster, sorted, view};
 
 /// Records as last published by a leader.
 #[derive(Clone, Debug, Default)]
@@ -76,6 +76,22 @@
         }
     }
 
+    /// Record of a backend server that the current leader has named.
+    pub(super) fn named_server(&self, server: &str) -> Option<&view::ServerRecord> {
+        let record = self.servers.get(server)?;
+        (!self.unnamed.servers.contains_key(server)).then_some(record)
+    }
+
+    /// Replaces the announcement of a known backend server.
+    pub(super) fn set_announcement(&mut self, announcement: &backend::Announcement) {
+        if self.servers.contains_key(&announcement.server) {
+            let records = sync::Arc::make_mut(&mut self.servers);
+            if let Some(record) = records.get_mut(&announcement.server) {
+                record.announcement = announcement.clone();
+            }
+        }
+    }
+
     /// Sets or removes the record of a backend server.
     pub(super) fn set_server(&mut self, server: &str, record: Option<view::ServerRecord>) {
         let records = sync::Arc::make_mut(&mut self.servers);
--- a/crates/fireflyspool/src/roster/roster.rs
+++ b/crates/fireflyspool/src/roster/roster.rs
@@ -79,6 +79,7 @@
         if !self.settled && now >= self.settle_at {
             self.settled = true;
             self.stale = true;
+            self.tables.confirm_ownerless();
         }
         self.stale |= self.tables.expire(now);
         self.assign_owners();
--- a/crates/fireflyspool/src/roster/tables.rs
+++ b/crates/fireflyspool/src/roster/tables.rs
@@ -131,6 +131,17 @@
         }
     }
 
+    /// Publishes all records without an owner anew.
+    ///
+    /// Holders kept the owner of the earlier term until the leader settled.
+    pub(super) fn confirm_ownerless(&mut self) {
+        for (server, state) in self.servers.states.iter_mut() {
+            if state.owner.is_none() && state.announcement.is_some() {
+                state.changed = self.log.push(roster::RecordKey::Server(server.clone()));
+            }
+        }
+    }
+
     fn publish_owner(&mut self, server: &str) {
         if let Some(state) = self.servers.states.get_mut(server) {
             let holder = state.holder;
--- a/crates/fireflyspool/tests/control_state.rs
+++ b/crates/fireflyspool/tests/control_state.rs
@@ -166,34 +166,22 @@
 /// was restored from a snapshot.
 #[test]
 fn resends_get_the_recorded_receipt_across_snapshots() {
-    common::with_seeds(200, |seed| {
-        let mut random = common::Random::new(seed);
+    fn property(entries: common::Entries) -> bool {
+        let mut script = common::Script::new(entries);
         let mut control = state::ControlState::default();
         let mut sent: Vec<(state::Command, state::Receipt)> = Vec::new();
         let mut accepted = 0;
-        for _ in 0..200 {
-            let resend = !sent.is_empty() && random.chance(40);
-            if resend {
-                let position = random.below(sent.len() as u64) as usize;
+        while !script.is_exhausted() {
+            if !sent.is_empty() && script.chance(40) {
+                let position = script.below(sent.len() as u64) as usize;
                 let (command, receipt) = sent[position].clone();
                 assert_eq!(apply(&mut control, &command), receipt);
             } else {
-                let operator = ["ann", "bob", "cy"][random.below(3) as usize];
-                let expected = random
-                    .chance(50)
-                    .then(|| control.catalog.revision.saturating_sub(random.below(3)));
-                let service = format!("s{}", random.below(4));
-                let change = if random.chance(30) {
-                    state::Directive::Change(state::Change::DropService { service })
-                } else {
-                    define(&service, 1 + random.below(4) as u32)
+                let new = random_command(&mut script, control.catalog.revision);
+                let same = |old: &state::Command| {
+                    (&old.operator, old.number) == (&new.operator, new.number)
                 };
-                let number = 1 + random.below(60);
-                let new = command(operator, number, expected, change);
-                let used = sent
-                    .iter()
-                    .find(|(old, _)| old.operator == operator && old.number == number)
-                    .cloned();
+                let used = sent.iter().find(|(old, _)| same(old)).cloned();
                 let receipt = apply(&mut control, &new);
                 match used {
                     Some((old, recorded)) if old == new => assert_eq!(receipt, recorded),
@@ -206,13 +194,29 @@
             }
             assert_eq!(control.catalog.revision, accepted);
             assert_eq!(control.history.len() as u64, accepted);
-            if random.chance(5) {
+            if script.chance(5) {
                 let restored = restart(&control);
                 assert_eq!(restored, control);
                 control = restored;
             }
         }
-    });
+        true
+    }
+    common::check(10, 20, 2_000, property);
+}
+
+fn random_command(script: &mut common::Script, revision: u64) -> state::Command {
+    let operator = ["ann", "bob", "cy"][script.below(3) as usize];
+    let number = 1 + script.below(60);
+    let expected = revision.saturating_sub(script.below(3));
+    let expected = script.chance(50).then_some(expected);
+    let service = format!("s{}", script.below(4));
+    let change = if script.chance(30) {
+        state::Directive::Change(state::Change::DropService { service })
+    } else {
+        define(&service, 1 + script.below(4) as u32)
+    };
+    command(operator, number, expected, change)
 }
 
 /// Guards against a holder that follows the history and ends with another catalog.
