Republish owners when a process replaces another of its VM

Before the leader settled, a process that replaced another one read the earlier owner record as its own grant.

--- a/crates/fireflyspool/src/roster/roster.rs
+++ b/crates/fireflyspool/src/roster/roster.rs
@@ -136,7 +136,7 @@
             return;
         }
         let tables = &mut self.tables;
-        self.stale |= tables.members.update(&request.member, &mut tables.log);
+        self.stale |= tables.ingest_member(&request.member);
         self.stale |= tables.ingest_reports(request, now);
         self.stale |= tables.ingest_holds(request, self.settled, now);
         for news in &request.news {
--- a/crates/fireflyspool/src/roster/tables.rs
+++ b/crates/fireflyspool/src/roster/tables.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use super::{holder_key, lease_table, member_table, ownership, server_table, suspect_list};
-use crate::{ids, roster};
+use crate::{ids, roster, view};
 
 /// Everything that a leader publishes or counts.
 #[derive(Clone, Debug)]
@@ -26,6 +26,22 @@
         }
     }
 
+    /// Takes over the sender's own record; returns whether ownership may be affected.
+    pub(super) fn ingest_member(&mut self, member: &view::Member) -> bool {
+        let earlier = self.members.current(member.node);
+        let affected = self.members.update(member, &mut self.log);
+        let present = self.members.current(member.node);
+        if earlier != present {
+            // What the earlier process holds must not be read as granted to this one.
+            for key in [earlier, present].into_iter().flatten() {
+                for server in self.leases.servers(key) {
+                    self.publish_owner(&server);
+                }
+            }
+        }
+        affected
+    }
+
     /// Takes announcements, deaths and suspects; returns whether ownership may be affected.
     pub(super) fn ingest_reports(
         &mut self,
