--- a/crates/fireflyspool/src/roster/roster.rs
+++ b/crates/fireflyspool/src/roster/roster.rs
@@ -79,6 +79,7 @@
         if !self.settled && now >= self.settle_at {
             self.settled = true;
             self.stale = true;
+            self.tables.confirm_ownerless();
         }
         self.stale |= self.tables.expire(now);
         self.assign_owners();
@@ -135,7 +136,7 @@
             return;
         }
         let tables = &mut self.tables;
-        self.stale |= tables.members.update(&request.member, &mut tables.log);
+        self.stale |= tables.ingest_member(&request.member);
         self.stale |= tables.ingest_reports(request, now);
         self.stale |= tables.ingest_holds(request, self.settled, now);
         for news in &request.news {
--- a/crates/fireflyspool/src/roster/tables.rs
+++ b/crates/fireflyspool/src/roster/tables.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use super::{holder_key, lease_table, member_table, ownership, server_table, suspect_list};
-use crate::{ids, roster};
+use crate::{ids, roster, view};
 
 /// Everything that a leader publishes or counts.
 #[derive(Clone, Debug)]
@@ -26,6 +26,22 @@
         }
     }
 
+    /// Takes over the sender's own record; returns whether ownership may be affected.
+    pub(super) fn ingest_member(&mut self, member: &view::Member) -> bool {
+        let earlier = self.members.current(member.node);
+        let affected = self.members.update(member, &mut self.log);
+        let present = self.members.current(member.node);
+        if earlier != present {
+            // What the earlier process holds must not be read as granted to this one.
+            for key in [earlier, present].into_iter().flatten() {
+                for server in self.leases.servers(key) {
+                    self.publish_owner(&server);
+                }
+            }
+        }
+        affected
+    }
+
     /// Takes announcements, deaths and suspects; returns whether ownership may be affected.
     pub(super) fn ingest_reports(
         &mut self,
@@ -131,6 +147,17 @@
         }
     }
 
+    /// Publishes all records without an owner anew.
+    ///
+    /// Holders kept the owner of the earlier term until the leader settled.
+    pub(super) fn confirm_ownerless(&mut self) {
+        for (server, state) in self.servers.states.iter_mut() {
+            if state.owner.is_none() && state.announcement.is_some() {
+                state.changed = self.log.push(roster::RecordKey::Server(server.clone()));
+            }
+        }
+    }
+
     fn publish_owner(&mut self, server: &str) {
         if let Some(state) = self.servers.states.get_mut(server) {
             let holder = state.holder;
