Cache routes per view and draw ties evenly

Change: RouteCache keeps routes while catalog, members and servers are the same; ties use a mixed draw.

--- a/crates/fireflyspool/src/gather/owner_loads.rs
+++ b/crates/fireflyspool/src/gather/owner_loads.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{ids, plan, sorted};
+use crate::{gather, ids, plan, sorted};
 
 /// Age up to which a reported queue length says something about the present.
 const REPORT_AGE: time::Duration = time::Duration::from_millis(50);
@@ -133,9 +133,7 @@
         let load = u64::from(outstanding) * SCALE / permits;
         let queued = self.fresh_queue(owner, now).unwrap_or(0);
         let avoided = self.is_avoided(owner, shard, now);
-        let draw = (owner ^ entropy)
-            .wrapping_mul(0x9E37_79B9_7F4A_7C15)
-            .rotate_left(29);
+        let draw = gather::entropy::Entropy(owner ^ entropy).draw();
         (avoided, load, queued, draw)
     }
 
--- a/crates/fireflyspool/src/plan/mod.rs
+++ b/crates/fireflyspool/src/plan/mod.rs
@@ -5,6 +5,9 @@
 //! decides nothing about single owners: [`crate::gather`] chooses among the
 //! candidates, because that choice depends on what is under way.
 //!
+//! Collecting the owners visits every backend server; [`RouteCache`] does so
+//! once per published view instead of once per query.
+//!
 //! A version is pinned whole. The newest version whose shards all have a
 //! candidate is used, so a version that is still being loaded is left alone
 //! until every shard of it can answer.
@@ -17,6 +20,7 @@
 )]
 mod plan;
 mod plan_error;
+mod route_cache;
 mod routes;
 mod search;
 
@@ -26,5 +30,6 @@
 pub use pin::plan;
 pub use plan::Plan;
 pub use plan_error::PlanError;
+pub use route_cache::RouteCache;
 pub use routes::Routes;
 pub use search::Search;
--- a/crates/fireflyspool/src/plan/pin.rs
+++ b/crates/fireflyspool/src/plan/pin.rs
@@ -34,7 +34,16 @@
 ) -> Result<plan::Plan, plan::PlanError> {
     check(search, view, now)?;
     let routes = plan::Routes::collect(view, &search.service, &search.collection);
-    let usable = routes.into_iter().filter(|routes| {
+    pin(search, &routes, vanished)
+}
+
+/// Pins one of the versions, which are ascending.
+pub(super) fn pin(
+    search: &plan::Search,
+    routes: &[sync::Arc<plan::Routes>],
+    vanished: &[ids::IndexVersion],
+) -> Result<plan::Plan, plan::PlanError> {
+    let usable = routes.iter().filter(|routes| {
         let version = routes.version();
         search.version.is_none_or(|asked| asked == version) && !vanished.contains(&version)
     });
@@ -47,7 +56,7 @@
     let admitted = reachable == best.total()
         || reachable > 0 && (search.partial || search.coverage.is_met_by(&best.coverage()));
     if admitted {
-        let routes = sync::Arc::new(best);
+        let routes = sync::Arc::clone(best);
         Ok(plan::Plan { snapshot, routes })
     } else {
         Err(plan::PlanError::Coverage {
@@ -58,7 +67,7 @@
     }
 }
 
-fn check(
+pub(super) fn check(
     search: &plan::Search,
     view: &view::View,
     now: time::Instant,
@@ -86,7 +95,10 @@
 }
 
 /// The route set with the greater covered share; the newer one if they are equal.
-fn better(newer: plan::Routes, older: plan::Routes) -> plan::Routes {
+fn better<'a>(
+    newer: &'a sync::Arc<plan::Routes>,
+    older: &'a sync::Arc<plan::Routes>,
+) -> &'a sync::Arc<plan::Routes> {
     // Shares are compared by cross-multiplication because shard counts differ between versions.
     if older.reachable() * newer.total() > newer.reachable() * older.total() {
         older
--- a/crates/fireflyspool/src/plan/routes.rs
+++ b/crates/fireflyspool/src/plan/routes.rs
@@ -1,5 +1,7 @@
 //! Owners of the replicas of one index version.
 
+use std::sync;
+
 use crate::{ids, outcome, plan, view};
 
 /// Candidate owners of every shard of one index version.
@@ -7,6 +9,7 @@
 pub struct Routes {
     version: ids::IndexVersion,
     shards: Vec<Vec<plan::Candidate>>,
+    reachable: usize,
 }
 
 impl Routes {
@@ -14,7 +17,7 @@
     ///
     /// A replica counts only if its server is ready, not taken out, and owned
     /// by a live entry VM.
-    pub fn collect(view: &view::View, service: &str, collection: &str) -> Vec<Self> {
+    pub fn collect(view: &view::View, service: &str, collection: &str) -> Vec<sync::Arc<Self>> {
         let Some(known) = view.catalog.collections.get(collection) else {
             return Vec::new();
         };
@@ -24,6 +27,7 @@
             .map(|(version, shards)| Self {
                 version: *version,
                 shards: vec![Vec::new(); *shards as usize],
+                reachable: 0,
             })
             .collect();
         for record in view.servers.values() {
@@ -47,7 +51,7 @@
                 }
             }
         }
-        routes
+        routes.into_iter().map(sync::Arc::new).collect()
     }
 
     /// Index version.
@@ -62,7 +66,7 @@
 
     /// Number of shards that have a candidate.
     pub fn reachable(&self) -> usize {
-        self.shards.iter().filter(|shard| !shard.is_empty()).count()
+        self.reachable
     }
 
     /// Candidates of a shard; empty if it has none or lies outside the shard map.
@@ -87,6 +91,7 @@
         let Some(candidates) = self.shards.get_mut(shard as usize) else {
             return;
         };
+        self.reachable += usize::from(candidates.is_empty());
         match candidates
             .iter_mut()
             .find(|candidate| candidate.owner == owner)
--- /dev/null
+++ b/crates/fireflyspool/tests/coordinator_cost.rs
@@ -0,0 +1,209 @@
+//! Processor time of plan and gather, and the effect of the owner choice on queues.
+//!
+//! Both are measurements: `cargo test --release -p fireflyspool --test
+//! coordinator_cost -- --ignored --nocapture --test-threads 1`.
+
+mod coordination;
+
+use std::{fs, time};
+
+use coordination::millis;
+use fireflyspool::{dispatch, gather, plan};
+
+/// Processor time of this thread so far, in nanoseconds.
+fn processor_time() -> u64 {
+    let text = fs::read_to_string("/proc/thread-self/schedstat").expect("readable");
+    let first = text.split(' ').next().expect("has a first field");
+    first.parse().expect("is a number")
+}
+
+/// Guards against a coordinator that costs more than the 6 µs per sub-request
+/// that the capacity page allows.
+#[test]
+#[ignore = "a measurement of several seconds"]
+fn processor_time_per_sub_request() {
+    for (shards, queries) in [(10, 20_000_u64), (56, 4_000), (200, 1_000)] {
+        let start = time::Instant::now();
+        let view = coordination::full_view(&[(4, shards)], 17, 3, start);
+        let mut budgets = coordination::budgets(start);
+        let mut now = start;
+        let hits: Vec<_> = (0..10)
+            .map(|number| coordination::hit(4, 1, number))
+            .collect();
+        let (mut planning, mut gathering, mut subs) = (0, 0, 0);
+        for number in 0..queries {
+            now += millis(1);
+            let search = coordination::search(&format!("{number}-a"));
+            let before = processor_time();
+            let plan = plan::plan(&search, &view, now, number).expect("has a plan");
+            let planned = processor_time();
+            let (mut coordinator, actions) =
+                gather::Coordinator::start(plan, search, &view, &mut budgets, now, number);
+            let started = processor_time();
+            planning += planned - before;
+            gathering += started - planned;
+            let replies: Vec<_> = coordination::dispatched(&actions)
+                .into_iter()
+                .map(|(owner, sub)| gather::Event::Replied {
+                    sub: sub.sub,
+                    owner,
+                    outcome: dispatch::SubOutcome::Answered {
+                        server: "s0001".into(),
+                        hits: hits.clone(),
+                        service_time: millis(5),
+                        queued: 1,
+                    },
+                })
+                .collect();
+            subs += replies.len() as u64;
+            let mut ended = false;
+            let before = processor_time();
+            for event in replies {
+                let actions = coordinator.handle(event, &view, &mut budgets, now, number);
+                std::hint::black_box(coordinator.next_wake());
+                ended |= !actions.is_empty();
+            }
+            gathering += processor_time() - before;
+            assert!(ended && coordinator.is_finished());
+        }
+        let (planning, gathering) = (planning / subs, gathering / subs);
+        println!("{shards} shards: plan {planning} ns, gather {gathering} ns per sub-request");
+        assert!(planning + gathering < 6_000, "over the target");
+    }
+}
+
+/// Gives the slope of planning over the number of servers, for the capacity page.
+#[test]
+#[ignore = "a measurement of several seconds"]
+fn planning_time_by_number_of_servers() {
+    let now = time::Instant::now();
+    for (owners, replicas) in [(17, 3), (200, 9), (1_000, 27)] {
+        let view = coordination::full_view(&[(4, 200)], owners, replicas, now);
+        let search = coordination::search("1-a");
+        let before = processor_time();
+        for number in 0..500 {
+            let plan = plan::plan(&search, &view, now, number).expect("has a plan");
+            std::hint::black_box(plan);
+        }
+        let each = (processor_time() - before) / 500;
+        let mut cache = plan::RouteCache::new();
+        let before = processor_time();
+        for number in 0..50_000 {
+            let plan = cache.plan(&search, &view, now, number).expect("has a plan");
+            std::hint::black_box(plan);
+        }
+        let cached = (processor_time() - before) / 50_000;
+        let servers = view.servers.len();
+        println!("{servers} servers, 200 shards: plan {each} ns, with cache {cached} ns");
+    }
+}
+
+/// One queue per replica with two slots, in virtual time.
+#[derive(Clone, Default)]
+struct Server {
+    /// Ends of the running requests and what waits, as (arrival, duration).
+    free_at: [u64; 2],
+    waiting: u32,
+    longest: u32,
+}
+
+const VMS: u64 = 16;
+const SHARDS: u32 = 15;
+const REPLICAS: u64 = 3;
+
+/// Choices of each VM by the given rule; returns median and 99th percentile of
+/// query latency in microseconds and the longest queue at a server.
+fn simulate(random: bool, utilization: f64, seed: u64) -> (u64, u64, u32) {
+    let mut draws = coordination::Draws(seed);
+    let unit = |draws: &mut coordination::Draws| draws.below(1 << 30) as f64 / f64::from(1 << 30);
+    let base = time::Instant::now();
+    let mut loads: Vec<gather::OwnerLoads> = vec![gather::OwnerLoads::default(); VMS as usize];
+    let mut servers = vec![Server::default(); (u64::from(SHARDS) * REPLICAS) as usize];
+    let candidates = |shard: u32| {
+        let owner = move |replica| 1 + (u64::from(shard) + replica * 5) % VMS;
+        (0..REPLICAS).map(move |replica| plan::Candidate {
+            owner: owner(replica),
+            replicas: 1,
+            slots: 2,
+        })
+    };
+    // Service times are exponential with a mean of 20 ms.
+    let mean = 20_000.0;
+    let interval = mean / (2.0 * REPLICAS as f64 * utilization);
+    let mut ends: Vec<(u64, usize, u64, u32, usize)> = Vec::new();
+    let mut latencies = Vec::new();
+    let mut at = 0.0;
+    for _ in 0..40_000 {
+        at += -(1.0 - unit(&mut draws)).ln() * interval;
+        let now = at as u64;
+        ends.sort_unstable_by_key(|end| std::cmp::Reverse(end.0));
+        while ends.last().is_some_and(|end| end.0 <= now) {
+            let Some((ended, vm, owner, shard, server)) = ends.pop() else {
+                break;
+            };
+            servers[server].waiting -= 1;
+            let queued = servers[server].waiting.saturating_sub(2);
+            loads[vm].ended(owner, shard);
+            loads[vm].reported(owner, queued, base + time::Duration::from_micros(ended));
+        }
+        let vm = draws.below(VMS) as usize;
+        let instant = base + time::Duration::from_micros(now);
+        let mut latency = 0;
+        for shard in 0..SHARDS {
+            let draw = draws.next();
+            let all: Vec<_> = candidates(shard).collect();
+            let owner = if random {
+                all[(draw % REPLICAS) as usize].owner
+            } else {
+                loads[vm]
+                    .choose(all.iter().copied(), shard, instant, draw)
+                    .expect("has one")
+            };
+            let replica = all
+                .iter()
+                .position(|one| one.owner == owner)
+                .expect("is one");
+            loads[vm].sent(owner, shard);
+            let position = shard as usize * REPLICAS as usize + replica;
+            let server = &mut servers[position];
+            server.waiting += 1;
+            server.longest = server.longest.max(server.waiting.saturating_sub(2));
+            let slot = usize::from(server.free_at[1] < server.free_at[0]);
+            let duration = (-(1.0 - unit(&mut draws)).ln() * mean) as u64;
+            let end = server.free_at[slot].max(now) + duration;
+            server.free_at[slot] = end;
+            ends.push((end, vm, owner, shard, position));
+            latency = latency.max(end - now);
+        }
+        latencies.push(latency);
+    }
+    latencies.sort_unstable();
+    let quantile = |share: usize| latencies[latencies.len() * share / 100];
+    let longest = servers
+        .iter()
+        .map(|server| server.longest)
+        .max()
+        .unwrap_or(0);
+    (quantile(50), quantile(99), longest)
+}
+
+/// Guards against an owner choice that is no better than chance.
+#[test]
+#[ignore = "a measurement of several seconds"]
+fn owner_choice_shortens_queues() {
+    for utilization in [0.5, 0.75] {
+        let mut sums = [(0, 0, 0); 2];
+        for seed in 1..=3 {
+            for (random, sum) in [true, false].into_iter().zip(&mut sums) {
+                let (median, tail, longest) = simulate(random, utilization, seed);
+                *sum = (sum.0 + median / 3, sum.1 + tail / 3, sum.2.max(longest));
+            }
+        }
+        for (name, (median, tail, longest)) in ["random", "least outstanding"].iter().zip(sums) {
+            println!(
+                "{utilization}: {name}: median {median} µs, p99 {tail} µs, longest queue {longest}"
+            );
+        }
+        assert!(sums[1].1 < sums[0].1, "no shorter tail");
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/tests/planning.rs
@@ -0,0 +1,200 @@
+//! Which version is pinned and which owners are candidates.
+
+mod coordination;
+
+use std::{sync, time};
+
+use coordination::millis;
+use fireflyspool::{backend, gather, outcome, plan, state};
+
+/// Guards against pinning a version that is still being loaded.
+#[test]
+fn newest_version_is_pinned_only_when_it_is_whole() {
+    let now = time::Instant::now();
+    let versions = [(1, 2), (2, 3)];
+    let mut view = coordination::view(coordination::catalog(&versions), 3, now);
+    for shard in 0..2 {
+        coordination::add_server(&mut view, 1 + u64::from(shard), &[(1, shard), (2, shard)]);
+    }
+    let search = coordination::search("1-a");
+    let pinned = |view: &_| plan::plan(&search, view, now, 0).expect("has a plan");
+    assert_eq!(pinned(&view).snapshot.version, 1);
+    coordination::add_server(&mut view, 3, &[(2, 2)]);
+    assert_eq!(pinned(&view).snapshot.version, 2);
+    assert_eq!(pinned(&view).routes.total(), 3);
+    let asked = plan::Search {
+        version: Some(1),
+        ..search.clone()
+    };
+    let plan = plan::plan(&asked, &view, now, 0).expect("has a plan");
+    assert_eq!(plan.snapshot.version, 1);
+}
+
+/// Guards against work for servers that are taken out, not ready, without an
+/// owner or owned by a VM that is not live, and against losing their siblings.
+#[test]
+fn only_eligible_replicas_with_a_live_owner_count() {
+    let now = time::Instant::now();
+    let mut view = coordination::view(coordination::catalog(&[(1, 1)]), 6, now);
+    let servers: Vec<_> = (1..=6)
+        .map(|owner| coordination::add_server(&mut view, owner, &[(1, 0)]))
+        .collect();
+    coordination::add_server(&mut view, 1, &[(1, 0), (9, 0)]);
+    let search = coordination::search("1-a");
+    let owners = |view: &_| -> Vec<_> {
+        let plan = plan::plan(&search, view, now, 0).expect("has a plan");
+        plan.routes
+            .candidates(0)
+            .iter()
+            .map(|candidate| candidate.owner)
+            .collect()
+    };
+    assert_eq!(owners(&view), [1, 2, 3, 4, 5, 6]);
+    let plan = plan::plan(&search, &view, now, 0).expect("has a plan");
+    let first = plan::Candidate {
+        owner: 1,
+        replicas: 2,
+        slots: 4,
+    };
+    assert_eq!(plan.routes.candidates(0)[0], first);
+    let records = sync::Arc::make_mut(&mut view.servers);
+    let record =
+        |records: &mut coordination::Map<_, _>, position: usize, change: &dyn Fn(&mut _)| {
+            change(records.get_mut(&servers[position]).expect("is known"));
+        };
+    record(
+        records,
+        1,
+        &|record: &mut fireflyspool::view::ServerRecord| record.owner = None,
+    );
+    record(records, 2, &|record| {
+        record.announcement.phase = backend::Phase::Leaving;
+    });
+    sync::Arc::make_mut(&mut view.members).remove(&4);
+    let out = state::Change::TakeOutServer {
+        server: servers[4].clone(),
+    };
+    sync::Arc::make_mut(&mut view.catalog)
+        .apply(&out)
+        .expect("takes it out");
+    assert_eq!(owners(&view), [1, 6]);
+    let out = state::Change::TakeOutZone { zone: "z0".into() };
+    sync::Arc::make_mut(&mut view.catalog)
+        .apply(&out)
+        .expect("takes it out");
+    assert_eq!(owners(&view), [1]);
+}
+
+/// Guards against routes of an old view being used after a change, and against
+/// plans that differ from those without a cache.
+#[test]
+fn cached_routes_follow_the_view() {
+    let now = time::Instant::now();
+    let mut view = coordination::full_view(&[(1, 3), (2, 4)], 5, 2, now);
+    let mut cache = plan::RouteCache::new();
+    let search = coordination::search("1-a");
+    let mut check = |view: &_| {
+        for _ in 0..2 {
+            let cached = cache.plan(&search, view, now, 0).expect("has a plan");
+            let plan = plan::plan(&search, view, now, 0).expect("has a plan");
+            assert_eq!(cached.snapshot, plan.snapshot);
+            assert_eq!(cached.routes, plan.routes);
+        }
+    };
+    check(&view);
+    coordination::add_server(&mut view, 3, &[(2, 0)]);
+    check(&view);
+    let out = state::Change::TakeOutZone { zone: "z0".into() };
+    sync::Arc::make_mut(&mut view.catalog)
+        .apply(&out)
+        .expect("takes it out");
+    check(&view);
+    sync::Arc::make_mut(&mut view.members).remove(&2);
+    check(&view);
+}
+
+/// Guards against acting on a view whose lease has ended, and against wrong
+/// reasons for callers.
+#[test]
+fn refusals_name_their_reason() {
+    let now = time::Instant::now();
+    let view = coordination::full_view(&[(1, 2)], 3, 2, now);
+    let search = coordination::search("1-a");
+    let reason = |search: &plan::Search, at| {
+        let refused = plan::plan(search, &view, at, 0).expect_err("is refused");
+        refused.refusal(search).reason
+    };
+    let late = now + millis(3_600_000);
+    assert_eq!(reason(&search, late), outcome::RefusalReason::NoLease);
+    let unknown = plan::Search {
+        collection: "none".into(),
+        ..search.clone()
+    };
+    assert_eq!(reason(&unknown, now), outcome::RefusalReason::Invalid);
+    let reader = plan::Search {
+        service: "none".into(),
+        ..search.clone()
+    };
+    assert_eq!(reason(&reader, now), outcome::RefusalReason::Invalid);
+    let version = plan::Search {
+        version: Some(8),
+        ..search.clone()
+    };
+    assert_eq!(reason(&version, now), outcome::RefusalReason::Unavailable);
+}
+
+/// Guards against owners that just failed getting work while others can take
+/// it, and against no work at all when there is no other.
+#[test]
+fn least_loaded_owner_is_chosen_and_a_failed_one_avoided() {
+    let now = time::Instant::now();
+    let mut loads = gather::OwnerLoads::default();
+    let candidate = |owner, slots| plan::Candidate {
+        owner,
+        replicas: 1,
+        slots,
+    };
+    let both = || [candidate(1, 2), candidate(2, 4)].into_iter();
+    loads.sent(1, 0);
+    loads.sent(2, 0);
+    assert_eq!(loads.choose(both(), 0, now, 5), Some(2), "fewer per permit");
+    loads.sent(2, 0);
+    loads.sent(2, 0);
+    assert_eq!(loads.choose(both(), 0, now, 5), Some(1));
+    loads.avoid(1, now + millis(50));
+    assert_eq!(loads.choose(both(), 0, now, 5), Some(2));
+    assert_eq!(
+        loads.choose([candidate(1, 2)].into_iter(), 0, now, 5),
+        Some(1)
+    );
+    assert_eq!(loads.choose(both(), 0, now + millis(50), 5), Some(1));
+    let draws = (0..64).map(|draw| loads.choose(both(), 7, now + millis(50), draw << 58));
+    let ones = draws.filter(|owner| *owner == Some(1)).count();
+    assert!(
+        (16..=48).contains(&ones),
+        "ties go by entropy: {ones} of 64"
+    );
+}
+
+/// Guards against hedges that fire on the latencies of a time long past.
+#[test]
+fn latency_window_slides() {
+    let now = time::Instant::now();
+    let mut window = gather::LatencyWindow::default();
+    for number in 1..=99 {
+        window.observe(millis(number), now);
+    }
+    assert_eq!(window.quantile(960, now), None, "too few");
+    window.observe(millis(100), now);
+    let value = window.quantile(960, now).expect("enough");
+    assert!((millis(94)..=millis(98)).contains(&value), "{value:?}");
+    let later = now + millis(12_000);
+    for _ in 0..200 {
+        window.observe(millis(10), later);
+    }
+    let mixed = window.quantile(960, later).expect("enough");
+    assert!(mixed > millis(50), "{mixed:?}");
+    let last = later + millis(12_000);
+    let value = window.quantile(960, last).expect("enough");
+    assert!(value < millis(11), "{value:?}");
+}
