--- a/crates/fireflyspool/tests/whole_query.rs
+++ b/crates/fireflyspool/tests/whole_query.rs
@@ -342,3 +342,23 @@
     assert!(answer.sufficient);
     assert_eq!(answer.coverage.missing, [3]);
 }
+
+/// Guards against a second hedge of a shard whose attempt and hedge both
+/// failed: the retry that follows must not be hedged again.
+#[test]
+fn retry_after_a_failed_hedge_is_not_hedged() {
+    let now = time::Instant::now();
+    let view = coordination::full_view(&[(4, 1)], 6, 6, now);
+    let mut run = Run::start(coordination::search("1-a"), view, now);
+    run.now = run.coordinator.next_wake().expect("waits for the hedge");
+    run.event(gather::Event::Timer);
+    assert!(run.sent[1].1.hedge);
+    run.reply(0, failed(dispatch::FailureCause::BadReply));
+    run.reply(1, failed(dispatch::FailureCause::BadReply));
+    assert_eq!(run.sent.len(), 3, "one retry");
+    run.now += millis(60);
+    run.event(gather::Event::Timer);
+    assert_eq!(run.sent.len(), 3, "no second hedge");
+    run.answer(2);
+    assert!(matches!(run.outcome, Some(outcome::Outcome::Complete(_))));
+}
