--- a/crates/fireflyspool/src/dispatch/attempts.rs
+++ b/crates/fireflyspool/src/dispatch/attempts.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::dispatch::attempt;
+use crate::dispatch::{attempt, timers};
 use crate::{ids, sorted};
 
 /// Attempts that hold permits, with their timers.
@@ -11,7 +11,7 @@
     next: ids::AttemptId,
     // Boxed, so that removing one from the middle moves few bytes.
     running: sorted::SortedMap<ids::AttemptId, Box<attempt::Attempt>>,
-    timers: sorted::SortedMap<(time::Instant, ids::AttemptId), ()>,
+    timers: timers::Timers<ids::AttemptId>,
 }
 
 impl Attempts {
@@ -19,7 +19,7 @@
         Self {
             next: first,
             running: sorted::SortedMap::new(),
-            timers: sorted::SortedMap::new(),
+            timers: timers::Timers::default(),
         }
     }
 
@@ -35,7 +35,7 @@
     }
 
     pub(super) fn insert(&mut self, id: ids::AttemptId, attempt: Box<attempt::Attempt>) {
-        self.timers.insert((attempt.timer, id), ());
+        self.timers.push(attempt.timer, id);
         self.running.insert(id, attempt);
     }
 
@@ -48,28 +48,36 @@
     }
 
     pub(super) fn remove(&mut self, id: ids::AttemptId) -> Option<Box<attempt::Attempt>> {
-        let attempt = self.running.remove(&id)?;
-        self.timers.remove(&(attempt.timer, id));
-        Some(attempt)
+        self.running.remove(&id)
     }
 
     /// Moves the timer of an attempt.
     pub(super) fn set_timer(&mut self, id: ids::AttemptId, timer: time::Instant) {
         if let Some(attempt) = self.running.get_mut(&id) {
-            self.timers.remove(&(attempt.timer, id));
             attempt.timer = timer;
-            self.timers.insert((timer, id), ());
+            self.timers.push(timer, id);
         }
     }
 
+    /// Drops timers of attempts that have ended.
+    pub(super) fn tidy(&mut self) {
+        let running = &self.running;
+        self.timers.tidy(running.len(), |time, id| {
+            running
+                .get(&id)
+                .is_some_and(|attempt| attempt.timer == time)
+        });
+    }
+
     /// Attempt whose timer is due.
-    pub(super) fn due(&self, now: time::Instant) -> Option<ids::AttemptId> {
-        let (key, ()) = self.timers.first()?;
-        (key.0 <= now).then_some(key.1)
+    pub(super) fn due(&mut self, now: time::Instant) -> Option<ids::AttemptId> {
+        self.tidy();
+        let (time, id) = self.timers.first()?;
+        (time <= now).then_some(id)
     }
 
     pub(super) fn first_timer(&self) -> Option<time::Instant> {
-        self.timers.first().map(|(key, ())| key.0)
+        self.timers.first().map(|(time, _)| time)
     }
 
     /// Whether any attempt with this content holds a permit.
--- a/crates/fireflyspool/src/dispatch/backlog.rs
+++ b/crates/fireflyspool/src/dispatch/backlog.rs
@@ -2,24 +2,30 @@
 
 use std::time;
 
-use crate::dispatch::{group, position, queue_key, target, waiting};
+use crate::dispatch::{group, queue_key, target, timers, waiting};
 use crate::sorted;
 
-/// Queues by target, with the deadlines of everything in them.
+/// Number of a waiting sub-request at this dispatcher; used again after it has left.
+pub(super) type Position = u32;
+
+/// Waiting sub-requests, queued by target.
 #[derive(Debug, Default)]
 pub(super) struct Backlog {
+    // Queues hold positions only, so that an insertion moves few bytes.
+    entries: Vec<Option<Box<waiting::Waiting>>>,
+    free: Vec<Position>,
     targets: sorted::SortedMap<target::Target, target::TargetKey>,
     groups: Vec<Option<group::Group>>,
-    deadlines: sorted::SortedMap<(time::Instant, u64), position::Position>,
+    deadlines: timers::Timers<(Position, u64)>,
 }
 
 impl Backlog {
     pub(super) fn len(&self) -> usize {
-        self.deadlines.len()
+        self.entries.len() - self.free.len()
     }
 
     pub(super) fn is_empty(&self) -> bool {
-        self.deadlines.is_empty()
+        self.len() == 0
     }
 
     pub(super) fn find(&self, target: &target::Target) -> Option<target::TargetKey> {
@@ -71,62 +77,70 @@
     }
 
     /// Adds a sub-request and returns its position.
-    pub(super) fn push(
-        &mut self,
-        entry: Box<waiting::Waiting>,
-        hedges_first: bool,
-    ) -> position::Position {
-        let position = position::Position {
-            target: entry.target,
-            kind: entry.request.kind,
-            key: queue_key::QueueKey {
-                first_attempt: !(entry.request.hedge && hedges_first),
-                deadline: entry.deadline,
-                sequence: entry.sequence,
-            },
-        };
-        let due = (entry.deadline, entry.sequence);
-        if let Some(group) = self.group_mut(position.target) {
-            group.queues[position.kind.index()].insert(position.key, entry);
-            self.deadlines.insert(due, position);
+    pub(super) fn push(&mut self, entry: Box<waiting::Waiting>) -> Position {
+        let position = self.free.pop().unwrap_or_else(|| {
+            self.entries.push(None);
+            Position::try_from(self.entries.len() - 1).unwrap_or(Position::MAX)
+        });
+        let (target, kind) = (entry.target, entry.request.kind);
+        let key = queue_key::QueueKey::of(&entry, position);
+        self.deadlines
+            .push(entry.deadline, (position, entry.sequence));
+        if let Some(group) = self.group_mut(target) {
+            group.queues[kind.index()].insert(key, ());
+        }
+        if let Some(place) = self.entries.get_mut(position as usize) {
+            *place = Some(entry);
         }
         position
     }
 
     /// Removes a sub-request.
-    pub(super) fn take(&mut self, position: position::Position) -> Option<Box<waiting::Waiting>> {
-        let group = self.group_mut(position.target)?;
-        let entry = group.queues[position.kind.index()].remove(&position.key)?;
-        self.deadlines
-            .remove(&(position.key.deadline, position.key.sequence));
+    pub(super) fn take(&mut self, position: Position) -> Option<Box<waiting::Waiting>> {
+        let entry = self.entries.get_mut(position as usize)?.take()?;
+        self.free.push(position);
+        let key = queue_key::QueueKey::of(&entry, position);
+        if let Some(group) = self.group_mut(entry.target) {
+            group.queues[entry.request.kind.index()].remove(&key);
+        }
         Some(entry)
     }
 
     /// Earliest deadline of anything that waits.
     pub(super) fn first_deadline(&self) -> Option<time::Instant> {
-        self.deadlines.first().map(|(key, _)| key.0)
+        self.deadlines.first().map(|(time, _)| time)
+    }
+
+    /// Drops deadlines of what has left the backlog.
+    pub(super) fn tidy(&mut self) {
+        let live = self.len();
+        let entries = &self.entries;
+        self.deadlines.tidy(live, |_, (position, sequence)| {
+            let entry = entries.get(position as usize).and_then(Option::as_ref);
+            entry.is_some_and(|entry| entry.sequence == sequence)
+        });
     }
 
     /// Position of what has the earliest deadline, if that is not after the given time.
-    pub(super) fn due(&self, latest: time::Instant) -> Option<position::Position> {
-        let (key, position) = self.deadlines.first()?;
-        (key.0 <= latest).then_some(*position)
+    pub(super) fn due(&mut self, latest: time::Instant) -> Option<Position> {
+        self.tidy();
+        let (time, (position, _)) = self.deadlines.first()?;
+        (time <= latest).then_some(position)
     }
 
     /// Positions of everything that waits and fits a predicate.
     pub(super) fn positions(
         &self,
         mut fits: impl FnMut(&waiting::Waiting) -> bool,
-    ) -> Vec<position::Position> {
-        let all = self.deadlines.values().copied();
-        all.filter(|position| self.entry(*position).is_some_and(&mut fits))
+    ) -> Vec<Position> {
+        let all = (0..).zip(&self.entries);
+        all.filter(|(_, entry)| entry.as_ref().is_some_and(|entry| fits(entry)))
+            .map(|(position, _)| position)
             .collect()
     }
 
     /// Sub-request at a position.
-    pub(super) fn entry(&self, position: position::Position) -> Option<&waiting::Waiting> {
-        let group = self.group(position.target)?;
-        let entry = group.queues[position.kind.index()].get(&position.key)?;
-        Some(entry)
+    pub(super) fn entry(&self, position: Position) -> Option<&waiting::Waiting> {
+        self.entries.get(position as usize)?.as_deref()
     }
 }
--- a/crates/fireflyspool/src/dispatch/dispatcher.rs
+++ b/crates/fireflyspool/src/dispatch/dispatcher.rs
@@ -136,6 +136,8 @@
         self.run_timers(view, now);
         self.finish_leaving(view);
         self.open_ahead(view, now);
+        self.backlog.tidy();
+        self.attempts.tidy();
         std::mem::take(&mut self.actions)
     }
 
--- a/crates/fireflyspool/src/dispatch/group.rs
+++ b/crates/fireflyspool/src/dispatch/group.rs
@@ -1,9 +1,9 @@
 //! Sub-requests that the same backend servers can serve.
 
-use crate::dispatch::{fleet, queue_key, waiting};
+use crate::dispatch::{fleet, queue_key};
 use crate::{outcome, sorted};
 
-pub(super) type Queue = sorted::SortedMap<queue_key::QueueKey, Box<waiting::Waiting>>;
+pub(super) type Queue = sorted::SortedMap<queue_key::QueueKey, ()>;
 
 /// Backend servers and queues of one target.
 #[derive(Debug, Default)]
--- a/crates/fireflyspool/src/dispatch/intake.rs
+++ b/crates/fireflyspool/src/dispatch/intake.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::dispatch::{attempt, place, position, target, waiting};
+use crate::dispatch::{attempt, backlog, place, target, waiting};
 use crate::{backend, dispatch, ids, outcome, view};
 
 impl dispatch::Dispatcher {
@@ -18,12 +18,12 @@
             return;
         }
         let target = self.backlog.find(&target_of(&request));
-        self.sequence += 1;
         let entry = Box::new(waiting::Waiting {
             arrived: now,
             deadline: now + request.remaining,
             target: target.unwrap_or(target::TargetKey::MAX),
-            sequence: self.sequence,
+            sequence: 0,
+            behind_hedges: !(request.hedge && self.config.hedges_first),
             refusal: None,
             request,
         });
@@ -92,9 +92,11 @@
         now + self.times.quantile(100, now).unwrap_or_default()
     }
 
-    pub(super) fn enqueue(&mut self, entry: Box<waiting::Waiting>) {
+    pub(super) fn enqueue(&mut self, mut entry: Box<waiting::Waiting>) {
         let key = entry.key();
-        let position = self.backlog.push(entry, self.config.hedges_first);
+        self.sequence += 1;
+        entry.sequence = self.sequence;
+        let position = self.backlog.push(entry);
         self.places.insert(key, place::Place::Waiting(position));
     }
 
@@ -115,7 +117,7 @@
 
     pub(super) fn skip_position(
         &mut self,
-        position: position::Position,
+        position: backlog::Position,
         cause: dispatch::SkipCause,
         retry_after: Option<time::Duration>,
         now: time::Instant,
--- a/crates/fireflyspool/src/dispatch/placement.rs
+++ b/crates/fireflyspool/src/dispatch/placement.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::dispatch::{attempt, fleet, place, position, target, upkeep, waiting};
+use crate::dispatch::{attempt, backlog, fleet, place, queue_key, target, upkeep, waiting};
 use crate::{backend, dispatch, ids, outcome, view};
 
 impl dispatch::Dispatcher {
@@ -28,7 +28,7 @@
     fn preferred(
         &self,
         target: target::TargetKey,
-        position: position::Position,
+        position: backlog::Position,
         tried: &[fleet::ServerKey],
         now: time::Instant,
     ) -> Option<fleet::ServerKey> {
@@ -87,42 +87,39 @@
         &mut self,
         key: fleet::ServerKey,
         now: time::Instant,
-    ) -> Option<(position::Position, dispatch::PlacementReason)> {
+    ) -> Option<(backlog::Position, dispatch::PlacementReason)> {
         let core = self.fleet.get(key)?.core();
-        let mut heads: [Option<position::Position>; outcome::Kind::ALL.len()] = [None; 3];
+        let mut heads: [Option<queue_key::QueueKey>; outcome::Kind::ALL.len()] = [None; 3];
         for target in &core.targets {
             let Some(group) = self.backlog.group(*target) else {
                 continue;
             };
-            for kind in outcome::Kind::ALL {
-                let mut queue = group.queues[kind.index()].iter();
-                let fits = |entry: &waiting::Waiting| {
-                    !entry.excludes(&core.name) && !self.is_held_back(entry, now)
+            for (head, queue) in heads.iter_mut().zip(&group.queues) {
+                let fits = |key: &&queue_key::QueueKey| {
+                    let entry = self.backlog.entry(key.position);
+                    entry.is_some_and(|entry| {
+                        !entry.excludes(&core.name) && !self.is_held_back(entry, now)
+                    })
                 };
-                let Some((first, _)) = queue.find(|(_, entry)| fits(entry)) else {
-                    continue;
-                };
-                let head = &mut heads[kind.index()];
-                if head.is_none_or(|head| *first < head.key) {
-                    *head = Some(position::Position {
-                        target: *target,
-                        kind,
-                        key: *first,
-                    });
+                let first = queue.keys().find(fits).copied();
+                if first.is_some_and(|first| head.is_none_or(|head| first < head)) {
+                    *head = first;
                 }
             }
         }
-        let rank = |position: &position::Position| (position.key.first_attempt, position.kind);
-        let ahead = heads.iter().flatten().min_by_key(|p| rank(p)).copied()?;
+        let ranks = outcome::Kind::ALL.into_iter().zip(heads);
+        let ranks = ranks.filter_map(|(kind, head)| Some((head?.behind_hedges, kind)));
+        let (_, ahead) = ranks.min()?;
         let waits = heads.map(|head| head.is_some());
         let share = self.low_share;
         let core = self.fleet.get_mut(key)?.core_mut();
-        let kind = core.credit.settle(ahead.kind, waits, share);
-        if kind == ahead.kind {
-            return Some((ahead, dispatch::PlacementReason::First));
-        }
-        let low = heads[kind.index()]?;
-        Some((low, dispatch::PlacementReason::LowShare))
+        let kind = core.credit.settle(ahead, waits, share);
+        let reason = if kind == ahead {
+            dispatch::PlacementReason::First
+        } else {
+            dispatch::PlacementReason::LowShare
+        };
+        Some((heads[kind.index()]?.position, reason))
     }
 
     /// Whether a suspect content must wait until its other attempt has ended.
@@ -154,7 +151,7 @@
     fn send(
         &mut self,
         key: fleet::ServerKey,
-        position: position::Position,
+        position: backlog::Position,
         reason: dispatch::PlacementReason,
         view: &view::View,
         now: time::Instant,
--- a/crates/fireflyspool/src/dispatch/queue_key.rs
+++ b/crates/fireflyspool/src/dispatch/queue_key.rs
@@ -2,10 +2,23 @@
 
 use std::time;
 
-/// Position in a queue: hedges first, then the earliest deadline, then the order of arrival.
+use crate::dispatch::{backlog, waiting};
+
+/// Rank in a queue: hedges first, then the earliest deadline.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct QueueKey {
-    pub(super) first_attempt: bool,
+    pub(super) behind_hedges: bool,
     pub(super) deadline: time::Instant,
-    pub(super) sequence: u64,
+    /// Makes the key unique.
+    pub(super) position: backlog::Position,
+}
+
+impl QueueKey {
+    pub(super) fn of(entry: &waiting::Waiting, position: backlog::Position) -> Self {
+        Self {
+            behind_hedges: entry.behind_hedges,
+            deadline: entry.deadline,
+            position,
+        }
+    }
 }
--- a/crates/fireflyspool/src/dispatch/waiting.rs
+++ b/crates/fireflyspool/src/dispatch/waiting.rs
@@ -16,7 +16,10 @@
     pub(super) arrived: time::Instant,
     pub(super) deadline: time::Instant,
     pub(super) target: target::TargetKey,
+    /// Number of the arrival; another one each time it is put back.
     pub(super) sequence: u64,
+    /// Whether hedges go ahead of it.
+    pub(super) behind_hedges: bool,
     /// Cause of the latest truthful refusal by a backend server.
     pub(super) refusal: Option<dispatch::SkipCause>,
 }
--- /dev/null
+++ b/crates/fireflyspool/tests/dispatch/cost.rs
@@ -0,0 +1,102 @@
+//! Cost of the state machine.
+
+use std::time;
+
+use fireflyspool::{backend, dispatch};
+
+use crate::fixture;
+
+/// Sub-requests measured per setting.
+const MEASURED: u64 = 100_000;
+
+/// Calls the dispatcher and adds up the time that it takes.
+struct Meter {
+    dispatcher: dispatch::Dispatcher,
+    view: fireflyspool::view::View,
+    now: time::Instant,
+    spent: time::Duration,
+    running: std::collections::VecDeque<backend::SearchRequest>,
+}
+
+impl Meter {
+    fn handle(&mut self, event: dispatch::Event) {
+        self.now += time::Duration::from_micros(50);
+        let start = time::Instant::now();
+        let actions = self.dispatcher.handle(event, &self.view, self.now, 17);
+        self.spent += start.elapsed();
+        for action in actions {
+            if let dispatch::Action::Send {
+                body: dispatch::Body::Search(request),
+                ..
+            } = action
+            {
+                self.running.push_back(request);
+            }
+        }
+    }
+}
+
+fn measure(servers: u32, waiting: usize) -> (u128, usize) {
+    let now = time::Instant::now();
+    let records = (0..servers).map(|n| fixture::record(&format!("searcher-{n}"), n, 2, &[n / 3]));
+    let config = dispatch::Config {
+        queue_limit: 4_000,
+        slow_start: false,
+        ..dispatch::Config::default()
+    };
+    let lease = now + time::Duration::from_secs(3_600);
+    let mut meter = Meter {
+        dispatcher: dispatch::Dispatcher::new(
+            fixture::NODE,
+            1,
+            fixture::SERVICE.to_owned(),
+            config,
+        ),
+        view: fixture::view(records.collect(), lease),
+        now,
+        spent: time::Duration::ZERO,
+        running: std::collections::VecDeque::new(),
+    };
+    let mut sub = 0;
+    let mut done = 0;
+    while done < MEASURED {
+        while meter.dispatcher.gauges(meter.now).waiting < waiting {
+            sub += 1;
+            let shard = u32::try_from(sub * 7 % u64::from(servers / 3)).expect("few shards");
+            // Deadlines are spread, so that entries go into the middle of the queue.
+            let remaining = time::Duration::from_secs(600 + sub * 37 % 100);
+            meter.handle(dispatch::Event::Submit(fixture::search(
+                sub, shard, remaining,
+            )));
+        }
+        if sub < 3 * u64::from(servers) + waiting as u64 {
+            // Not measured: the first sub-requests fill the queue.
+            meter.spent = time::Duration::ZERO;
+        }
+        let Some(request) = meter.running.pop_front() else {
+            break;
+        };
+        let reply = fixture::reply(&request, 1);
+        let attempt = request.attempt;
+        meter.handle(dispatch::Event::Answered { attempt, reply });
+        done += 1;
+    }
+    let left = meter.dispatcher.gauges(meter.now).waiting;
+    (meter.spent.as_nanos() / u128::from(MEASURED), left)
+}
+
+/// Prints nanoseconds per sub-request (submission, send and answer together).
+#[test]
+#[ignore = "a measurement: cargo test --release -p fireflyspool --test dispatch cost -- --ignored --nocapture"]
+fn cost_per_sub_request() {
+    let mut worst = 0;
+    for servers in [3, 30, 300] {
+        for waiting in [10, 100, 1_000] {
+            let (nanos, left) = measure(servers, waiting);
+            println!("{servers} servers, {waiting} waiting ({left} at the end): {nanos} ns");
+            worst = worst.max(nanos);
+        }
+    }
+    // A node handles thousands of sub-requests a second.
+    assert!(worst < 6_000, "{worst} ns per sub-request");
+}
--- a/crates/fireflyspool/tests/dispatch/main.rs
+++ b/crates/fireflyspool/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the owner's state machine.
 
+mod cost;
 mod fixture;
 mod fuzz;
 mod happening;
