--- a/crates/fireflyspool/src/dispatch/dispatcher.rs
+++ b/crates/fireflyspool/src/dispatch/dispatcher.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use crate::dispatch::{attempts, backlog, fleet, place, service_times, suspects, target, waiting};
+use crate::dispatch::{attempts, backlog, fleet, places, service_times, suspects, target};
 use crate::{dispatch, ids, sorted, view};
 
 /// Queues the sub-requests of one service and sends them to the backend servers it owns.
@@ -18,7 +18,7 @@
     pub(super) fleet: fleet::Fleet,
     pub(super) backlog: backlog::Backlog,
     pub(super) attempts: attempts::Attempts,
-    pub(super) places: sorted::SortedMap<waiting::SubKey, place::Place>,
+    pub(super) places: places::Places,
     /// Cancellations on their way, with the server they went to.
     pub(super) cancels: sorted::SortedMap<ids::AttemptId, fleet::ServerKey>,
     pub(super) suspects: suspects::Suspects,
@@ -58,7 +58,7 @@
             config,
             fleet: fleet::Fleet::default(),
             backlog,
-            places: sorted::SortedMap::new(),
+            places: places::Places::default(),
             cancels: sorted::SortedMap::new(),
             suspects: suspects::Suspects::default(),
             times: service_times::ServiceTimes::default(),
@@ -95,7 +95,6 @@
         if !self.has_seen(view) {
             self.sync(view, now);
         }
-        self.run_timers(view, now);
         match event {
             dispatch::Event::Submit(request) => self.submit(request, view, now),
             dispatch::Event::Cancel {
@@ -133,8 +132,12 @@
             dispatch::Event::ViewChanged | dispatch::Event::Timer => {}
             dispatch::Event::Drain => self.draining = true,
         }
+        // After the event, which may tell that a server or a content must not be used.
+        self.run_timers(view, now);
         self.finish_leaving(view);
         self.open_ahead(view, now);
+        self.backlog.tidy();
+        self.attempts.tidy();
         std::mem::take(&mut self.actions)
     }
 
