Release a claim when nothing of its request ran

The claim now names the sending that holds it; only that sending releases it, and a claim repeated after a lost answer is granted again. tests/claims.rs covers both, with late and repeated releases.

--- a/crates/fireflyspool/src/state/claim.rs
+++ b/crates/fireflyspool/src/state/claim.rs
@@ -7,6 +7,11 @@
 pub struct Claim {
     /// Id of the request, `<unix-ms>-<text>`.
     pub request: ids::RequestId,
+    /// Random number of the sending that claims.
+    ///
+    /// A repeated claim of the same sending is granted again, because its first
+    /// answer may have been lost and nothing was sent before an answer.
+    pub claimant: u64,
     /// Hash of the content.
     pub digest: ids::Fingerprint,
     /// Time at the leader when it proposed the entry, in milliseconds since the Unix epoch.
--- a/crates/fireflyspool/src/state/claim_book.rs
+++ b/crates/fireflyspool/src/state/claim_book.rs
@@ -23,6 +23,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 struct Record {
+    claimant: u64,
     digest: ids::Fingerprint,
     outcome: Option<String>,
 }
@@ -77,6 +78,7 @@
                 Some(receipt) => state::ClaimReply::Known {
                     receipt: receipt.clone(),
                 },
+                None if record.claimant == claim.claimant => state::ClaimReply::Granted,
                 None => state::ClaimReply::Unknown,
             };
         }
@@ -84,6 +86,7 @@
             return state::ClaimReply::Invalid;
         }
         let record = Record {
+            claimant: claim.claimant,
             digest: claim.digest,
             outcome: None,
         };
@@ -92,15 +95,27 @@
         state::ClaimReply::Granted
     }
 
-    /// Records that a claimed request ran; the first outcome stays.
+    /// Records how a claimed request ended; the first outcome stays.
+    ///
+    /// A claim is released only for the sending that holds it: a repeated
+    /// release must not free the claim of a later sending.
     pub(super) fn record(&mut self, outcome: &state::ClaimOutcome) {
         let Some(issued) = state::Claim::issue_time(&outcome.request) else {
             return;
         };
-        let record = self.records.get_mut(&(issued, outcome.request.clone()));
-        if let Some(record) = record {
-            let receipt = || outcome.receipt.clone();
-            record.outcome.get_or_insert_with(receipt);
+        let key = (issued, outcome.request.clone());
+        let Some(record) = self.records.get_mut(&key) else {
+            return;
+        };
+        match &outcome.end {
+            state::ClaimEnd::Ran { receipt } => {
+                record.outcome.get_or_insert_with(|| receipt.clone());
+            }
+            state::ClaimEnd::NotRun => {
+                if record.claimant == outcome.claimant && record.outcome.is_none() {
+                    self.records.remove(&key);
+                }
+            }
         }
     }
 
--- a/crates/fireflyspool/src/state/claim_outcome.rs
+++ b/crates/fireflyspool/src/state/claim_outcome.rs
@@ -1,12 +1,14 @@
 //! Outcome of a claimed request.
 
-use crate::ids;
+use crate::{ids, state};
 
-/// States that a claimed request ran.
+/// States how a claimed request ended.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct ClaimOutcome {
     /// Id of the request.
     pub request: ids::RequestId,
-    /// Receipt of the backend server that ran it.
-    pub receipt: String,
+    /// Sending that held the claim.
+    pub claimant: u64,
+    /// How it ended.
+    pub end: state::ClaimEnd,
 }
--- a/crates/fireflyspool/src/traffic/submission_task.rs
+++ b/crates/fireflyspool/src/traffic/submission_task.rs
@@ -17,6 +17,7 @@
     node: sync::Arc<traffic::EntryNode>,
     submit: gather::Submit,
     received: time::Instant,
+    claimant: u64,
     calls: task::JoinSet<gather::SubmissionEvent>,
     finished: Option<outcome::Outcome>,
 }
@@ -28,10 +29,12 @@
         submit: gather::Submit,
         received: time::Instant,
     ) -> Self {
+        let claimant = node.shared().entropy();
         Self {
             node,
             submit,
             received,
+            claimant,
             calls: task::JoinSet::new(),
             finished: None,
         }
@@ -100,6 +103,7 @@
         let claim = state::Claim {
             request,
             digest,
+            claimant: self.claimant,
             issued: 0,
         };
         self.calls.spawn(async move {
@@ -135,10 +139,16 @@
 
     /// Makes the end durable before the caller is told, so that a resend finds it.
     async fn record(&self, request: ids::RequestId, end: gather::Claim) {
-        let gather::Claim::Ran(receipt) = end else {
-            return;
+        let end = match end {
+            gather::Claim::Ran(receipt) => state::ClaimEnd::Ran { receipt },
+            gather::Claim::NotRun => state::ClaimEnd::NotRun,
+        };
+        let claimant = self.claimant;
+        let outcome = state::ClaimOutcome {
+            request,
+            claimant,
+            end,
         };
-        let outcome = state::ClaimOutcome { request, receipt };
         if self.node.control().record_claim(&outcome).await.is_err() {
             slog::warn!(self.node.shared().logger, "the outcome of a claim could not be recorded";
                 "request" => &outcome.request);
--- a/crates/fireflyspool/tests/claims.rs
+++ b/crates/fireflyspool/tests/claims.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::sync::atomic;
+
 use fireflyspool::state;
 
 const DAY_MS: u64 = 24 * 3600 * 1000;
@@ -15,9 +17,20 @@
 ) -> state::ClaimReply {
     let claim = state::Claim {
         request: request.to_owned(),
+        claimant: new_claimant(),
         digest,
         issued,
     };
+    apply_claim(control, claim)
+}
+
+/// Every claim of these tests comes from a sending of its own.
+fn new_claimant() -> u64 {
+    static NEXT: atomic::AtomicU64 = atomic::AtomicU64::new(1);
+    NEXT.fetch_add(1, atomic::Ordering::Relaxed)
+}
+
+fn apply_claim(control: &mut state::ControlState, claim: state::Claim) -> state::ClaimReply {
     match control.apply(&state::Entry::Claims(vec![claim])) {
         state::Applied::Claims(mut replies) if replies.len() == 1 => replies.remove(0),
         other => panic!("one claim gives one reply, not {other:?}"),
@@ -27,7 +40,10 @@
 fn record(control: &mut state::ControlState, request: &str, receipt: &str) {
     let outcome = state::ClaimOutcome {
         request: request.to_owned(),
-        receipt: receipt.to_owned(),
+        claimant: 0,
+        end: state::ClaimEnd::Ran {
+            receipt: receipt.to_owned(),
+        },
     };
     control.apply(&state::Entry::ClaimOutcomes(vec![outcome]));
 }
@@ -195,3 +211,43 @@
     }
     common::check(10, 20, 2_000, property);
 }
+
+/// Guards against a release that frees the claim of a later sending, which
+/// would let the request run a second time.
+#[test]
+fn only_the_claimant_releases_a_claim() {
+    let mut control = state::ControlState::default();
+    let request = format!("{START_MS}-desk");
+    let claim = |claimant| state::Claim {
+        request: request.clone(),
+        claimant,
+        digest: 1,
+        issued: START_MS,
+    };
+    let release = |control: &mut state::ControlState, claimant| {
+        let outcome = state::ClaimOutcome {
+            request: request.clone(),
+            claimant,
+            end: state::ClaimEnd::NotRun,
+        };
+        control.apply(&state::Entry::ClaimOutcomes(vec![outcome]));
+    };
+    let granted = state::ClaimReply::Granted;
+    assert_eq!(apply_claim(&mut control, claim(1)), granted);
+    assert_eq!(apply_claim(&mut control, claim(1)), granted);
+    release(&mut control, 2);
+    assert_eq!(
+        apply_claim(&mut control, claim(2)),
+        state::ClaimReply::Unknown
+    );
+    release(&mut control, 1);
+    assert_eq!(apply_claim(&mut control, claim(2)), granted);
+    release(&mut control, 1);
+    assert_eq!(
+        apply_claim(&mut control, claim(3)),
+        state::ClaimReply::Unknown
+    );
+    record(&mut control, &request, "r-1");
+    release(&mut control, 2);
+    assert_eq!(apply_claim(&mut control, claim(4)), known("r-1"));
+}
