Fuzz the replicated log and stop repeated replies from multiplying

Cause: a repeated InstallMore or Rejected reply made the leader send again, so with repeated messages the traffic grew without bound.

--- a/crates/fireflyspool/src/consensus/mod.rs
+++ b/crates/fireflyspool/src/consensus/mod.rs
@@ -63,6 +63,7 @@
 mod standing;
 mod status;
 mod tally;
+mod transfer;
 mod vote;
 
 pub use action::Action;
--- a/crates/fireflyspool/src/consensus/progress.rs
+++ b/crates/fireflyspool/src/consensus/progress.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::ids;
+use crate::{consensus, ids};
 
 /// What the leader knows of one follower.
 #[derive(Debug)]
@@ -13,8 +13,11 @@
     pub(super) matched: ids::LogIndex,
     /// Send time of the latest acknowledged message.
     pub(super) acknowledged: Option<time::Instant>,
-    /// Index of the snapshot that is being sent, and the position of the next part.
-    pub(super) transfer: Option<(ids::LogIndex, u64)>,
+    /// Set until an append is accepted: one message at a time looks for the point of agreement,
+    /// so that repeated replies do not multiply messages.
+    pub(super) probing: bool,
+    /// Snapshot that is being sent.
+    pub(super) transfer: Option<consensus::transfer::Transfer>,
 }
 
 impl Progress {
@@ -23,6 +26,7 @@
             next,
             matched: 0,
             acknowledged: None,
+            probing: true,
             transfer: None,
         }
     }
--- a/crates/fireflyspool/src/consensus/replication.rs
+++ b/crates/fireflyspool/src/consensus/replication.rs
@@ -43,7 +43,7 @@
         let last = self.core.log.last_index();
         let window = self.core.config.window_entries;
         let lacks = self.state.followers.get(&node).is_some_and(|f| {
-            f.next <= last && f.next <= f.matched + window && f.transfer.is_none()
+            !f.probing && f.next <= last && f.next <= f.matched + window && f.transfer.is_none()
         });
         if lacks {
             self.send_next(node, now);
@@ -81,7 +81,9 @@
             .take_while(fits)
             .cloned()
             .collect();
-        follower.next += entries.len() as u64;
+        if !follower.probing {
+            follower.next += entries.len() as u64;
+        }
         let message = consensus::Message::Append {
             term: self.core.vote.term,
             previous_index,
@@ -101,10 +103,13 @@
         ) else {
             return;
         };
-        let known = follower.transfer;
-        let offset = known.filter(|(index, _)| *index == snapshot.index);
-        let offset = offset.map_or(0, |(_, offset)| offset);
-        follower.transfer = Some((snapshot.index, offset));
+        let known = follower.transfer.filter(|t| t.index == snapshot.index);
+        let offset = known.map_or(0, |transfer| transfer.offset);
+        follower.transfer = Some(consensus::transfer::Transfer {
+            index: snapshot.index,
+            offset,
+            sent_us,
+        });
         let start = usize::try_from(offset).unwrap_or(usize::MAX);
         let start = start.min(snapshot.bytes.len());
         let end = part_end(&snapshot.bytes, start, self.core.config.chunk_bytes);
@@ -143,7 +148,8 @@
                 acknowledge(sent_us);
                 follower.matched = follower.matched.max(matched);
                 follower.next = follower.next.max(follower.matched + 1);
-                if follower.transfer.is_some_and(|(index, _)| index <= matched) {
+                follower.probing = false;
+                if follower.transfer.is_some_and(|t| t.index <= matched) {
                     follower.transfer = None;
                 }
                 self.count_matches();
@@ -157,11 +163,13 @@
                 ..
             } => {
                 acknowledge(sent_us);
-                if previous_index > follower.matched {
+                let current = !follower.probing || previous_index + 1 == follower.next;
+                if current && previous_index > follower.matched {
                     let end = hint_term.and_then(|term| self.core.log.term_end(term));
                     let next = end.map_or(hint_index, |end| end + 1);
                     let lowest = follower.matched + 1;
                     follower.next = next.clamp(lowest, previous_index.max(lowest));
+                    follower.probing = true;
                     self.send_next(from, now);
                 }
             }
@@ -172,9 +180,10 @@
                 ..
             } => {
                 acknowledge(sent_us);
-                let current = follower.transfer;
-                if current.is_some_and(|(at, known)| at == index && known != offset) {
-                    follower.transfer = Some((index, offset));
+                if let Some(transfer) = &mut follower.transfer
+                    && (transfer.index, transfer.sent_us) == (index, sent_us)
+                {
+                    transfer.offset = offset;
                     self.send_next(from, now);
                 }
             }
--- a/crates/fireflyspool/src/storage/data_folder.rs
+++ b/crates/fireflyspool/src/storage/data_folder.rs
@@ -1,8 +1,8 @@
 //! The data folder of one replica.
 
-use std::{fs, io, path};
+use std::{fs, path};
 
-use crate::storage::{frame, replay};
+use crate::storage::{output, replay};
 use crate::{consensus, ids, storage};
 
 /// Entries that a summary shows.
@@ -27,7 +27,7 @@
         identity: &storage::Identity,
     ) -> Result<(), storage::StorageError> {
         let created = fs::create_dir_all(folder);
-        created.map_err(|source| io_error("create", "the data folder", source))?;
+        created.map_err(|source| output::io_error("create", "the data folder", source))?;
         let mut disk = storage::FolderDisk::lock(folder)?;
         Self::init_on(&mut disk, identity)
     }
@@ -43,14 +43,14 @@
     ) -> Result<(), storage::StorageError> {
         let names = disk
             .list()
-            .map_err(|source| io_error("list", "the data folder", source))?;
+            .map_err(|source| output::io_error("list", "the data folder", source))?;
         if !names.is_empty() {
             return Err(storage::StorageError::NotEmpty(names.join(", ")));
         }
         // The identity comes last: a folder whose initialization was interrupted has none.
-        let owner = encode(replay::LOG, identity)?;
-        replace(disk, replay::LOG, &owner)?;
-        replace(disk, replay::IDENTITY, &owner)
+        let owner = output::encode(replay::LOG, identity)?;
+        output::replace(disk, replay::LOG, &owner)?;
+        output::replace(disk, replay::IDENTITY, &owner)
     }
 
     /// Opens the data folder of a node and reads what it holds.
@@ -88,11 +88,11 @@
         let read = replay::read(disk.as_ref())?;
         if read.torn_bytes > 0 {
             disk.truncate(replay::LOG, read.log_bytes)
-                .map_err(|source| io_error("cut", replay::LOG, source))?;
+                .map_err(|source| output::io_error("cut", replay::LOG, source))?;
         }
         // A process that was killed may have left records that are complete but not synced.
         disk.sync(replay::LOG)
-            .map_err(|source| io_error("sync", replay::LOG, source))?;
+            .map_err(|source| output::io_error("sync", replay::LOG, source))?;
         let mut folder = Self {
             disk,
             identity: read.identity,
@@ -158,11 +158,11 @@
             return Ok(());
         }
         self.guard(|disk| {
-            let frame = encode(replay::LOG, rest)?;
+            let frame = output::encode(replay::LOG, rest)?;
             disk.append(replay::LOG, &frame)
-                .map_err(|source| io_error("write", replay::LOG, source))?;
+                .map_err(|source| output::io_error("write", replay::LOG, source))?;
             disk.sync(replay::LOG)
-                .map_err(|source| io_error("sync", replay::LOG, source))
+                .map_err(|source| output::io_error("sync", replay::LOG, source))
         })
     }
 
@@ -179,9 +179,9 @@
     ) -> Result<(), storage::StorageError> {
         let identity = self.identity.clone();
         self.guard(|disk| {
-            let mut file = encode(replay::SNAPSHOT, &identity)?;
-            file.extend(encode(replay::SNAPSHOT, snapshot)?);
-            replace(disk, replay::SNAPSHOT, &file)
+            let mut file = output::encode(replay::SNAPSHOT, &identity)?;
+            file.extend(output::encode(replay::SNAPSHOT, snapshot)?);
+            output::replace(disk, replay::SNAPSHOT, &file)
         })?;
         self.rewrite_log(suffix, vote)
     }
@@ -195,9 +195,9 @@
         records.extend(entries.iter().cloned().map(consensus::Record::Entry));
         let identity = self.identity.clone();
         self.guard(|disk| {
-            let mut file = encode(replay::LOG, &identity)?;
-            file.extend(encode(replay::LOG, &records)?);
-            replace(disk, replay::LOG, &file)
+            let mut file = output::encode(replay::LOG, &identity)?;
+            file.extend(output::encode(replay::LOG, &records)?);
+            output::replace(disk, replay::LOG, &file)
         })
     }
 
@@ -213,47 +213,3 @@
         written
     }
 }
-
-fn replace(
-    disk: &mut dyn storage::Disk,
-    file: &str,
-    bytes: &[u8],
-) -> Result<(), storage::StorageError> {
-    let temporary = format!("{file}.new");
-    disk.write(&temporary, bytes)
-        .map_err(|source| io_error("write", &temporary, source))?;
-    disk.sync(&temporary)
-        .map_err(|source| io_error("sync", &temporary, source))?;
-    disk.rename(&temporary, file)
-        .map_err(|source| io_error("rename", &temporary, source))?;
-    disk.sync_folder()
-        .map_err(|source| io_error("sync the folder of", file, source))
-}
-
-fn encode<T: serde::Serialize + ?Sized>(
-    file: &str,
-    content: &T,
-) -> Result<Vec<u8>, storage::StorageError> {
-    let payload = serde_json::to_vec(content);
-    let payload = payload.map_err(|source| storage::StorageError::Encoding {
-        file: file.to_owned(),
-        source,
-    })?;
-    if payload.len() > frame::MAX_PAYLOAD {
-        return Err(storage::StorageError::TooLarge {
-            file: file.to_owned(),
-            bytes: payload.len(),
-        });
-    }
-    let mut buffer = Vec::new();
-    frame::encode(&payload, &mut buffer);
-    Ok(buffer)
-}
-
-fn io_error(operation: &'static str, file: &str, source: io::Error) -> storage::StorageError {
-    storage::StorageError::Io {
-        operation,
-        file: file.to_owned(),
-        source,
-    }
-}
--- a/crates/fireflyspool/src/storage/mod.rs
+++ b/crates/fireflyspool/src/storage/mod.rs
@@ -25,6 +25,7 @@
 mod folder_disk;
 mod frame;
 mod identity;
+mod output;
 mod replay;
 mod storage_error;
 mod summary;
--- /dev/null
+++ b/crates/fireflyspool/tests/simulation/cluster.rs
@@ -0,0 +1,307 @@
+//! Group of simulated nodes.
+
+use std::time;
+
+use fireflyspool::{consensus, ids};
+
+use crate::simulation;
+use crate::simulation::{node, oracle};
+
+/// Messages that wait at a frozen node; more are dropped, as by full socket buffers.
+const INBOX_LIMIT: usize = 200;
+
+pub(crate) struct Cluster {
+    pub(crate) base: time::Instant,
+    /// Virtual time in milliseconds.
+    pub(crate) now: u64,
+    pub(crate) founders: u64,
+    pub(crate) nodes: Vec<simulation::Node>,
+    pub(crate) network: simulation::Network,
+    pub(crate) oracle: simulation::Oracle,
+    pub(crate) rng: simulation::Splitmix,
+    pub(crate) next_ticket: ids::Ticket,
+    next_incarnation: ids::Incarnation,
+    /// Founders whose lost disk was set up again as that of a founder.
+    refounded: u64,
+}
+
+impl Cluster {
+    /// A group of founders, and two more nodes that may join.
+    pub(crate) fn new(seed: u64, founders: u64) -> Self {
+        let founding: Vec<_> = (1..=founders).collect();
+        let node = |number| {
+            let list = if number <= founders {
+                founding.clone()
+            } else {
+                Vec::new()
+            };
+            simulation::Node::new(number, 1000 + number, list)
+        };
+        let mut cluster = Self {
+            base: time::Instant::now(),
+            now: 0,
+            founders,
+            nodes: (1..=founders + 2).map(node).collect(),
+            network: simulation::Network::new(seed),
+            oracle: simulation::Oracle::default(),
+            rng: simulation::Splitmix(!seed),
+            next_ticket: 1,
+            next_incarnation: 2000,
+            refounded: 0,
+        };
+        for at in 0..cluster.nodes.len() {
+            cluster.restart(at);
+        }
+        cluster
+    }
+
+    pub(crate) fn instant(&self) -> time::Instant {
+        self.base + time::Duration::from_millis(self.now)
+    }
+
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let leads = |node: &simulation::Node| {
+            let process = node.process.as_ref();
+            !node.frozen && process.is_some_and(|process| process.replica.is_leader())
+        };
+        self.nodes.iter().position(leads)
+    }
+
+    pub(crate) fn restart(&mut self, at: usize) {
+        if self.nodes[at].process.is_none() {
+            let entropy = self.rng.next();
+            let now = self.instant();
+            let actions = self.nodes[at].start(now, entropy);
+            self.execute(at, actions);
+        }
+    }
+
+    pub(crate) fn crash(&mut self, at: usize, tail: simulation::Tail) {
+        let cut = self.rng.next();
+        self.nodes[at].crash(tail, cut);
+    }
+
+    /// Replaces a disk by an empty one, initialized anew.
+    pub(crate) fn lose_disk(&mut self, at: usize, joining: bool) {
+        let number = self.nodes[at].node;
+        let may_found = number <= self.founders && self.refounded < (self.founders - 1) / 2;
+        let founding = if !joining && may_found {
+            self.refounded += 1;
+            (1..=self.founders).collect()
+        } else {
+            Vec::new()
+        };
+        self.next_incarnation += 1;
+        self.nodes[at] = simulation::Node::new(number, self.next_incarnation, founding);
+        self.nodes[at].reborn = true;
+        self.restart(at);
+    }
+
+    pub(crate) fn thaw(&mut self, at: usize) {
+        if self.nodes[at].frozen {
+            self.nodes[at].frozen = false;
+            let mut events = std::mem::take(&mut self.nodes[at].inbox);
+            events.push(consensus::Event::Timer);
+            self.drive(at, events);
+        }
+    }
+
+    pub(crate) fn propose(&mut self, at: usize) -> ids::Ticket {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let payload = ticket.to_string().into_bytes();
+        self.drive(at, vec![consensus::Event::Propose { ticket, payload }]);
+        ticket
+    }
+
+    pub(crate) fn change_members(&mut self, at: usize, change: consensus::MembershipChange) {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.drive(at, vec![consensus::Event::ChangeMembers { ticket, change }]);
+    }
+
+    pub(crate) fn compact(&mut self, at: usize) {
+        if let Some(process) = &self.nodes[at].process {
+            let index = process.applied;
+            let snapshot = serde_json::to_vec(&process.state).expect("a state can be encoded");
+            self.drive(at, vec![consensus::Event::Compact { index, snapshot }]);
+        }
+    }
+
+    /// Lets time pass: delivers messages and raises timers.
+    pub(crate) fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        let mut ticks = 0;
+        loop {
+            let timers = self.nodes.iter().filter(|node| !node.frozen);
+            let timers = timers.filter_map(|node| node.process.as_ref()?.timer);
+            let next = timers.chain(self.network.next()).min();
+            let Some(next) = next.filter(|next| *next <= end) else {
+                break;
+            };
+            ticks += 1;
+            // Messages take a millisecond at least, and timers are set to later times.
+            assert!(
+                ticks <= 3 * (millis + 1),
+                "time stands still: {:?}",
+                self.timers()
+            );
+            self.now = self.now.max(next);
+            self.tick();
+        }
+        self.now = end;
+        self.check_grants();
+    }
+
+    fn timers(&self) -> Vec<(u64, Option<u64>, consensus::Status)> {
+        let processes = self.nodes.iter().filter_map(|node| node.process.as_ref());
+        let timer = |process: &node::Process| (self.now, process.timer, process.replica.status());
+        processes.map(timer).collect()
+    }
+
+    fn tick(&mut self) {
+        let mut batches: Vec<Vec<consensus::Event>> = vec![Vec::new(); self.nodes.len()];
+        for envelope in self.network.arrived(self.now) {
+            let at = usize::try_from(envelope.to - 1).expect("numbers are small");
+            batches[at].push(consensus::Event::Received(envelope));
+        }
+        for (at, mut batch) in batches.into_iter().enumerate() {
+            let node = &mut self.nodes[at];
+            if node.frozen {
+                let room = INBOX_LIMIT.saturating_sub(node.inbox.len());
+                node.inbox.extend(batch.into_iter().take(room));
+                continue;
+            }
+            let Some(process) = &mut node.process else {
+                continue;
+            };
+            if process.timer.is_some_and(|timer| timer <= self.now) {
+                process.timer = None;
+                batch.push(consensus::Event::Timer);
+            }
+            if !batch.is_empty() {
+                self.drive(at, batch);
+            }
+        }
+    }
+
+    /// Handles events as one batch, as the control thread does.
+    pub(crate) fn drive(&mut self, at: usize, events: Vec<consensus::Event>) {
+        let now = self.instant();
+        let node = &mut self.nodes[at];
+        let Some(process) = &mut node.process else {
+            return;
+        };
+        if node.frozen {
+            node.inbox.extend(events);
+            return;
+        }
+        let mut actions = Vec::new();
+        for event in events {
+            let entropy = self.rng.next();
+            let handled = process.replica.handle(event, now, entropy);
+            self.oracle.check_single_change(process, &handled);
+            actions.extend(handled);
+        }
+        self.execute(at, actions);
+        self.check_leaders();
+        self.check_grants();
+    }
+
+    /// Syncs all records at once, then executes the other actions in order.
+    fn execute(&mut self, at: usize, actions: Vec<consensus::Action>) {
+        let mut records = Vec::new();
+        let mut rest = Vec::new();
+        for action in actions {
+            match action {
+                consensus::Action::Persist(record) => records.push(record),
+                other => rest.push(other),
+            }
+        }
+        let Some(process) = &mut self.nodes[at].process else {
+            return;
+        };
+        if !records.is_empty() && process.folder.append(&records).is_err() {
+            let tails = [
+                simulation::Tail::Lost,
+                simulation::Tail::Kept,
+                simulation::Tail::Torn,
+            ];
+            let tail = tails[usize::try_from(self.rng.below(3)).expect("below 3")];
+            self.crash(at, tail);
+            return;
+        }
+        for action in rest {
+            if self.nodes[at].crash_after == Some(0) {
+                self.crash(at, simulation::Tail::Lost);
+                return;
+            }
+            if let Some(left) = &mut self.nodes[at].crash_after {
+                *left -= 1;
+            }
+            self.execute_one(at, action);
+        }
+    }
+
+    fn execute_one(&mut self, at: usize, action: consensus::Action) {
+        let node = &mut self.nodes[at];
+        let Some(process) = &mut node.process else {
+            return;
+        };
+        match action {
+            consensus::Action::Persist(_) | consensus::Action::RoleChanged { .. } => {}
+            consensus::Action::Send(envelope) => {
+                let status = process.replica.status();
+                let empty = status.last_index == 0;
+                self.oracle.check_vote(&envelope, node.reborn && empty);
+                self.network.send(&envelope, self.now);
+            }
+            consensus::Action::SetTimer(at) => {
+                let wait = at.saturating_duration_since(self.base);
+                process.timer =
+                    Some(u64::try_from(wait.as_nanos().div_ceil(1_000_000)).expect("short"));
+            }
+            consensus::Action::Apply {
+                index,
+                term,
+                payload,
+                ticket,
+            } => {
+                assert!(index > process.applied, "entry {index} was applied twice");
+                process.applied = index;
+                let command = String::from_utf8(payload).expect("commands are text");
+                self.oracle.apply(index, term, &command);
+                process.state.push((index, command));
+                if let Some(ticket) = ticket {
+                    self.oracle.settle(ticket, oracle::Fate::Accepted);
+                }
+            }
+            consensus::Action::MembersChanged {
+                index,
+                members,
+                ticket,
+            } => {
+                assert!(index > process.applied, "entry {index} was applied twice");
+                process.applied = index;
+                self.oracle.change_members(index, &members);
+                if let Some(ticket) = ticket {
+                    self.oracle.settle(ticket, oracle::Fate::Accepted);
+                }
+            }
+            consensus::Action::Refuse { ticket, .. }
+            | consensus::Action::RefuseChange { ticket, .. } => {
+                self.oracle.settle(ticket, oracle::Fate::Refused);
+            }
+            consensus::Action::Uncertain { ticket } => {
+                self.oracle.settle(ticket, oracle::Fate::Uncertain);
+            }
+            consensus::Action::Restore { snapshot } => {
+                let state: node::State =
+                    serde_json::from_slice(&snapshot.bytes).expect("a snapshot is a state");
+                self.oracle.restore(snapshot.index, &state);
+                process.state = state;
+                process.applied = snapshot.index;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/tests/simulation/cluster_checks.rs
@@ -0,0 +1,240 @@
+//! Steps of schedules and checks on the whole group.
+
+use fireflyspool::{consensus, ids};
+
+use crate::simulation;
+use crate::simulation::{node, oracle};
+
+impl simulation::Oracle {
+    /// Guards against two open membership changes in a leader's log.
+    pub(crate) fn check_single_change(
+        &self,
+        process: &mut node::Process,
+        handled: &[consensus::Action],
+    ) {
+        let status = process.replica.status();
+        for action in handled {
+            let consensus::Action::Persist(consensus::Record::Entry(entry)) = action else {
+                continue;
+            };
+            let changes = matches!(entry.content, consensus::Content::Members(_));
+            if changes && entry.term == status.term && process.replica.is_leader() {
+                let open = process.members_written;
+                assert!(
+                    status.commit >= open,
+                    "membership change at {} while {open} is open",
+                    entry.index
+                );
+                process.members_written = entry.index;
+            }
+        }
+    }
+
+    /// Guards against double votes and against votes of an empty disk.
+    pub(crate) fn check_vote(&mut self, envelope: &consensus::Envelope, empty: bool) {
+        if let consensus::Message::VoteReply {
+            term,
+            granted: true,
+        } = envelope.message
+        {
+            let voter = (envelope.from, envelope.from_incarnation);
+            self.vote(term, voter, envelope.to);
+            let formed = !self.members.is_empty();
+            assert!(!(empty && formed), "node {} voted without its log", voter.0);
+        }
+    }
+}
+
+impl simulation::Cluster {
+    /// At most one node grants leases, and none while another was elected in a later term.
+    pub(crate) fn check_grants(&self) {
+        let now = self.instant();
+        let processes = self.nodes.iter().filter_map(|node| node.process.as_ref());
+        let replicas: Vec<_> = processes.map(|process| &process.replica).collect();
+        let Some(granting) = replicas.iter().find(|replica| replica.may_grant(now)) else {
+            return;
+        };
+        let term = granting.status().term;
+        let newer = |replica: &&&consensus::Replica| {
+            replica.is_leader() && replica.status().term > term || replica.may_grant(now)
+        };
+        let conflicting = replicas.iter().filter(newer).count();
+        assert_eq!(
+            conflicting, 1,
+            "old leader of term {term} still grants at {}",
+            self.now
+        );
+    }
+
+    /// At most one leader per term.
+    pub(crate) fn check_leaders(&mut self) {
+        for node in &self.nodes {
+            let process = node.process.as_ref();
+            if let Some(process) = process.filter(|process| process.replica.is_leader()) {
+                self.oracle.lead(process.replica.status().term, node.node);
+            }
+        }
+    }
+
+    pub(crate) fn step(&mut self, step: &simulation::Step) {
+        let count = self.nodes.len();
+        let at = |node: u8| usize::from(node) % count;
+        match *step {
+            simulation::Step::Run { millis } => self.run(millis.into()),
+            simulation::Step::Propose { node } => {
+                self.propose(at(node));
+            }
+            simulation::Step::ProposeToLeader => {
+                if let Some(leader) = self.leader() {
+                    self.propose(leader);
+                }
+            }
+            simulation::Step::Crash { node, tail } => self.crash(at(node), tail),
+            simulation::Step::FailDisk { node, operations } => {
+                let operations = Some(operations.into());
+                let node = &self.nodes[at(node)];
+                if node.process.is_some() {
+                    node.disk.fail_after(operations);
+                }
+            }
+            simulation::Step::CrashAfter { node, actions } => {
+                let node = &mut self.nodes[at(node)];
+                node.crash_after = node.process.as_ref().map(|_| actions);
+            }
+            simulation::Step::Restart { node } => self.restart(at(node)),
+            simulation::Step::LoseDisk { node, joining } => self.lose_disk(at(node), joining),
+            simulation::Step::Freeze { node } => {
+                let node = &mut self.nodes[at(node)];
+                node.frozen = node.process.is_some();
+            }
+            simulation::Step::Thaw { node } => self.thaw(at(node)),
+            simulation::Step::CutOff { node, cut } => self.cut_off(at(node), cut),
+            simulation::Step::CutLink { from, to } => {
+                let link = (self.nodes[at(from)].node, self.nodes[at(to)].node);
+                self.network.cut.push(link);
+            }
+            simulation::Step::Heal => self.network.heal(),
+            simulation::Step::Network {
+                loss,
+                repeat,
+                delay,
+            } => {
+                (self.network.loss, self.network.repeat) = (loss, repeat);
+                self.network.delay = delay;
+            }
+            simulation::Step::Replace { node } => self.replace(at(node)),
+            simulation::Step::Remove { node } => {
+                if let Some(leader) = self.leader() {
+                    let node = self.nodes[at(node)].node;
+                    self.change_members(leader, consensus::MembershipChange::Remove { node });
+                }
+            }
+            simulation::Step::Compact { node } => self.compact(at(node)),
+        }
+    }
+
+    pub(crate) fn cut_off(&mut self, at: usize, cut: simulation::Cut) {
+        let own = self.nodes[at].node;
+        let others = self.nodes.iter().map(|node| node.node);
+        for other in others.filter(|other| *other != own) {
+            if cut != simulation::Cut::Outward {
+                self.network.cut.push((other, own));
+            }
+            if cut != simulation::Cut::Inward {
+                self.network.cut.push((own, other));
+            }
+        }
+    }
+
+    /// Takes the next step that makes a node a voter in its present incarnation.
+    pub(crate) fn replace(&mut self, at: usize) {
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        let Some(process) = &self.nodes[leader].process else {
+            return;
+        };
+        let (node, incarnation) = (self.nodes[at].node, self.nodes[at].incarnation);
+        let change = match process.replica.members().get(node) {
+            None => consensus::MembershipChange::AddLearner { node, incarnation },
+            Some(member) if member.incarnation != incarnation => {
+                consensus::MembershipChange::Remove { node }
+            }
+            Some(member) if member.kind == consensus::MemberKind::Learner => {
+                consensus::MembershipChange::Promote { node }
+            }
+            Some(_) => return,
+        };
+        self.change_members(leader, change);
+    }
+
+    /// Ends all failures; the group must then accept a command, unless it lost its majority.
+    pub(crate) fn check_recovery(&mut self) {
+        self.network.heal();
+        for at in 0..self.nodes.len() {
+            self.nodes[at].disk.fail_after(None);
+            self.nodes[at].crash_after = None;
+            self.thaw(at);
+            self.restart(at);
+        }
+        self.run(8000);
+        if !self.has_majority() {
+            return;
+        }
+        let leader = self.leader().expect("a healthy group has a leader");
+        let ticket = self.propose(leader);
+        self.run(3000);
+        let fate = self.oracle.fate(ticket);
+        assert_eq!(
+            fate,
+            Some(oracle::Fate::Accepted),
+            "a healthy group accepts"
+        );
+        self.check_agreement(leader);
+    }
+
+    /// Whether enough voters of every member list that may be in force kept their disks.
+    fn has_majority(&self) -> bool {
+        let intact = |members: &consensus::Members| {
+            let present = members
+                .voters()
+                .filter(|voter| self.is_intact(members, *voter));
+            !members.is_empty() && present.count() >= members.majority()
+        };
+        let processes = self.nodes.iter().filter_map(|node| node.process.as_ref());
+        let lists = processes.map(|process| process.replica.members());
+        let known: Vec<_> = lists.filter(|members| !members.is_empty()).collect();
+        if known.is_empty() {
+            return self.nodes.iter().all(|node| !node.reborn);
+        }
+        known.iter().all(intact)
+    }
+
+    fn is_intact(&self, members: &consensus::Members, voter: ids::NodeId) -> bool {
+        let recorded = members.get(voter).map(|member| member.incarnation);
+        let mut nodes = self.nodes.iter();
+        nodes.any(|node| node.node == voter && Some(node.incarnation) == recorded)
+    }
+
+    /// All members hold exactly the accepted commands.
+    fn check_agreement(&self, leader: usize) {
+        let Some(process) = &self.nodes[leader].process else {
+            panic!("the leader runs");
+        };
+        let members = process.replica.members();
+        let accepted: node::State = self
+            .oracle
+            .accepted
+            .iter()
+            .map(|(index, (_, command))| (*index, command.clone()))
+            .collect();
+        for node in &self.nodes {
+            let recorded = members.get(node.node).map(|member| member.incarnation);
+            if let Some(process) = &node.process
+                && recorded == Some(node.incarnation)
+            {
+                assert_eq!(process.state, accepted, "node {} differs", node.node);
+            }
+        }
+    }
+}
