--- a/crates/fireflyspool/src/dispatch/health.rs
+++ b/crates/fireflyspool/src/dispatch/health.rs
@@ -88,7 +88,12 @@
         view: &view::View,
         now: time::Instant,
     ) {
-        self.note_late(key, now);
+        let mut ready = None;
+        if let Some(server::Server::Warming(server)) = self.fleet.get_mut(key) {
+            server.stage.record_failure(now);
+            ready = server.stage.not_before;
+        }
+        self.wake_at(key, ready);
         let Some(server) = self.fleet.get_mut(key) else {
             return;
         };
@@ -121,14 +126,6 @@
         }
     }
 
-    /// Puts a server whose connection broke back to one request at a time.
-    pub(super) fn collapse(&mut self, key: fleet::ServerKey) {
-        self.cool(key);
-        if let Some(server::Server::Warming(server)) = self.fleet.get_mut(key) {
-            server.stage.limit = 1;
-        }
-    }
-
     /// Leaves a server alone for the time that it asked for.
     pub(super) fn rest(&mut self, key: fleet::ServerKey, rest: time::Duration, now: time::Instant) {
         if let Some(server) = self.fleet.get_mut(key) {
--- a/crates/fireflyspool/src/dispatch/replies.rs
+++ b/crates/fireflyspool/src/dispatch/replies.rs
@@ -151,7 +151,7 @@
         if sent {
             self.note_crash(id, now);
             self.fail_attempt(id, dispatch::FailureCause::Reset);
-            self.collapse(key);
+            self.cool(key);
             self.note_failure(key, view, now);
             // The process may be alive behind a broken connection and still run the attempt.
             self.start_cancel(id, view, now);
@@ -161,7 +161,7 @@
             return;
         };
         let name = self.server_name(key);
-        self.collapse(key);
+        self.cool(key);
         self.note_failure(key, view, now);
         let cause = dispatch::SkipCause::NoServer;
         let fingerprint = attempt.entry.request.fingerprint;
--- a/crates/fireflyspool/src/dispatch/warming.rs
+++ b/crates/fireflyspool/src/dispatch/warming.rs
@@ -2,8 +2,13 @@
 
 use std::time;
 
-/// Answers in time after which the limit grows by one.
-const ANSWERS_PER_STEP: u32 = 4;
+/// Answers in time after which the limit grows by one at first.
+const FIRST_STEP: u32 = 4;
+
+/// Most answers for one step, reached when the server keeps failing at a higher limit.
+///
+/// With 2% stragglers, 32 answers in time in a row take about 45 answers.
+const LONGEST_STEP: u32 = 32;
 
 /// First pause between requests while the limit is one.
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(40);
@@ -22,6 +27,7 @@
     pub(super) not_before: Option<time::Instant>,
     pause: time::Duration,
     in_time: u32,
+    step: u32,
 }
 
 impl Warming {
@@ -31,6 +37,7 @@
             not_before: None,
             pause: FIRST_PAUSE,
             in_time: 0,
+            step: FIRST_STEP,
         }
     }
 
@@ -41,14 +48,14 @@
         if self.pause < SHORTEST_PAUSE {
             self.pause = time::Duration::ZERO;
         }
-        if self.in_time >= ANSWERS_PER_STEP {
+        if self.in_time >= self.step {
             self.in_time = 0;
             self.limit += 1;
         }
         self.start_pause(now);
     }
 
-    /// Takes note of a late answer, a failure or a refusal.
+    /// Takes note of a late answer or a refusal.
     pub(super) fn record_late(&mut self, now: time::Instant) {
         self.in_time = 0;
         self.limit = (self.limit / 2).max(1);
@@ -56,6 +63,15 @@
         self.start_pause(now);
     }
 
+    /// Takes note of a failure that shows that the server does not bear its limit.
+    pub(super) fn record_failure(&mut self, now: time::Instant) {
+        if self.limit > 1 {
+            self.step = (self.step * 2).min(LONGEST_STEP);
+        }
+        self.limit = 1;
+        self.record_late(now);
+    }
+
     /// Starts the pause that follows every request while the limit is one.
     pub(super) fn start_pause(&mut self, now: time::Instant) {
         let pauses = self.limit == 1 && !self.pause.is_zero();
--- a/crates/fireflyspool/tests/dispatch/main.rs
+++ b/crates/fireflyspool/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the owner's state machine.
 
 mod cost;
+mod experiment;
 mod fixture;
 mod fuzz;
 mod happening;
@@ -10,6 +11,7 @@
 mod order;
 mod probe;
 mod sent;
+mod simulation;
 mod stand_in;
 mod sub;
 mod world;
