--- a/crates/fireflyspool/src/dispatch/mod.rs
+++ b/crates/fireflyspool/src/dispatch/mod.rs
@@ -24,7 +24,7 @@
 //! Parts: `intake` accepts and ends sub-requests, `placement` chooses servers
 //! and work, `verdict` decides whether waiting makes sense, `replies` checks
 //! what servers say, `cancellation` stops attempts, `health` and `ejection` judge servers, `upkeep` runs
-//! timers and connections, `sync` follows the view.
+//! timers, `connecting` opens connections, `sync` follows the view.
 
 mod action;
 mod attempt;
@@ -34,6 +34,7 @@
 mod body;
 mod cancellation;
 mod config;
+mod connecting;
 mod connections;
 mod crash;
 mod decision;
