Keep budget for urgent requests, times per kind, and find moved servers

Cause: interactive hedges could use up the budget before urgent ones; waits of lower kinds delayed hedges of urgent attempts; a shard whose servers had changed owner was given up; a lost zone fails more attempts at once than the retry budget could save up. Change: an urgent reserve, a latency window per kind, routes collected again when candidates run out (at most every 100 ms a query), room for 256 retries, Budgets::follow for new views.

--- a/crates/fireflyspool/src/gather/budgets.rs
+++ b/crates/fireflyspool/src/gather/budgets.rs
@@ -2,7 +2,14 @@
 
 use std::time;
 
-use crate::{gather, ids, peak, sorted, state, view};
+use crate::{gather, ids, outcome, peak, sorted, state, view};
+
+/// Hedges that can be saved up: about one for every shard of a wide query.
+const HEDGE_CAPACITY: u64 = 64;
+
+/// Retries that can be saved up. When a zone is lost, a third of the attempts
+/// under way fail at once: of seven queries to 56 shards these are 131.
+const RETRY_CAPACITY: u64 = 256;
 
 /// Budgets, observations and numbers that all queries of one entry VM share.
 ///
@@ -26,8 +33,8 @@
             peak,
             incarnation,
             next_sub: 1,
-            hedges: gather::TokenBucket::default(),
-            retries: gather::TokenBucket::default(),
+            hedges: gather::TokenBucket::new(HEDGE_CAPACITY),
+            retries: gather::TokenBucket::new(RETRY_CAPACITY),
             services: sorted::SortedMap::new(),
         }
     }
@@ -43,6 +50,17 @@
         self.next_sub - 1
     }
 
+    /// Takes over what a newly published view changes: the peak limit and the
+    /// owners whose loads are worth keeping.
+    pub fn follow(&mut self, view: &view::View) {
+        self.peak.configure(view);
+        for traffic in self.services.values_mut() {
+            traffic
+                .loads
+                .retain(|owner| view.members.contains_key(&owner));
+        }
+    }
+
     /// Observations of a service.
     pub fn traffic(&mut self, service: &str) -> &mut gather::ServiceTraffic {
         self.services
@@ -65,9 +83,14 @@
     }
 
     /// Takes a hedge from the budget; none are sent in the peak minute.
-    pub fn take_hedge(&mut self, view: &view::View, now: time::Instant) -> bool {
+    pub fn take_hedge(
+        &mut self,
+        kind: outcome::Kind,
+        view: &view::View,
+        now: time::Instant,
+    ) -> bool {
         let share = view.catalog.number(state::Value::HedgeBudget);
-        let taken = !self.peak.is_peak(now) && self.hedges.spend(share);
+        let taken = !self.peak.is_peak(now) && self.hedges.spend(kind, share);
         if taken {
             self.peak.count(peak::Cause::Hedge, 1, now);
         }
@@ -75,9 +98,14 @@
     }
 
     /// Takes a retry from the budget; none are sent in the peak minute.
-    pub fn take_retry(&mut self, view: &view::View, now: time::Instant) -> bool {
+    pub fn take_retry(
+        &mut self,
+        kind: outcome::Kind,
+        view: &view::View,
+        now: time::Instant,
+    ) -> bool {
         let share = view.catalog.number(state::Value::RetryBudget);
-        let taken = !self.peak.is_peak(now) && self.retries.spend(share);
+        let taken = !self.peak.is_peak(now) && self.retries.spend(kind, share);
         if taken {
             self.peak.count(peak::Cause::Retry, 1, now);
         }
--- a/crates/fireflyspool/src/gather/ending.rs
+++ b/crates/fireflyspool/src/gather/ending.rs
@@ -56,7 +56,7 @@
                 self.may_have_run = true;
                 let age = scene.now.saturating_duration_since(attempt.sent);
                 if age >= self.hedge_delay {
-                    traffic.latencies.observe(age, scene.now);
+                    traffic.observe(self.search.kind, age, scene.now);
                 }
             }
         }
--- a/crates/fireflyspool/src/gather/replies.rs
+++ b/crates/fireflyspool/src/gather/replies.rs
@@ -31,7 +31,7 @@
         match result {
             dispatch::SubOutcome::Answered { hits, queued, .. } => {
                 let latency = scene.now.saturating_duration_since(attempt.sent);
-                traffic.latencies.observe(latency, scene.now);
+                traffic.observe(self.search.kind, latency, scene.now);
                 traffic.loads.reported(owner, queued, scene.now);
                 self.on_answered(shard, sub, hits, scene, batch);
             }
@@ -133,9 +133,10 @@
                 | dispatch::SkipCause::Shedding
         );
         let sent = self.may_send(scene)
-            && self.has_candidate(shard, false, scene)
+            && self.find_candidate(shard, false, scene)
             && if overloaded {
-                scene.budgets.take_retry(scene.view, scene.now)
+                let kind = self.search.kind;
+                scene.budgets.take_retry(kind, scene.view, scene.now)
                     && self.send(shard, gather::Reason::Retry, false, scene, batch)
             } else {
                 scene.budgets.count_redirect(scene.now);
--- a/crates/fireflyspool/src/gather/retrying.rs
+++ b/crates/fireflyspool/src/gather/retrying.rs
@@ -18,8 +18,10 @@
         let same_owner = progress.named;
         progress.failures < MAX_FAILURES
             && self.may_send(scene)
-            && self.has_candidate(shard, same_owner, scene)
-            && scene.budgets.take_retry(scene.view, scene.now)
+            && self.find_candidate(shard, same_owner, scene)
+            && scene
+                .budgets
+                .take_retry(self.search.kind, scene.view, scene.now)
             && self.send(shard, gather::Reason::Retry, same_owner, scene, batch)
     }
 
@@ -64,5 +66,6 @@
         self.suspicion != gather::suspicion::Suspicion::Confirmed
             && scene.now < self.ends_at
             && scene.view.may_act(scene.now)
+            && !scene.view.suspects.contains_key(&self.fingerprint)
     }
 }
--- a/crates/fireflyspool/src/gather/running.rs
+++ b/crates/fireflyspool/src/gather/running.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{dispatch, gather, ids, outcome, plan};
+use crate::{dispatch, gather, ids, outcome, plan, state};
 
 /// Share of the deadline, as a divisor, that is kept for merging and for the way back.
 const MARGIN_DIVISOR: u32 = 20;
@@ -44,6 +44,8 @@
     pub(super) retry_after: Option<time::Duration>,
     /// Versions that owners stated to be gone.
     pub(super) vanished: Vec<ids::IndexVersion>,
+    /// When the routes were last collected again.
+    pub(super) refreshed: Option<time::Instant>,
     /// A shard of the pinned version cannot be reached because it is gone.
     pub(super) unhosted: bool,
     /// Attempts to move to another version.
@@ -82,6 +84,7 @@
             skips: Vec::new(),
             retry_after: None,
             vanished: Vec::new(),
+            refreshed: None,
             unhosted: false,
             moves: 0,
         };
@@ -158,12 +161,9 @@
 }
 
 fn hedge_delay(search: &plan::Search, scene: &mut gather::scene::Scene<'_>) -> time::Duration {
-    let quantile = scene
-        .view
-        .catalog
-        .number(crate::state::Value::HedgeQuantile);
-    let latencies = &mut scene.budgets.traffic(&search.service).latencies;
-    let observed = latencies.quantile(quantile, scene.now);
+    let quantile = scene.view.catalog.number(state::Value::HedgeQuantile);
+    let traffic = scene.budgets.traffic(&search.service);
+    let observed = traffic.quantile(search.kind, quantile, scene.now);
     let blind = search.deadline / BLIND_HEDGE_DIVISOR;
     observed.unwrap_or(blind).max(MIN_HEDGE_DELAY)
 }
--- a/crates/fireflyspool/src/gather/sending.rs
+++ b/crates/fireflyspool/src/gather/sending.rs
@@ -1,9 +1,13 @@
 //! Choosing owners and sending attempts.
 
-use std::time;
+use std::{sync, time};
 
 use crate::{dispatch, gather, ids, outcome, plan, view};
 
+/// Shortest time between two collections of routes by one query, because each
+/// visits every backend server.
+const REFRESH_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
 impl gather::Running {
     /// Opens every shard and sends its first attempt.
     pub(super) fn send_firsts(
@@ -34,10 +38,10 @@
         scene: &mut gather::scene::Scene<'_>,
         batch: &mut gather::batch::Batch,
     ) {
-        let may_hedge = self.search.kind != outcome::Kind::Deferrable
+        let kind = self.search.kind;
+        let may_hedge = kind != outcome::Kind::Deferrable
             && self.suspicion.allows_copies()
-            && scene.view.may_act(scene.now)
-            && scene.now < self.ends_at;
+            && self.may_send(scene);
         for shard in (0..).take(self.shards.len()) {
             let progress = &mut self.shards[shard as usize];
             let due = progress.hedge_at.is_some_and(|at| at <= scene.now);
@@ -48,7 +52,7 @@
             progress.hedge_at = Some(scene.now + self.hedge_delay);
             let sent = may_hedge
                 && self.has_candidate(shard, false, scene)
-                && scene.budgets.take_hedge(scene.view, scene.now)
+                && scene.budgets.take_hedge(kind, scene.view, scene.now)
                 && self.send(shard, gather::Reason::Hedge, false, scene, batch);
             if sent {
                 self.shards[shard as usize].hedge_at = None;
@@ -70,6 +74,34 @@
             .any(|candidate| is_usable(candidate, tried, same_owner, scene.view))
     }
 
+    /// Whether a candidate is left, if need be among the owners of now: an owner
+    /// that refused may have handed its servers over since the query was planned.
+    pub(super) fn find_candidate(
+        &mut self,
+        shard: ids::ShardNumber,
+        same_owner: bool,
+        scene: &gather::scene::Scene<'_>,
+    ) -> bool {
+        if self.has_candidate(shard, same_owner, scene) {
+            return true;
+        }
+        let fresh = |at| scene.now.saturating_duration_since(at) < REFRESH_INTERVAL;
+        if self.refreshed.is_some_and(fresh) {
+            return false;
+        }
+        self.refreshed = Some(scene.now);
+        let version = self.plan.snapshot.version;
+        let search = &self.search;
+        let collected = plan::Routes::collect(scene.view, &search.service, &search.collection);
+        let same = |routes: &sync::Arc<plan::Routes>| {
+            routes.version() == version && routes.total() == self.plan.routes.total()
+        };
+        if let Some(routes) = collected.into_iter().find(same) {
+            self.plan.routes = routes;
+        }
+        self.has_candidate(shard, same_owner, scene)
+    }
+
     /// Sends one attempt to the best candidate; false if there is none.
     ///
     /// With `same_owner` an owner that was tried may be tried again if it has
