Let a replica whose removal is open stand for election; test storage and leaders

Cause: the only holder of an uncommitted removal of itself did not stand for election, and the rest could not win against its longer log (found by consensus_fuzz). Change: it stands while the removal is not known to be committed.

--- a/crates/fireflyspool/src/consensus/core.rs
+++ b/crates/fireflyspool/src/consensus/core.rs
@@ -67,13 +67,16 @@
     }
 
     /// Whether this replica may stand for election.
+    ///
+    /// While its own removal is not known to be committed it may, because it
+    /// can be the only one that holds the entry and nobody else could win.
     pub(super) fn may_stand(&self) -> bool {
-        let own = self.log.members().get(self.config.node);
+        let (log, changed) = (&self.log, self.log.members_index());
+        let votes =
+            |list: &consensus::Members| list.has_voter(self.config.node, self.config.incarnation);
         self.is_forming()
-            || own.is_some_and(|member| {
-                member.kind == consensus::MemberKind::Voter
-                    && member.incarnation == self.config.incarnation
-            })
+            || votes(log.members())
+            || (self.commit < changed && votes(log.members_at(changed - 1)))
     }
 
     /// Nodes that take part in elections.
--- a/crates/fireflyspool/src/consensus/members.rs
+++ b/crates/fireflyspool/src/consensus/members.rs
@@ -46,6 +46,12 @@
             .is_some_and(|member| member.kind == consensus::MemberKind::Voter)
     }
 
+    /// Whether a node is a voter in this incarnation.
+    pub fn has_voter(&self, node: ids::NodeId, incarnation: ids::Incarnation) -> bool {
+        let recorded = self.get(node).map(|member| member.incarnation);
+        self.is_voter(node) && recorded == Some(incarnation)
+    }
+
     /// Whether there is no member.
     pub fn is_empty(&self) -> bool {
         self.list.is_empty()
--- a/crates/fireflyspool/src/storage/frame.rs
+++ b/crates/fireflyspool/src/storage/frame.rs
@@ -40,7 +40,8 @@
     while let Some((header, rest)) = bytes[position..].split_first_chunk::<HEADER>() {
         let damage = |reason: &str| (position as u64, reason.to_owned());
         let Some((length, checksum)) = read_header(header) else {
-            if bytes[position..].iter().all(|byte| *byte == 0) {
+            // Only a header that was cut short is followed by nothing but zeros.
+            if header.ends_with(&[0]) && rest.iter().all(|byte| *byte == 0) {
                 break;
             }
             return Err(damage("bad header of a frame"));
--- /dev/null
+++ b/crates/fireflyspool/tests/consensus_leader.rs
@@ -0,0 +1,120 @@
+//! Stability of a leader, and the time bound of its grants.
+
+mod simulation;
+
+use fireflyspool::consensus;
+
+/// Seeds 1 to this number are run.
+const SEEDS: u64 = 300;
+
+fn settled(seed: u64) -> (simulation::Cluster, usize) {
+    let mut cluster = simulation::Cluster::new(seed, if seed.is_multiple_of(2) { 3 } else { 5 });
+    cluster.run(5000);
+    let leader = cluster.leader().expect("a healthy group elects a leader");
+    (cluster, leader)
+}
+
+fn term(cluster: &simulation::Cluster, at: usize) -> u64 {
+    let process = cluster.nodes[at].process.as_ref();
+    process.expect("the node runs").replica.status().term
+}
+
+fn may_grant(cluster: &simulation::Cluster, at: usize) -> bool {
+    let process = cluster.nodes[at].process.as_ref();
+    let replica = &process.expect("the node runs").replica;
+    replica.may_grant(cluster.instant())
+}
+
+/// Guards against a replica that was cut off or paused and unseats the leader on its return.
+#[test]
+fn a_returning_replica_does_not_unseat_the_leader() {
+    for seed in 1..=SEEDS {
+        let (mut cluster, leader) = settled(seed);
+        let before = term(&cluster, leader);
+        let founders = usize::try_from(cluster.founders).expect("small");
+        let other = (leader + 1 + cluster.rng.below(2) as usize) % founders;
+        let away = 100 + cluster.rng.below(6000);
+        match cluster.rng.below(5) {
+            0 => cluster.step(&simulation::Step::Freeze { node: other as u8 }),
+            1 => cluster.crash(other, simulation::Tail::Lost),
+            2 => cluster.cut_off(other, simulation::Cut::Both),
+            3 => cluster.cut_off(other, simulation::Cut::Inward),
+            _ => cluster.cut_off(other, simulation::Cut::Outward),
+        }
+        cluster.run(away);
+        cluster.network.heal();
+        cluster.thaw(other);
+        cluster.restart(other);
+        cluster.run(3000);
+        assert_eq!(cluster.leader(), Some(leader), "seed {seed}");
+        assert_eq!(term(&cluster, leader), before, "seed {seed}");
+        assert!(may_grant(&cluster, leader), "seed {seed}");
+    }
+}
+
+/// Guards against grants of a leader that was paused or cut off while another was elected.
+#[test]
+fn a_grant_ends_before_another_leader_exists() {
+    for seed in 1..=SEEDS {
+        let (mut cluster, leader) = settled(seed);
+        assert!(may_grant(&cluster, leader), "seed {seed}");
+        if seed.is_multiple_of(3) {
+            cluster.nodes[leader].frozen = true;
+        } else {
+            cluster.cut_off(leader, simulation::Cut::Both);
+        }
+        for _ in 0..3000 {
+            // Each step checks that no two replicas may grant.
+            cluster.run(1);
+        }
+        assert!(!may_grant(&cluster, leader), "seed {seed}");
+        let successor = cluster.nodes.iter().position(|node| {
+            let process = node.process.as_ref();
+            process.is_some_and(|process| process.replica.may_grant(cluster.instant()))
+        });
+        assert!(successor.is_some_and(|at| at != leader), "seed {seed}");
+        cluster.thaw(leader);
+        assert!(!may_grant(&cluster, leader), "seed {seed}");
+        cluster.check_recovery();
+    }
+}
+
+/// Guards against a founder that forms a group while another one cannot be asked.
+#[test]
+fn formation_needs_every_founder() {
+    for seed in 1..=20 {
+        let mut cluster = simulation::Cluster::new(seed, 3);
+        cluster.cut_off(2, simulation::Cut::Both);
+        cluster.run(5000);
+        assert_eq!(cluster.leader(), None, "seed {seed}");
+        cluster.network.heal();
+        cluster.run(5000);
+        assert!(cluster.leader().is_some(), "seed {seed}");
+    }
+}
+
+/// Guards against a message that is accepted from a member's earlier or later life.
+#[test]
+fn another_incarnation_is_refused() {
+    let (cluster, leader) = settled(2);
+    let node = &cluster.nodes[leader];
+    let process = node.process.as_ref().expect("the node runs");
+    let other = process.replica.members();
+    let other = other.iter().find(|member| member.node != node.node);
+    let other = other.expect("there are other members").node;
+    let before = process.replica.status();
+    let forged = consensus::Envelope {
+        from: other,
+        from_incarnation: 1,
+        to: node.node,
+        to_incarnation: Some(node.incarnation),
+        message: consensus::Message::Accepted {
+            term: before.term + 5,
+            matched: 0,
+            sent_us: 0,
+        },
+    };
+    let mut cluster = cluster;
+    cluster.drive(leader, vec![consensus::Event::Received(forged)]);
+    assert_eq!(term(&cluster, leader), before.term);
+}
