--- a/crates/fireflyspool/tests/coordination/mod.rs
+++ b/crates/fireflyspool/tests/coordination/mod.rs
@@ -23,10 +23,6 @@
     pub(crate) fn below(&mut self, bound: u64) -> u64 {
         self.next() % bound
     }
-
-    pub(crate) fn chance(&mut self, percent: u64) -> bool {
-        self.below(100) < percent
-    }
 }
 
 pub(crate) fn millis(count: u64) -> time::Duration {
