--- a/crates/fireflyspool/examples/hedge_effect.rs
+++ b/crates/fireflyspool/examples/hedge_effect/main.rs
@@ -6,8 +6,9 @@
 //! two slots each. A server runs what waits in the order hedge, arrival. Service
 //! times are exponential with a mean of 10 ms; one in fifty takes 100 ms more.
 
-#[path = "../tests/coordination/mod.rs"]
+#[path = "../../tests/coordination/mod.rs"]
 mod coordination;
+mod server;
 
 use std::{cmp, collections, time};
 
@@ -17,24 +18,13 @@
 const VMS: u64 = 16;
 const SHARDS: u32 = 15;
 const REPLICAS: u64 = 3;
-const SLOTS: usize = 2;
 const QUERIES: usize = 30_000;
 const MEAN_MICROS: f64 = 10_000.0;
 
-/// Sub-request at a server, with the query that sent it.
-type Job = (usize, ids::SubRequestId);
-
-#[derive(Default)]
-struct Server {
-    running: Vec<Job>,
-    hedges: collections::VecDeque<Job>,
-    firsts: collections::VecDeque<Job>,
-}
-
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival,
-    Done { server: usize, job: Job, owner: u64 },
+    Done { server: usize, job: server::Job },
     Wake { query: usize },
 }
 
@@ -44,7 +34,9 @@
     now: u64,
     draws: coordination::Draws,
     budgets: Vec<gather::Budgets>,
-    servers: Vec<Server>,
+    servers: Vec<server::Server>,
+    /// Owner of each server.
+    owners: Vec<ids::NodeId>,
     queries: Vec<(gather::Coordinator, usize, u64)>,
     heap: collections::BinaryHeap<cmp::Reverse<(u64, Event)>>,
     latencies: Vec<u64>,
@@ -61,14 +53,19 @@
         coordination::set(&mut view, state::Value::PeakLimit, 1 << 40);
         let mut budgets: Vec<_> = (0..VMS).map(|_| coordination::budgets(base)).collect();
         budgets.iter_mut().for_each(|budget| budget.follow(&view));
-        let count = view.servers.len();
+        let owners: Vec<_> = view
+            .servers
+            .values()
+            .filter_map(|record| record.owner)
+            .collect();
         Self {
             view,
             base,
             now: 0,
             draws: coordination::Draws(11),
             budgets,
-            servers: (0..count).map(|_| Server::default()).collect(),
+            servers: owners.iter().map(|_| server::Server::default()).collect(),
+            owners,
             queries: Vec::new(),
             heap: collections::BinaryHeap::new(),
             latencies: Vec::new(),
@@ -91,10 +88,7 @@
     fn server_of(&self, shard: ids::ShardNumber, owner: ids::NodeId) -> usize {
         let first = shard as usize * REPLICAS as usize;
         let replicas = first..first + REPLICAS as usize;
-        let records: Vec<_> = self.view.servers.values().collect();
-        let owned = replicas
-            .into_iter()
-            .find(|at| records[*at].owner == Some(owner));
+        let owned = replicas.into_iter().find(|at| self.owners[*at] == owner);
         owned.expect("the owner has a replica")
     }
 
@@ -153,72 +147,50 @@
             return;
         };
         let server = self.server_of(shard, owner);
-        let waiting = &mut self.servers[server];
         if sub.hedge {
             self.hedges += 1;
-            waiting.hedges.push_back((query, sub.sub));
         } else {
             self.firsts += 1;
-            waiting.firsts.push_back((query, sub.sub));
         }
+        self.servers[server].push((query, sub.sub), sub.hedge);
         self.run_next(server);
     }
 
     /// The slot of a cancelled attempt is free at once.
-    fn cancel(&mut self, job: Job) {
+    fn cancel(&mut self, job: server::Job) {
         for server in 0..self.servers.len() {
-            let state = &mut self.servers[server];
-            state.hedges.retain(|waiting| *waiting != job);
-            state.firsts.retain(|waiting| *waiting != job);
-            state.running.retain(|running| *running != job);
+            self.servers[server].remove(job);
             self.run_next(server);
         }
     }
 
     fn run_next(&mut self, server: usize) {
-        while self.servers[server].running.len() < SLOTS {
-            let state = &mut self.servers[server];
-            let next = state
-                .hedges
-                .pop_front()
-                .or_else(|| state.firsts.pop_front());
-            let Some(job) = next else {
-                return;
-            };
-            state.running.push(job);
+        while let Some(job) = self.servers[server].start() {
             let slow = if self.draws.below(50) == 0 {
                 100_000
             } else {
                 0
             };
             let ends = self.now + self.exponential(MEAN_MICROS) + slow;
-            let owner = self
-                .view
-                .servers
-                .values()
-                .nth(server)
-                .and_then(|record| record.owner);
-            let owner = owner.expect("has an owner");
             self.heap
-                .push(cmp::Reverse((ends, Event::Done { server, job, owner })));
+                .push(cmp::Reverse((ends, Event::Done { server, job })));
         }
     }
 
-    fn done(&mut self, server: usize, job: Job, owner: ids::NodeId) {
-        let state = &mut self.servers[server];
-        let Some(position) = state.running.iter().position(|running| *running == job) else {
+    fn done(&mut self, server: usize, job: server::Job) {
+        if !self.servers[server].remove(job) {
             return;
-        };
-        state.running.swap_remove(position);
-        let queued = (state.hedges.len() + state.firsts.len()) as u32;
+        }
+        let queued = self.servers[server].waiting();
         self.run_next(server);
         let answered = coordination::answered(Vec::new(), queued);
-        self.tell(job.0, coordination::replied(job.1, owner, answered));
+        let replied = coordination::replied(job.1, self.owners[server], answered);
+        self.tell(job.0, replied);
     }
 
     fn run(&mut self, utilization: f64) {
         // The mean includes the 2% that take 100 ms more.
-        let capacity = (REPLICAS * SLOTS as u64) as f64 * utilization;
+        let capacity = (REPLICAS * server::SLOTS as u64) as f64 * utilization;
         let interval = (MEAN_MICROS + 2_000.0) / capacity;
         self.heap.push(cmp::Reverse((1, Event::Arrival)));
         while let Some(cmp::Reverse((at, event))) = self.heap.pop() {
@@ -231,7 +203,7 @@
                         self.heap.push(cmp::Reverse((next, Event::Arrival)));
                     }
                 }
-                Event::Done { server, job, owner } => self.done(server, job, owner),
+                Event::Done { server, job } => self.done(server, job),
                 Event::Wake { query } => {
                     let wake = self.queries[query].0.next_wake();
                     if wake.is_some_and(|wake| wake <= self.instant()) {
--- a/crates/fireflyspool/tests/admission_fuzz.rs
+++ b/crates/fireflyspool/tests/admission_fuzz.rs
@@ -1,13 +1,12 @@
-//! Admission under random events, and its order, shares and pacing.
+//! Admission under random events.
 
 mod coordination;
+mod requests;
 
 use std::time;
 
 use coordination::millis;
-use fireflyspool::{admission, ids, outcome};
-
-const QUEUE: usize = 12;
+use fireflyspool::{admission, outcome};
 
 const ENDS: [admission::End; 3] = [
     admission::End::InTime,
@@ -15,40 +14,6 @@
     admission::End::Gone,
 ];
 
-fn limits() -> admission::Limits {
-    admission::Limits {
-        queue: QUEUE,
-        low_share: 100,
-        paced: false,
-    }
-}
-
-fn arrived(
-    ticket: ids::Ticket,
-    kind: outcome::Kind,
-    deadline: time::Instant,
-    cost: u32,
-) -> admission::Event {
-    admission::Event::Arrived {
-        ticket,
-        kind,
-        deadline,
-        cost,
-    }
-}
-
-fn ended(ticket: ids::Ticket, end: admission::End) -> admission::Event {
-    admission::Event::Ended { ticket, end }
-}
-
-fn started(actions: &[admission::Action]) -> Vec<ids::Ticket> {
-    let start = |action: &admission::Action| match action {
-        admission::Action::Start { ticket } => Some(*ticket),
-        admission::Action::Refuse { .. } => None,
-    };
-    actions.iter().filter_map(start).collect()
-}
-
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
     Waiting,
@@ -74,7 +39,7 @@
     let mut now = time::Instant::now();
     let mut admission = admission::Admission::new();
     let mut entries: Vec<Entry> = Vec::new();
-    let mut limits = limits();
+    let mut limits = requests::limits();
     let mut draining = false;
     for _ in 0..100_000 {
         draining |= choices.is_over();
@@ -83,7 +48,7 @@
             _ if draining => {
                 let running = entries.iter().position(|e| e.state == State::Running);
                 match (running, admission.next_wake()) {
-                    (Some(ticket), _) => ended(ticket as u64, admission::End::InTime),
+                    (Some(ticket), _) => requests::ended(ticket as u64, admission::End::InTime),
                     (None, Some(wake)) => {
                         now = now.max(wake);
                         admission::Event::Timer
@@ -102,7 +67,7 @@
                     cost,
                     state,
                 });
-                arrived(entries.len() as u64 - 1, kind, deadline, cost)
+                requests::arrived(entries.len() as u64 - 1, kind, deadline, cost)
             }
             4 => {
                 limits.paced = !limits.paced;
@@ -123,7 +88,7 @@
                 if entries.get(pick).is_none_or(waits) && end != admission::End::Gone {
                     continue;
                 }
-                ended(pick as u64, end)
+                requests::ended(pick as u64, end)
             }
         };
         if let admission::Event::Ended { ticket, .. } = event
@@ -132,7 +97,7 @@
             entry.state = State::Over;
         }
         let actions = admission.handle(event, &limits, now);
-        let starts = !started(&actions).is_empty();
+        let starts = !requests::started(&actions).is_empty();
         for action in actions {
             let (ticket, next) = match action {
                 admission::Action::Start { ticket } => (ticket, State::Running),
@@ -158,7 +123,10 @@
             entry.state = next;
         }
         let count = |state| entries.iter().filter(|entry| entry.state == state).count();
-        assert!(count(State::Waiting) <= QUEUE, "queue exceeds its bound");
+        assert!(
+            count(State::Waiting) <= requests::QUEUE,
+            "queue exceeds its bound"
+        );
         assert_eq!(admission.waiting(), count(State::Waiting), "lost one");
         assert_eq!(admission.running(), count(State::Running));
         if starts {
@@ -187,127 +155,3 @@
 fn admission_decides_once_about_every_request() {
     coordination::fuzz("admission", 500, run);
 }
-
-/// Guards against starvation: under a backlog of urgent requests each lower
-/// kind keeps its share of the starts.
-#[test]
-fn lower_kinds_keep_their_share() {
-    let now = time::Instant::now();
-    let mut admission = admission::Admission::new();
-    let limits = admission::Limits {
-        queue: 1_000,
-        ..limits()
-    };
-    let deadline = now + millis(60_000);
-    let mut ticket = 0;
-    let mut kinds = Vec::new();
-    let mut running = Vec::new();
-    for round in 0..2_000 {
-        for kind in outcome::Kind::ALL {
-            let wanted = if kind == outcome::Kind::Urgent { 2 } else { 1 };
-            for _ in 0..wanted * usize::from(round % 10 < 4) {
-                kinds.push((kind, false));
-                let event = arrived(ticket, kind, deadline + millis(ticket), 50);
-                running.extend(started(&admission.handle(event, &limits, now)));
-                ticket += 1;
-            }
-        }
-        if !running.is_empty() {
-            let ticket: ids::Ticket = running.remove(0);
-            kinds[ticket as usize].1 = true;
-            let event = ended(ticket, admission::End::Gone);
-            running.extend(started(&admission.handle(event, &limits, now)));
-        }
-    }
-    let ran = |kind| kinds.iter().filter(|entry| **entry == (kind, true)).count();
-    let counts = outcome::Kind::ALL.map(ran);
-    println!("ended by kind: {counts:?}");
-    let total: usize = counts.iter().sum();
-    assert!(counts[1] * 100 >= total * 9 && counts[2] * 100 >= total * 9);
-    assert!(counts[0] * 10 >= total * 6, "urgent requests go first");
-}
-
-/// Guards against late refusals: one that cannot be served by its deadline is
-/// refused on arrival, with a time to try again.
-#[test]
-fn hopeless_request_is_refused_on_arrival() {
-    let now = time::Instant::now();
-    let mut admission = admission::Admission::new();
-    let limits = admission::Limits {
-        queue: 1_000,
-        ..limits()
-    };
-    let interactive = outcome::Kind::Interactive;
-    admission.handle(
-        arrived(0, interactive, now + millis(500), 200),
-        &limits,
-        now,
-    );
-    let later = now + millis(100);
-    let end = ended(0, admission::End::InTime);
-    admission.handle(end, &limits, later);
-    for ticket in 1..=4 {
-        admission.handle(
-            arrived(ticket, interactive, later + millis(900), 200),
-            &limits,
-            later,
-        );
-    }
-    assert_eq!((admission.running(), admission.waiting()), (1, 3));
-    let event = arrived(5, interactive, later + millis(200), 200);
-    let in_time = admission.handle(event, &limits, later);
-    assert!(in_time.is_empty(), "goes before later ones: {in_time:?}");
-    let refused = admission.handle(
-        arrived(6, interactive, later + millis(201), 200),
-        &limits,
-        later,
-    );
-    let [
-        admission::Action::Refuse {
-            ticket: 6,
-            reason,
-            retry_after,
-        },
-    ] = refused[..]
-    else {
-        panic!("not refused: {refused:?}");
-    };
-    assert_eq!(reason, outcome::RefusalReason::Overloaded);
-    assert!(retry_after >= millis(100));
-}
-
-/// Guards against deferrable requests raising the peak, and against their
-/// being held past the last moment at which they can be served.
-#[test]
-fn deferrable_requests_wait_for_the_peak_to_pass() {
-    let now = time::Instant::now();
-    let mut admission = admission::Admission::new();
-    let paced = admission::Limits {
-        paced: true,
-        ..limits()
-    };
-    let deferrable = outcome::Kind::Deferrable;
-    let event = arrived(0, deferrable, now + millis(5_000), 9);
-    assert!(admission.handle(event, &paced, now).is_empty());
-    let urgent = admission.handle(
-        arrived(1, outcome::Kind::Urgent, now + millis(90), 9),
-        &paced,
-        now,
-    );
-    assert_eq!(started(&urgent), [1]);
-    let end = ended(1, admission::End::InTime);
-    let hold = now + millis(20);
-    assert!(admission.handle(end, &paced, hold).is_empty());
-    let mut at = hold;
-    let mut ran = Vec::new();
-    while ran.is_empty() {
-        at = admission.next_wake().expect("waits");
-        assert!(at < now + millis(5_000), "held past its deadline");
-        ran = started(&admission.handle(admission::Event::Timer, &paced, at));
-    }
-    assert_eq!((ran, at), (vec![0], now + millis(4_940)));
-    let event = arrived(2, deferrable, at + millis(5_000), 9);
-    assert!(admission.handle(event, &paced, at).is_empty());
-    let passed = admission.handle(admission::Event::Timer, &limits(), at);
-    assert_eq!(started(&passed), [2], "starts when the peak has passed");
-}
--- /dev/null
+++ b/crates/fireflyspool/tests/admission_rules.rs
@@ -0,0 +1,137 @@
+//! Order, shares and pacing of admission.
+
+mod coordination;
+mod requests;
+
+use std::time;
+
+use coordination::millis;
+use fireflyspool::{admission, ids, outcome};
+
+/// Guards against starvation: under a backlog of urgent requests each lower
+/// kind keeps its share of the starts.
+#[test]
+fn lower_kinds_keep_their_share() {
+    let now = time::Instant::now();
+    let mut admission = admission::Admission::new();
+    let limits = admission::Limits {
+        queue: 1_000,
+        ..requests::limits()
+    };
+    let deadline = now + millis(60_000);
+    let mut ticket = 0;
+    let mut kinds = Vec::new();
+    let mut running = Vec::new();
+    for round in 0..2_000 {
+        for kind in outcome::Kind::ALL {
+            let wanted = if kind == outcome::Kind::Urgent { 2 } else { 1 };
+            for _ in 0..wanted * usize::from(round % 10 < 4) {
+                kinds.push((kind, false));
+                let event = requests::arrived(ticket, kind, deadline + millis(ticket), 50);
+                running.extend(requests::started(&admission.handle(event, &limits, now)));
+                ticket += 1;
+            }
+        }
+        if !running.is_empty() {
+            let ticket: ids::Ticket = running.remove(0);
+            kinds[ticket as usize].1 = true;
+            let event = requests::ended(ticket, admission::End::Gone);
+            running.extend(requests::started(&admission.handle(event, &limits, now)));
+        }
+    }
+    let ran = |kind| kinds.iter().filter(|entry| **entry == (kind, true)).count();
+    let counts = outcome::Kind::ALL.map(ran);
+    println!("ended by kind: {counts:?}");
+    let total: usize = counts.iter().sum();
+    assert!(counts[1] * 100 >= total * 9 && counts[2] * 100 >= total * 9);
+    assert!(counts[0] * 10 >= total * 6, "urgent requests go first");
+}
+
+/// Guards against late refusals: one that cannot be served by its deadline is
+/// refused on arrival, with a time to try again.
+#[test]
+fn hopeless_request_is_refused_on_arrival() {
+    let now = time::Instant::now();
+    let mut admission = admission::Admission::new();
+    let limits = admission::Limits {
+        queue: 1_000,
+        ..requests::limits()
+    };
+    let interactive = outcome::Kind::Interactive;
+    admission.handle(
+        requests::arrived(0, interactive, now + millis(500), 200),
+        &limits,
+        now,
+    );
+    let later = now + millis(100);
+    let end = requests::ended(0, admission::End::InTime);
+    admission.handle(end, &limits, later);
+    for ticket in 1..=4 {
+        admission.handle(
+            requests::arrived(ticket, interactive, later + millis(900), 200),
+            &limits,
+            later,
+        );
+    }
+    assert_eq!((admission.running(), admission.waiting()), (1, 3));
+    let event = requests::arrived(5, interactive, later + millis(200), 200);
+    let in_time = admission.handle(event, &limits, later);
+    assert!(in_time.is_empty(), "goes before later ones: {in_time:?}");
+    let refused = admission.handle(
+        requests::arrived(6, interactive, later + millis(201), 200),
+        &limits,
+        later,
+    );
+    let [
+        admission::Action::Refuse {
+            ticket: 6,
+            reason,
+            retry_after,
+        },
+    ] = refused[..]
+    else {
+        panic!("not refused: {refused:?}");
+    };
+    assert_eq!(reason, outcome::RefusalReason::Overloaded);
+    assert!(retry_after >= millis(100));
+}
+
+/// Guards against deferrable requests raising the peak, and against their
+/// being held past the last moment at which they can be served.
+#[test]
+fn deferrable_requests_wait_for_the_peak_to_pass() {
+    let now = time::Instant::now();
+    let mut admission = admission::Admission::new();
+    let paced = admission::Limits {
+        paced: true,
+        ..requests::limits()
+    };
+    let deferrable = outcome::Kind::Deferrable;
+    let event = requests::arrived(0, deferrable, now + millis(5_000), 9);
+    assert!(admission.handle(event, &paced, now).is_empty());
+    let urgent = admission.handle(
+        requests::arrived(1, outcome::Kind::Urgent, now + millis(90), 9),
+        &paced,
+        now,
+    );
+    assert_eq!(requests::started(&urgent), [1]);
+    let end = requests::ended(1, admission::End::InTime);
+    let hold = now + millis(20);
+    assert!(admission.handle(end, &paced, hold).is_empty());
+    let mut at = hold;
+    let mut ran = Vec::new();
+    while ran.is_empty() {
+        at = admission.next_wake().expect("waits");
+        assert!(at < now + millis(5_000), "held past its deadline");
+        ran = requests::started(&admission.handle(admission::Event::Timer, &paced, at));
+    }
+    assert_eq!((ran, at), (vec![0], now + millis(4_940)));
+    let event = requests::arrived(2, deferrable, at + millis(5_000), 9);
+    assert!(admission.handle(event, &paced, at).is_empty());
+    let passed = admission.handle(admission::Event::Timer, &requests::limits(), at);
+    assert_eq!(
+        requests::started(&passed),
+        [2],
+        "starts when the peak has passed"
+    );
+}
--- /dev/null
+++ b/crates/fireflyspool/tests/query_failures.rs
@@ -0,0 +1,155 @@
+//! Queries whose owners refuse, fail or lose their version.
+
+mod coordination;
+mod query_run;
+
+use std::{sync, time};
+
+use coordination::millis;
+use fireflyspool::{dispatch, gather, outcome, plan};
+
+/// Guards against a request that crashes servers being spread over all
+/// replicas: one retry, and nothing more once that is reset too.
+#[test]
+fn resets_lead_to_one_retry_over_all_shards() {
+    let now = time::Instant::now();
+    let view = coordination::full_view(&[(4, 8)], 6, 3, now);
+    let mut search = coordination::search("1-a");
+    search.partial = true;
+    let mut run = query_run::Run::start(search, view, now);
+    for position in 0..8 {
+        run.reply(position, query_run::failed(dispatch::FailureCause::Reset));
+    }
+    assert_eq!(run.sent.len(), 9, "one shard alone is tried again");
+    assert_eq!(run.sent[8].1.excluded, ["dead"]);
+    run.reply(8, query_run::failed(dispatch::FailureCause::Reset));
+    assert_eq!(run.sent.len(), 9);
+    run.partial();
+}
+
+/// Guards against losing shards when servers die for another reason: once the
+/// first retry is answered, the other shards are tried again too.
+#[test]
+fn answered_retry_releases_the_other_shards() {
+    let mut run = query_run::Run::of(&[(4, 8)]);
+    for position in 0..8 {
+        run.reply(position, query_run::failed(dispatch::FailureCause::Reset));
+    }
+    run.answer(8);
+    assert_eq!(run.sent.len(), 16);
+    for position in 9..16 {
+        run.answer(position);
+    }
+    run.complete();
+}
+
+/// Guards against answers that mix versions: when the pinned one is gone, all
+/// answers of it are discarded and the query starts again on another one.
+#[test]
+fn vanished_version_moves_the_whole_query() {
+    let mut run = query_run::Run::of(&[(4, 6), (5, 8)]);
+    assert_eq!(run.sent.len(), 8);
+    for position in 0..7 {
+        run.answer(position);
+    }
+    let mut position = 7;
+    for _ in 0..3 {
+        run.reply(
+            position,
+            coordination::not_run(dispatch::SkipCause::NotHosted),
+        );
+        position = run.sent.len() - 1;
+    }
+    assert_eq!(run.sent.len(), 8 + 2 + 6, "redirects and the old version");
+    for position in 10..16 {
+        run.answer(position);
+    }
+    let answer = run.complete();
+    assert_eq!(answer.snapshot.version, 4);
+    assert!(answer.hits.iter().all(|hit| hit.id.starts_with("4/")));
+}
+
+/// Guards against a false "not run", and against a refusal that is none.
+#[test]
+fn not_run_only_if_every_attempt_was_refused() {
+    let now = time::Instant::now();
+    let view = coordination::full_view(&[(4, 2)], 2, 1, now);
+    for ran in [false, true] {
+        let mut search = coordination::search("1-a");
+        search.partial = true;
+        let mut run = query_run::Run::start(search, view.clone(), now);
+        let first = if ran {
+            query_run::failed(dispatch::FailureCause::Timeout)
+        } else {
+            coordination::not_run(dispatch::SkipCause::Shedding)
+        };
+        run.reply(0, first);
+        run.reply(1, coordination::not_run(dispatch::SkipCause::QueueFull));
+        match run.outcome {
+            Some(outcome::Outcome::NotRun(refusal)) if !ran => {
+                assert_eq!(refusal.reason, outcome::RefusalReason::Overloaded);
+                assert_eq!(refusal.retry_after, Some(millis(40)));
+            }
+            Some(outcome::Outcome::Partial(answer)) if ran => {
+                assert!(!answer.sufficient && answer.coverage.covered.is_empty());
+            }
+            other => panic!("ran {ran}: {other:?}"),
+        }
+    }
+}
+
+/// Guards against the loss of an owner costing its shards.
+#[test]
+fn shards_of_a_lost_owner_go_to_other_owners() {
+    let mut run = query_run::Run::of(&[(4, 8)]);
+    let lost = run.sent[0].0;
+    let here = run.sent.iter().filter(|(owner, _)| *owner == lost).count();
+    run.event(gather::Event::OwnerLost { owner: lost });
+    assert_eq!(run.sent.len(), 8 + here);
+    for position in 0..run.sent.len() {
+        assert!(position < 8 || run.sent[position].0 != lost);
+        run.answer(position);
+    }
+    run.complete();
+}
+
+/// Guards against coverage that is counted against the live servers only.
+#[test]
+fn shard_without_replica_counts_as_missing() {
+    let now = time::Instant::now();
+    let mut view = coordination::view(coordination::catalog(&[(4, 4)]), 3, now);
+    for shard in 0..3 {
+        coordination::add_server(&mut view, 1, &[(4, shard)]);
+    }
+    let refused = plan::plan(&coordination::search("1-a"), &view, now, 1);
+    let refused = refused.expect_err("lacks a shard");
+    assert_eq!(refused.reason(), outcome::RefusalReason::Coverage);
+    let mut search = coordination::search("1-a");
+    search.coverage = outcome::RequiredCoverage::AtLeast(75);
+    let mut run = query_run::Run::start(search, view, now);
+    for position in 0..3 {
+        run.answer(position);
+    }
+    let answer = run.partial();
+    assert!(answer.sufficient);
+    assert_eq!(answer.coverage.missing, [3]);
+}
+
+/// Guards against giving up a shard whose servers went to another owner after
+/// the query was planned.
+#[test]
+fn shard_follows_its_server_to_the_new_owner() {
+    let now = time::Instant::now();
+    let view = coordination::full_view(&[(4, 2)], 2, 1, now);
+    let mut run = query_run::Run::start(coordination::search("1-a"), view, now);
+    let (old, shard) = (run.sent[0].0, run.shard(0));
+    let servers = sync::Arc::make_mut(&mut run.view.servers);
+    for record in servers.values_mut() {
+        record.owner = Some(3 - old);
+    }
+    run.reply(0, coordination::not_run(dispatch::SkipCause::NoServer));
+    assert_eq!((run.sent[2].0, run.shard(2)), (3 - old, shard));
+    run.answer(1);
+    run.answer(2);
+    run.complete();
+}
--- /dev/null
+++ b/crates/fireflyspool/tests/query_site/mod.rs
@@ -0,0 +1,220 @@
+//! Queries under random events.
+
+use std::{sync, time};
+
+use super::coordination::{self, millis};
+use super::query_oracle;
+use fireflyspool::{dispatch, gather, outcome, plan, state, view};
+
+const OWNERS: u64 = 5;
+
+/// Entry VM with queries, owners and an oracle for each query.
+pub(crate) struct Site {
+    pub(crate) choices: coordination::Choices,
+    now: time::Instant,
+    view: view::View,
+    budgets: gather::Budgets,
+    versions: Vec<(u64, u32)>,
+    gone: Vec<u64>,
+    pub(crate) queries: Vec<(gather::Coordinator, query_oracle::Oracle)>,
+    pub(crate) retry_failures: u64,
+}
+
+impl Site {
+    pub(crate) fn new(list: Vec<u32>) -> Self {
+        let mut choices = coordination::Choices::new(list);
+        let now = time::Instant::now();
+        let count = 1 + choices.below(3) as u64;
+        let versions: Vec<_> = (1..=count)
+            .map(|version| (version, 1 + choices.below(7) as u32))
+            .collect();
+        let mut view = coordination::view(coordination::catalog(&versions), OWNERS, now);
+        for (version, shards) in &versions {
+            for shard in 0..*shards {
+                for _ in 0..choices.below(4) {
+                    let owner = 1 + choices.below(OWNERS as usize) as u64;
+                    coordination::add_server(&mut view, owner, &[(*version, shard)]);
+                }
+            }
+        }
+        if choices.chance(20) {
+            coordination::set(&mut view, state::Value::PeakLimit, 100);
+        }
+        let mut budgets = coordination::budgets(now);
+        budgets.peak.configure(&view);
+        Self {
+            choices,
+            now,
+            view,
+            budgets,
+            versions,
+            gone: Vec::new(),
+            queries: Vec::new(),
+            retry_failures: 0,
+        }
+    }
+
+    fn start(&mut self) {
+        let mut search = coordination::search(&format!("q{}", self.queries.len()));
+        search.kind = outcome::Kind::ALL[self.choices.below(3)];
+        search.limit = [0, 1, 5, 100][self.choices.below(4)];
+        search.partial = self.choices.chance(50);
+        search.deadline = millis([1, 40, 200][self.choices.below(3)]);
+        search.coverage = match self.choices.below(3) {
+            0 => outcome::RequiredCoverage::Full,
+            1 => outcome::RequiredCoverage::AtLeast(60),
+            _ => outcome::RequiredCoverage::Any,
+        };
+        if self.choices.chance(10) {
+            search.version = Some(1);
+        }
+        let Ok(plan) = plan::plan(&search, &self.view, self.now, 0) else {
+            return;
+        };
+        let version = plan.snapshot.version;
+        let shards = self.versions.clone();
+        let mut oracle = query_oracle::Oracle::new(search.clone(), version, shards, self.now);
+        let entropy = self.choices.below(1_000) as u64;
+        let (coordinator, actions) = gather::Coordinator::start(
+            plan,
+            search,
+            &self.view,
+            &mut self.budgets,
+            self.now,
+            entropy,
+        );
+        oracle.check(&actions, self.now);
+        self.queries.push((coordinator, oracle));
+    }
+
+    fn event(&mut self, query: usize, event: gather::Event) {
+        let entropy = self.choices.below(1_000) as u64;
+        let (coordinator, oracle) = &mut self.queries[query];
+        let actions = coordinator.handle(event, &self.view, &mut self.budgets, self.now, entropy);
+        oracle.check(&actions, self.now);
+        assert_eq!(coordinator.is_finished(), oracle.outcome.is_some());
+        for action in &actions {
+            if let gather::Action::Log(decision) = action {
+                self.retry_failures += u64::from(decision.reason == gather::Reason::Retry);
+            }
+        }
+    }
+
+    /// Some end of some sub-request, possibly a second time, late, or from elsewhere.
+    fn reply(&mut self) {
+        let query = self.choices.below(self.queries.len());
+        let sent = &self.queries[query].1.sent;
+        if sent.is_empty() {
+            return;
+        }
+        let mut position = self.choices.below(sent.len());
+        if self.choices.chance(80) {
+            let open = |sent: &query_oracle::Sent| sent.fate == query_oracle::Fate::UnderWay;
+            position = sent.iter().position(open).unwrap_or(position);
+        }
+        let sent = &self.queries[query].1.sent[position];
+        let (version, shard, sub) = (sent.version, sent.shard, sent.request.sub);
+        let mut owner = sent.owner;
+        if self.choices.chance(5) {
+            owner = 1 + self.choices.below(OWNERS as usize) as u64;
+        }
+        let outcome = self.outcome(version, shard, owner);
+        let mut target = query;
+        if self.choices.chance(5) {
+            target = self.choices.below(self.queries.len());
+        }
+        self.queries[target].1.reply(sub, owner, &outcome);
+        let replied = coordination::replied(sub, owner, outcome);
+        self.event(target, replied);
+    }
+
+    fn outcome(&mut self, version: u64, shard: u32, owner: u64) -> dispatch::SubOutcome {
+        let gone = self.gone.contains(&version);
+        let server = format!("{owner}-{}", self.choices.below(3));
+        let skips = [
+            dispatch::SkipCause::NoServer,
+            dispatch::SkipCause::QueueFull,
+            dispatch::SkipCause::Shedding,
+            dispatch::SkipCause::Suspect,
+            dispatch::SkipCause::NoLease,
+            dispatch::SkipCause::NotHosted,
+        ];
+        match self.choices.below(20) {
+            _ if gone => coordination::not_run(dispatch::SkipCause::NotHosted),
+            number @ 0..6 => coordination::not_run(skips[number]),
+            6 | 7 => coordination::failed(&server, dispatch::FailureCause::Reset),
+            8 => coordination::failed(&server, dispatch::FailureCause::BadReply),
+            9 => coordination::failed("", dispatch::FailureCause::Timeout),
+            number => coordination::answered(query_oracle::hits(version, shard), number as u32),
+        }
+    }
+
+    pub(crate) fn step(&mut self) {
+        if self.queries.is_empty() || self.choices.chance(6) {
+            return self.start();
+        }
+        let query = self.choices.below(self.queries.len());
+        match self.choices.below(40) {
+            0 => self.now += millis(self.choices.below(30) as u64),
+            1..=4 => {
+                let wake = self.queries[query].0.next_wake();
+                self.now = self.now.max(wake.unwrap_or(self.now));
+                self.event(query, gather::Event::Timer);
+            }
+            5 => {
+                let owner = 1 + self.choices.below(OWNERS as usize) as u64;
+                for query in 0..self.queries.len() {
+                    self.queries[query].1.lose(owner);
+                    self.event(query, gather::Event::OwnerLost { owner });
+                }
+            }
+            6 => self.event(query, gather::Event::CallerGone),
+            7 => self
+                .gone
+                .push(1 + self.choices.below(self.versions.len()) as u64),
+            8 => self.forget_gone(),
+            9 if self.choices.chance(20) => self.view.lease_until = Some(self.now),
+            _ => self.reply(),
+        }
+    }
+
+    /// The roster learns which versions are no longer hosted.
+    fn forget_gone(&mut self) {
+        let servers = sync::Arc::make_mut(&mut self.view.servers);
+        for record in servers.values_mut() {
+            let hosted = &mut record.announcement.hosted;
+            hosted.retain(|shard| !self.gone.contains(&shard.version));
+        }
+    }
+
+    /// Lets every query run into its deadline and checks what is left.
+    pub(crate) fn drain(&mut self) {
+        for query in 0..self.queries.len() {
+            let ends_at = self.queries[query].1.received + self.queries[query].1.search.deadline;
+            for _ in 0..1_000 {
+                let Some(wake) = self.queries[query].0.next_wake() else {
+                    break;
+                };
+                assert!(wake <= ends_at.max(self.now), "wakes after its deadline");
+                self.now = self.now.max(wake);
+                self.event(query, gather::Event::Timer);
+            }
+            assert!(self.queries[query].1.outcome.is_some(), "did not end");
+        }
+        for owner in 1..=OWNERS {
+            let loads = &self.budgets.traffic(coordination::SERVICE).loads;
+            assert_eq!(loads.outstanding(owner), 0, "load of {owner} is kept");
+        }
+    }
+
+    pub(crate) fn check_budgets(&self) {
+        let sum = |count: fn(&query_oracle::Oracle) -> u64| -> u64 {
+            self.queries.iter().map(|query| count(&query.1)).sum()
+        };
+        let (firsts, hedges) = (sum(|oracle| oracle.firsts), sum(|oracle| oracle.hedges));
+        let retries = self.retry_failures;
+        let bound = |share| gather::TokenBucket::INITIAL_TOKENS + firsts * share / 1_000;
+        assert!(hedges <= bound(45), "{hedges} hedges, {firsts} firsts");
+        assert!(retries <= bound(100), "{retries} retries, {firsts} firsts");
+    }
+}
