Estimate the time of a request by its kind

Cause: slow deferrable requests raised the one estimate, so urgent ones were refused as hopeless. Change: the time from start to end is smoothed per kind.

--- a/crates/fireflyspool/src/admission/admission.rs
+++ b/crates/fireflyspool/src/admission/admission.rs
@@ -29,6 +29,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Started {
+    kind: outcome::Kind,
     cost: u64,
     at: time::Instant,
 }
@@ -100,9 +101,10 @@
         let held = now.saturating_duration_since(started.at);
         match end {
             admission::End::InTime => {
-                self.limit.ended_in_time(started.cost, self.load, held);
+                let (kind, cost) = (started.kind, started.cost);
+                self.limit.ended_in_time(kind, cost, self.load, held);
             }
-            admission::End::Late => self.limit.ended_late(held, now),
+            admission::End::Late => self.limit.ended_late(started.kind, held, now),
             admission::End::Gone => {}
         }
         self.load -= started.cost;
@@ -125,7 +127,7 @@
                     } else {
                         outcome::RefusalReason::Deadline
                     },
-                    retry_after: self.limit.hold().max(MIN_RETRY),
+                    retry_after: self.limit.hold(kind).max(MIN_RETRY),
                 });
             }
         }
@@ -154,7 +156,14 @@
                 .started(kind, |other| queue.count(other) > 0, limits.low_share);
             let cost = u64::from(next.cost);
             self.load += cost;
-            self.running.insert(next.ticket, Started { cost, at: now });
+            self.running.insert(
+                next.ticket,
+                Started {
+                    kind,
+                    cost,
+                    at: now,
+                },
+            );
             actions.push(admission::Action::Start {
                 ticket: next.ticket,
             });
@@ -181,7 +190,7 @@
     /// Latest start of the first deferrable request near the peak.
     fn latest_start(&self) -> Option<time::Instant> {
         let first = self.queue.first(outcome::Kind::Deferrable)?;
-        let slack = self.limit.hold() * PACED_SLACK;
+        let slack = self.limit.hold(outcome::Kind::Deferrable) * PACED_SLACK;
         Some(first.deadline.checked_sub(slack).unwrap_or(first.deadline))
     }
 
--- a/crates/fireflyspool/src/admission/arriving.rs
+++ b/crates/fireflyspool/src/admission/arriving.rs
@@ -21,7 +21,7 @@
         };
         if waiting.deadline <= now {
             actions.push(refuse(outcome::RefusalReason::Deadline));
-        } else if !wait.is_zero() && now + wait + self.limit.hold() > waiting.deadline {
+        } else if !wait.is_zero() && now + wait + self.limit.hold(kind) > waiting.deadline {
             actions.push(refuse(outcome::RefusalReason::Overloaded));
         } else {
             self.queue.push(kind, waiting);
@@ -65,18 +65,17 @@
                 };
                 self.queue.count(*kind) > reserve
             };
-            let kinds = outcome::Kind::ALL.into_iter().rev();
-            let victim = kinds
-                .clone()
-                .find(exceeds)
-                .and_then(|kind| self.queue.pop_last(kind));
-            let Some(victim) = victim else {
+            let mut lowest_first = outcome::Kind::ALL.into_iter().rev();
+            let Some(kind) = lowest_first.find(exceeds) else {
+                return;
+            };
+            let Some(victim) = self.queue.pop_last(kind) else {
                 return;
             };
             actions.push(admission::Action::Refuse {
                 ticket: victim.ticket,
                 reason: outcome::RefusalReason::Overloaded,
-                retry_after: self.limit.hold().max(admission::MIN_RETRY),
+                retry_after: self.limit.hold(kind).max(admission::MIN_RETRY),
             });
         }
     }
--- a/crates/fireflyspool/src/admission/concurrency_limit.rs
+++ b/crates/fireflyspool/src/admission/concurrency_limit.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use crate::outcome;
+
 /// Work that fits in before anything was learned, in sub-requests.
 const INITIAL: u64 = 256;
 
@@ -26,6 +28,9 @@
 pub struct ConcurrencyLimit {
     limit: u64,
     last_cut: Option<time::Instant>,
+    /// Smoothed times that requests take, by kind.
+    holds: [time::Duration; outcome::Kind::ALL.len()],
+    /// The same over all kinds.
     hold: time::Duration,
 }
 
@@ -34,6 +39,7 @@
         Self {
             limit: INITIAL,
             last_cut: None,
+            holds: Default::default(),
             hold: time::Duration::ZERO,
         }
     }
@@ -45,9 +51,10 @@
         self.limit
     }
 
-    /// Smoothed time from the start of a request to its end.
-    pub fn hold(&self) -> time::Duration {
-        self.hold
+    /// Smoothed time from the start of a request of this kind to its end; zero
+    /// before the first one. Kinds differ because owners serve urgent work first.
+    pub fn hold(&self, kind: outcome::Kind) -> time::Duration {
+        self.holds[kind.index()]
     }
 
     /// Time in which work of this amount leaves the queue.
@@ -58,8 +65,14 @@
 
     /// Learns from a request of this cost that ended by itself after `held`,
     /// while `running` was under way.
-    pub fn ended_in_time(&mut self, cost: u64, running: u64, held: time::Duration) {
-        self.observe(held);
+    pub fn ended_in_time(
+        &mut self,
+        kind: outcome::Kind,
+        cost: u64,
+        running: u64,
+        held: time::Duration,
+    ) {
+        self.observe(kind, held);
         // A limit that is not reached has not been tested, so it does not grow.
         if running.saturating_mul(4) >= self.limit.saturating_mul(3) {
             let growth = (cost * STEP / self.limit).max(1);
@@ -68,8 +81,8 @@
     }
 
     /// Learns from a request that its deadline cut short after `held`.
-    pub fn ended_late(&mut self, held: time::Duration, now: time::Instant) {
-        self.observe(held);
+    pub fn ended_late(&mut self, kind: outcome::Kind, held: time::Duration, now: time::Instant) {
+        self.observe(kind, held);
         let since = |cut| now.saturating_duration_since(cut);
         if self.last_cut.is_none_or(|cut| since(cut) >= CUT_INTERVAL) {
             self.limit = (self.limit * CUT_PERCENT / 100).max(MIN);
@@ -77,11 +90,13 @@
         }
     }
 
-    fn observe(&mut self, held: time::Duration) {
-        self.hold = if self.hold.is_zero() {
-            held
-        } else {
-            (self.hold * (HOLD_WEIGHT - 1) + held) / HOLD_WEIGHT
-        };
+    fn observe(&mut self, kind: outcome::Kind, held: time::Duration) {
+        for hold in [&mut self.hold, &mut self.holds[kind.index()]] {
+            *hold = if hold.is_zero() {
+                held
+            } else {
+                (*hold * (HOLD_WEIGHT - 1) + held) / HOLD_WEIGHT
+            };
+        }
     }
 }
--- a/crates/fireflyspool/tests/admission_rules.rs
+++ b/crates/fireflyspool/tests/admission_rules.rs
@@ -135,3 +135,26 @@
         "starts when the peak has passed"
     );
 }
+
+/// Guards against slow deferrable requests making urgent ones look hopeless.
+#[test]
+fn time_of_lower_kinds_does_not_refuse_urgent_requests() {
+    let now = time::Instant::now();
+    let mut admission = admission::Admission::new();
+    let limits = requests::limits();
+    let deferrable = outcome::Kind::Deferrable;
+    let event = requests::arrived(0, deferrable, now + millis(9_000), 250);
+    admission.handle(event, &limits, now);
+    let later = now + millis(8_000);
+    admission.handle(requests::ended(0, admission::End::InTime), &limits, later);
+    let urgent = |ticket, cost| {
+        let deadline = later + millis(2_000);
+        requests::arrived(ticket, outcome::Kind::Urgent, deadline, cost)
+    };
+    assert_eq!(
+        requests::started(&admission.handle(urgent(1, 256), &limits, later)),
+        [1]
+    );
+    let waits = admission.handle(urgent(2, 8), &limits, later);
+    assert!(waits.is_empty(), "{waits:?}");
+}
