--- a/crates/fireflyspool/src/admission/admission.rs
+++ b/crates/fireflyspool/src/admission/admission.rs
@@ -15,6 +15,9 @@
 /// held-back request is started at the latest.
 const PACED_SLACK: u32 = 3;
 
+/// Least of that time; before anything was observed nothing shorter is safe.
+const MIN_PACED_SLACK: time::Duration = time::Duration::from_millis(100);
+
 /// Decides which request runs, waits or is refused.
 #[derive(Clone, Debug, Default)]
 pub struct Admission {
@@ -191,6 +194,7 @@
     fn latest_start(&self) -> Option<time::Instant> {
         let first = self.queue.first(outcome::Kind::Deferrable)?;
         let slack = self.limit.hold(outcome::Kind::Deferrable) * PACED_SLACK;
+        let slack = slack.max(MIN_PACED_SLACK);
         Some(first.deadline.checked_sub(slack).unwrap_or(first.deadline))
     }
 
--- a/crates/fireflyspool/src/admission/concurrency_limit.rs
+++ b/crates/fireflyspool/src/admission/concurrency_limit.rs
@@ -51,10 +51,12 @@
         self.limit
     }
 
-    /// Smoothed time from the start of a request of this kind to its end; zero
-    /// before the first one. Kinds differ because owners serve urgent work first.
+    /// Smoothed time from the start of a request of this kind to its end; that
+    /// of all kinds before the first one of this kind, and zero before any.
+    /// Kinds differ because owners serve urgent work first.
     pub fn hold(&self, kind: outcome::Kind) -> time::Duration {
-        self.holds[kind.index()]
+        let own = self.holds[kind.index()];
+        if own.is_zero() { self.hold } else { own }
     }
 
     /// Time in which work of this amount leaves the queue.
