--- a/crates/bench/tests/site/mod.rs
+++ b/crates/bench/tests/site/mod.rs
@@ -171,15 +171,15 @@
 
     /// Waits until a VM has ended and returns its exit code.
     pub(crate) async fn ended(&mut self, vm: usize) -> Option<i32> {
-        let mut child = self.vms[vm - 1].take().expect("the VM runs");
         let started = time::Instant::now();
         while started.elapsed() < PATIENCE {
+            let child = self.vms[vm - 1].as_mut().expect("the VM runs");
             if let Some(status) = child.try_wait().expect("the VM can be asked") {
+                self.vms[vm - 1] = None;
                 return status.code();
             }
             tokio::time::sleep(LOOK).await;
         }
-        child.kill().expect("a VM can be killed");
         panic!("VM {vm} did not end; log: {}", self.log_tail(vm));
     }
 
