--- a/crates/fireflyspool/examples/measure_dispatch/experiment.rs
+++ b/crates/fireflyspool/examples/measure_dispatch/experiment.rs
@@ -18,7 +18,7 @@
     let most = runs.iter().map(|run| run.most_running).max();
     assert!(most <= Some(2), "a server ran more than its slots");
     let (mut firsts, mut hedges, mut failures) = (0, 0, 0);
-    let mut latencies = Vec::new();
+    let mut latencies = Vec::<time::Duration>::new();
     for run in &runs {
         latencies.extend(&run.latencies);
         firsts += run.firsts;
