--- a/crates/fireflyspool/tests/dispatch/judgement.rs
+++ b/crates/fireflyspool/tests/dispatch/judgement.rs
@@ -67,6 +67,23 @@
     probe::sent(&probe.submit(fixture::search(3, 0, SECOND)));
 }
 
+/// Guards against sending every search to a server that has denied its shard.
+#[test]
+fn a_denied_shard_is_left_alone_until_the_next_announcement() {
+    let mut probe = probe::Probe::warm(vec![fixture::record("a", 0, 1, &[0, 1])]);
+    let seen = probe::sent(&probe.submit(fixture::search(1, 0, SECOND)));
+    let actions = probe.refuse(&seen, 409);
+    assert!(skipped(&actions, dispatch::SkipCause::NotHosted));
+    let actions = probe.submit(fixture::search(2, 0, SECOND));
+    assert!(skipped(&actions, dispatch::SkipCause::NoServer));
+    let seen = probe::sent(&probe.submit(fixture::search(3, 1, SECOND)));
+    probe.answer(&seen, 1);
+    let servers = sync::Arc::make_mut(&mut probe.view.servers);
+    let record = servers.get_mut("a").expect("the server");
+    record.announcement.sequence += 1;
+    probe::sent(&probe.submit(fixture::search(4, 0, SECOND)));
+}
+
 /// Guards against a server that stays at full load although it became cold silently.
 #[test]
 fn a_server_slower_than_its_peers_returns_to_slow_start() {
