--- a/crates/fireflyspool/src/dispatch/placement.rs
+++ b/crates/fireflyspool/src/dispatch/placement.rs
@@ -89,7 +89,8 @@
         now: time::Instant,
     ) -> Option<(backlog::Position, dispatch::PlacementReason)> {
         let core = self.fleet.get(key)?.core();
-        let mut heads: [Option<queue_key::QueueKey>; outcome::Kind::ALL.len()] = [None; 3];
+        let mut heads: [Option<queue_key::QueueKey>; outcome::Kind::ALL.len()] =
+            [None; outcome::Kind::ALL.len()];
         for target in &core.targets {
             let Some(group) = self.backlog.group(*target) else {
                 continue;
