--- a/crates/fireflyspool/tests/simulation/mod.rs
+++ b/crates/fireflyspool/tests/simulation/mod.rs
@@ -2,6 +2,7 @@
 //!
 
 mod cluster;
+mod cluster_actions;
 mod cluster_checks;
 mod mem_disk;
 mod network;
