--- a/crates/fireflyspool/src/lease/mod.rs
+++ b/crates/fireflyspool/src/lease/mod.rs
@@ -13,6 +13,17 @@
 //! When the lease ends, all ownership ends with it and only a new grant brings
 //! it back. Traffic threads need no notice of that, because every
 //! [`crate::view::View`] carries the end of its lease.
+//!
+//! # Driver
+//!
+//! The control thread calls [`Holder::request`] once per renewal interval and
+//! whenever [`Holder::announce`] or [`Effect::renew`] asks for it, notes the
+//! time right before it sends the request, and passes that time to
+//! [`Holder::reply`]. If [`Effect::publish`] is set it publishes
+//! [`Holder::view`] before the next request, because a request confirms the
+//! revision that is in force here. It asks the traffic side to close the
+//! connections to [`Holder::to_release`], calls [`Holder::released`] for each
+//! and renews at once, since the next owner waits for that.
 
 mod catalog_copy;
 mod config;
--- a/crates/fireflyspool/src/state/mod.rs
+++ b/crates/fireflyspool/src/state/mod.rs
@@ -14,6 +14,11 @@
 //! [`Receipt`]. A [`Claim`] is granted once and protects a non-idempotent
 //! request from running twice. Both books are bounded, and what they drop can
 //! never run again: see [`ReceiptBook`] and [`ClaimBook`].
+//!
+//! A change of the control group is made by the driver. It proposes the command
+//! after the membership change is committed, so that an accepted receipt is
+//! never recorded for a change that was lost with the leader; a resend before
+//! that makes the same change again, which has no further effect.
 
 mod applied;
 mod catalog;
--- a/crates/fireflyspool/tests/leases.rs
+++ b/crates/fireflyspool/tests/leases.rs
@@ -4,7 +4,7 @@
 #[path = "common/site.rs"]
 mod site;
 
-use fireflyspool::roster;
+use fireflyspool::{backend, lease, roster, state};
 
 /// Guards against two processes that act on one backend server, a configuration that goes
 /// back or counts as in force too early, and returning incarnations; afterwards the site
@@ -53,3 +53,77 @@
         assert_eq!(process.view.members.len(), leader.members().count());
     }
 }
+
+/// Guards against a lease that vouches for a configuration the holder does not have.
+#[test]
+fn a_gap_extends_no_lease_and_asks_for_everything() {
+    let now = std::time::Instant::now();
+    let mut holder = lease::Holder::new(site::member(1, 1), lease::Config::default());
+    let mut leader = roster::Roster::new(1, now, roster::Config::default());
+    let control = state::ControlState::default();
+    let request = holder.request(now);
+    let mut grant = leader.renew(&request, &control, now);
+    let change = state::Change::TakeOutZone {
+        zone: "z1".to_owned(),
+    };
+    grant.revision = 5;
+    grant.catalog = Some(roster::CatalogUpdate::Changes(vec![change]));
+    let effect = holder.reply(roster::RenewReply::Granted(grant), now, now);
+    assert!(!holder.view().may_act(now));
+    assert!(effect.renew);
+    let request = holder.request(now);
+    assert!(request.whole_catalog);
+
+    let mut grant = leader.renew(&request, &control, now);
+    grant.roster.base = 7;
+    grant.roster.version.sequence = 8;
+    let effect = holder.reply(roster::RenewReply::Granted(grant), now, now);
+    assert!(!holder.view().may_act(now));
+    assert!(effect.renew);
+    let request = holder.request(now);
+    assert_eq!(request.roster, None);
+    let grant = leader.renew(&request, &control, now);
+    holder.reply(roster::RenewReply::Granted(grant), now, now);
+    assert!(holder.view().may_act(now));
+}
+
+/// Guards against a delayed request that takes back what a later one reported: the backend
+/// server would be assigned while the sender still holds it.
+#[test]
+fn a_delayed_request_does_not_take_back_a_later_one() {
+    let start = std::time::Instant::now();
+    let mut leader = roster::Roster::new(2, start, roster::Config::default());
+    let control = state::ControlState::default();
+    let server = site::announcement(0);
+    let mut other = lease::Holder::new(site::member(2, 1), lease::Config::default());
+    other.announce(&server, start);
+    let mut early = lease::Holder::new(site::member(1, 1), lease::Config::default()).request(start);
+    early.roster = Some(roster::Version {
+        term: 1,
+        sequence: 3,
+    });
+    let mut later = early.clone();
+    later.number = 2;
+    later.holds = vec![server.server.clone()];
+    let contact = start + site::millis(2_900);
+    for request in [&later, &early] {
+        leader.renew(request, &control, contact);
+    }
+    let settled = start + site::millis(3_100);
+    let request = other.request(settled);
+    leader.renew(&request, &control, settled);
+    let owners: Vec<_> = leader.servers().map(|record| record.owner).collect();
+    assert_eq!(owners, [None]);
+    // The claim ends with the lease of the process that made it.
+    let ended = contact + roster::LEASE_DURATION;
+    other.announce(
+        &backend::Announcement {
+            sequence: 9,
+            ..server
+        },
+        ended,
+    );
+    leader.renew(&other.request(ended), &control, ended);
+    let owners: Vec<_> = leader.servers().map(|record| record.owner).collect();
+    assert_eq!(owners, [Some(2)]);
+}
