--- a/crates/fireflyspool/tests/leases.rs
+++ b/crates/fireflyspool/tests/leases.rs
@@ -127,3 +127,40 @@
     let owners: Vec<_> = leader.servers().map(|record| record.owner).collect();
     assert_eq!(owners, [Some(2)]);
 }
+
+/// Guards against a delayed report of an earlier term that a new leader takes for the truth:
+/// its sender would be published as owner while another process still acts.
+#[test]
+fn a_first_report_of_a_new_term_is_not_confirmed() {
+    let start = std::time::Instant::now();
+    let mut leader = roster::Roster::new(2, start, roster::Config::default());
+    let control = state::ControlState::default();
+    let server = site::announcement(0);
+    let mut reporter = lease::Holder::new(site::member(3, 1), lease::Config::default());
+    reporter.announce(&server, start);
+    leader.renew(&reporter.request(start), &control, start);
+    let earlier = roster::Version {
+        term: 1,
+        sequence: 3,
+    };
+    let owners = |leader: &roster::Roster| -> Vec<Option<u64>> {
+        leader.servers().map(|record| record.owner).collect()
+    };
+    let mut requests = [1, 2].map(|node| {
+        let mut holder = lease::Holder::new(site::member(node, 1), lease::Config::default());
+        let mut request = holder.request(start);
+        request.holds = vec![server.server.clone()];
+        request.roster = Some(earlier);
+        request
+    });
+    for request in &requests {
+        leader.renew(request, &control, start);
+        assert_eq!(owners(&leader), [None]);
+    }
+    // Only the process that has read a reply of this term is known to hold it now.
+    let holder = &mut requests[1];
+    holder.number += 1;
+    holder.roster = Some(leader.version());
+    leader.renew(holder, &control, start);
+    assert_eq!(owners(&leader), [Some(2)]);
+}
