--- a/crates/fireflyspool/tests/leases.rs
+++ b/crates/fireflyspool/tests/leases.rs
@@ -164,3 +164,25 @@
     leader.renew(holder, &control, start);
     assert_eq!(owners(&leader), [Some(2)]);
 }
+
+/// Guards against a whole roster that was answered earlier than what is held and drops
+/// records that were added in between.
+#[test]
+fn a_whole_roster_older_than_the_held_one_is_ignored() {
+    let now = std::time::Instant::now();
+    let mut leader = roster::Roster::new(1, now, roster::Config::default());
+    let control = state::ControlState::default();
+    let mut holder = lease::Holder::new(site::member(1, 1), lease::Config::default());
+    let (first, second) = (holder.request(now), holder.request(now));
+    leader.expire(now + roster::LEASE_DURATION);
+    let now = now + roster::LEASE_DURATION;
+    // The second request overtakes the first, and a member joins between their answers.
+    let older = leader.renew(&second, &control, now);
+    let mut joined = lease::Holder::new(site::member(2, 1), lease::Config::default());
+    leader.renew(&joined.request(now), &control, now);
+    let newer = leader.renew(&first, &control, now);
+    for grant in [newer, older] {
+        holder.reply(roster::RenewReply::Granted(grant), now, now);
+        assert_eq!(holder.view().members.len(), 2);
+    }
+}
