End every attempt before the lease of its owner ends

An attempt that ran past the lease could overlap those of the backend server's next owner, so the sum of both could pass the slots. Attempts now carry a deadline 20 ms before the end of the lease at most.

Connections that could not be set up ahead of need are reported as failed; before, their count was never given back.

--- a/crates/fireflyspool/src/dispatch/placement.rs
+++ b/crates/fireflyspool/src/dispatch/placement.rs
@@ -5,6 +5,13 @@
 use crate::dispatch::{attempt, backlog, fleet, place, queue_key, target, upkeep, waiting};
 use crate::{backend, dispatch, ids, outcome, view};
 
+/// Time before the end of the lease at which every attempt ends.
+///
+/// Another VM may own the backend server once the lease has run out. Attempts
+/// that the server stops before then cannot add to those of the new owner; the
+/// margin covers the way to the server.
+const HANDOVER_MARGIN: time::Duration = time::Duration::from_millis(20);
+
 impl dispatch::Dispatcher {
     /// Offers free permits to a sub-request that has just been queued.
     pub(super) fn place(
@@ -160,9 +167,12 @@
         if !self.may_send(key, view, now) {
             return false;
         }
-        let Some(entry) = self.backlog.take(position) else {
+        let Some(mut entry) = self.backlog.take(position) else {
             return false;
         };
+        if let Some(until) = view.lease_until {
+            entry.deadline = entry.deadline.min(until - HANDOVER_MARGIN).max(now);
+        }
         let id = self.attempts.draw();
         let decision = self.decision(&entry, Some((key, id)), reason, now);
         self.actions.push(dispatch::Action::Log(decision));
--- a/crates/fireflyspool/src/traffic/service_task.rs
+++ b/crates/fireflyspool/src/traffic/service_task.rs
@@ -221,9 +221,7 @@
         address: net::SocketAddr,
         count: u32,
     ) {
-        let Some(client) = self.client(server, address) else {
-            return;
-        };
+        let client = self.client(server, address);
         for _ in 0..count {
             let Some(sender) = self.sender.upgrade() else {
                 return;
@@ -231,7 +229,11 @@
             let client = client.clone();
             let server = server.to_owned();
             tokio::spawn(async move {
-                let event = if client.open().await {
+                let opened = match client {
+                    Some(client) => client.open().await,
+                    None => false,
+                };
+                let event = if opened {
                     dispatch::Event::Opened {
                         server,
                         incarnation,
--- a/crates/fireflyspool/tests/dispatch/world_driver.rs
+++ b/crates/fireflyspool/tests/dispatch/world_driver.rs
@@ -82,6 +82,10 @@
             fingerprint,
             open: true,
         };
+        let outlives = |until| sent.deadline > until;
+        if self.view.lease_until.is_some_and(outlives) {
+            self.violate(format!("attempt {attempt} may outlive the lease"));
+        }
         let process = sent.process;
         self.sent.insert(attempt, sent);
         self.later(timeout, happening::Happening::GiveUp(attempt));
