--- a/crates/fireflyspool/tests/simulation/node.rs
+++ b/crates/fireflyspool/tests/simulation/node.rs
@@ -17,7 +17,9 @@
     pub(crate) state: State,
     /// Last entry handed out, to check the order.
     pub(crate) applied: ids::LogIndex,
-    /// Position of the last member list that this process wrote as leader.
+    /// Latest term that this process led, and its first entry.
+    pub(crate) opened: (ids::Term, ids::LogIndex),
+    /// Position of the last member list that this process wrote in that term.
     pub(crate) members_written: ids::LogIndex,
 }
 
@@ -83,6 +85,7 @@
             timer: None,
             state: State::new(),
             applied,
+            opened: (0, 0),
             members_written: 0,
         });
         actions
