--- a/crates/fireflyspool/tests/query_failures.rs
+++ b/crates/fireflyspool/tests/query_failures.rs
@@ -153,3 +153,22 @@
     run.answer(2);
     run.complete();
 }
+
+/// Guards against a retry storm: when every attempt fails, no more is retried
+/// than the budget allows, less what is kept for urgent requests.
+#[test]
+fn retries_stop_when_the_budget_is_spent() {
+    let now = time::Instant::now();
+    let view = coordination::full_view(&[(4, 56)], 15, 3, now);
+    let mut search = coordination::search("1-a");
+    search.partial = true;
+    let mut run = query_run::Run::start(search, view, now);
+    for position in 0..56 {
+        run.reply(
+            position,
+            query_run::failed(dispatch::FailureCause::BadReply),
+        );
+    }
+    // 16 at the start and 5 earned by 56 first attempts, less the reserve of 8.
+    assert_eq!(run.sent.len(), 56 + 16 + 5 - 8);
+}
