Test that a foreign hit with a right score is a fault

Cause: with the check of hit identifiers removed, all tests passed, because the check of absent hits noticed the same lies. Change: false_claims_are_faults alters only an identifier. The planted fault was not run again with this test.

--- a/crates/bench/tests/load_checks.rs
+++ b/crates/bench/tests/load_checks.rs
@@ -111,6 +111,14 @@
         matches!(faults[0], load::Fault::MixedVersions { .. }),
         "{faults:?}"
     );
+    // Only the check of identifiers notices a foreign hit with a right score.
+    let mut foreign = answer(&search, &[0, 1, 2, 3, 4]);
+    foreign.hits[0].id.push('0');
+    let faults = verifier().check(&search, &outcome::Outcome::Complete(foreign));
+    assert!(
+        matches!(faults[..], [load::Fault::ForeignHit(_)]),
+        "{faults:?}"
+    );
     let submission = request(None, 10);
     let swapped = verifier().check(&submission, &outcome::Outcome::Partial(partial));
     assert!(swapped.contains(&load::Fault::WrongForm("partial")));
