Share identical reads, cache routes per view and record late ends of submissions

A submission whose answer arrives after its caller was told is still recorded, so that a resend gets the receipt.

--- a/crates/bench/tests/site/mod.rs
+++ b/crates/bench/tests/site/mod.rs
@@ -437,10 +437,18 @@
     bench.with_file_name("fireflyspool")
 }
 
+/// Ports below the range from which outgoing connections take theirs, so that
+/// none of them is taken between this look and the start of a VM.
 fn free_ports(count: usize) -> Vec<net::SocketAddr> {
-    let listeners: Vec<_> = (0..count)
-        .map(|_| net::TcpListener::bind("127.0.0.1:0").expect("a free port"))
-        .collect();
-    let address = |listener: &net::TcpListener| listener.local_addr().expect("an address");
-    listeners.iter().map(address).collect()
+    const FIRST: u32 = 20_000;
+    const RANGE: u32 = 12_000;
+    static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
+    let start = process::id().wrapping_mul(97);
+    let candidates = std::iter::repeat_with(|| {
+        let step = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
+        let port = FIRST + start.wrapping_add(step) % RANGE;
+        net::SocketAddr::from(([127, 0, 0, 1], u16::try_from(port).expect("a port")))
+    });
+    let free = |address: &net::SocketAddr| net::TcpListener::bind(address).is_ok();
+    candidates.filter(free).take(count).collect()
 }
--- a/crates/fireflyspool/src/traffic/admission_task.rs
+++ b/crates/fireflyspool/src/traffic/admission_task.rs
@@ -69,7 +69,6 @@
         let limits = {
             let view = self.shared.view.load();
             let mut budgets = self.shared.budgets();
-            budgets.peak.configure(&view);
             admission::Limits::from_catalog(&view.catalog, budgets.peak.is_peak(now))
         };
         for action in self.admission.handle(event, &limits, now) {
--- a/crates/fireflyspool/src/traffic/entry_node.rs
+++ b/crates/fireflyspool/src/traffic/entry_node.rs
@@ -30,6 +30,8 @@
     control: traffic::ControlClient,
     admission: traffic::AdmissionSender,
     drain: arc_swap::ArcSwap<shutdown::AnyDrain>,
+    reads: traffic::SharedReads,
+    routes: sync::Mutex<plan::RouteCache>,
     running: sync::Arc<atomic::AtomicUsize>,
     ticket: atomic::AtomicU64,
 }
@@ -46,6 +48,8 @@
             ),
             admission: traffic::AdmissionTask::start(sync::Arc::clone(&shared)),
             drain: arc_swap::ArcSwap::default(),
+            reads: traffic::SharedReads::default(),
+            routes: sync::Mutex::default(),
             running: sync::Arc::default(),
             ticket: atomic::AtomicU64::new(1),
             shared,
@@ -89,6 +93,26 @@
         &self.admission
     }
 
+    /// Reads in flight.
+    pub fn reads(&self) -> &traffic::SharedReads {
+        &self.reads
+    }
+
+    /// Plans a search against the latest view.
+    ///
+    /// # Errors
+    ///
+    /// Returns the [`plan::PlanError`] of the planner.
+    pub fn plan(&self, search: &plan::Search) -> Result<plan::Plan, plan::PlanError> {
+        let view = self.shared.view.load();
+        let now = time::Instant::now();
+        let mut routes = self
+            .routes
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        routes.plan(search, &view, now, self.shared.entropy())
+    }
+
     /// Next number of a request of this process.
     pub fn next_ticket(&self) -> ids::Ticket {
         self.ticket.fetch_add(1, atomic::Ordering::Relaxed)
@@ -471,6 +495,12 @@
         metrics
             .dropped_lines
             .set(i64::try_from(dropped).unwrap_or(i64::MAX));
+        {
+            let mut budgets = self.shared.budgets();
+            let record = budgets.peak.record(now);
+            metrics.set_state("minute_subrequests", record.total() as i64);
+            metrics.set_state("month_peak_minute", record.month_peak() as i64);
+        }
         let sums = self.gauges().await;
         metrics.set_state("waiting_subrequests", sums.waiting as i64);
         metrics.set_state("running_attempts", sums.running as i64);
--- a/crates/fireflyspool/src/traffic/mod.rs
+++ b/crates/fireflyspool/src/traffic/mod.rs
@@ -16,6 +16,7 @@
 mod service_table;
 mod service_task;
 mod shared;
+mod shared_reads;
 mod show_view;
 mod submission_task;
 
@@ -30,5 +31,6 @@
 pub use service_table::ServiceTable;
 pub use service_task::{ServiceSender, ServiceTask};
 pub use shared::Shared;
+pub use shared_reads::SharedReads;
 pub use show_view::show_view;
 pub use submission_task::SubmissionTask;
--- a/crates/fireflyspool/src/traffic/query_task.rs
+++ b/crates/fireflyspool/src/traffic/query_task.rs
@@ -44,19 +44,29 @@
         }
     }
 
-    /// Runs the search to its outcome.
+    /// Runs the search to its outcome, or waits for an identical one.
     pub async fn run(mut self) -> outcome::Outcome {
-        let view = self.view();
-        let planned = plan::plan(&self.search, &view, time::Instant::now(), self.entropy());
-        let cost = match planned {
-            Ok(plan) => u32::try_from(plan.routes.total()).unwrap_or(u32::MAX),
+        let plan = match self.node.plan(&self.search) {
+            Ok(plan) => plan,
             Err(error) => return outcome::Outcome::NotRun(error.refusal(&self.search)),
         };
-        drop(view);
-        let ticket = match self.admit(cost).await {
-            Ok(ticket) => ticket,
-            Err(refusal) => return outcome::Outcome::NotRun(*refusal),
-        };
+        let ticket = self.node.next_ticket();
+        let reads = self.node.reads();
+        if let Some(end) = reads.join(&self.search, &plan, ticket, self.received)
+            && let Ok(admission::Release::Answered { outcome, .. }) = end.await
+        {
+            return outcome;
+        }
+        let cost = u32::try_from(plan.routes.total()).unwrap_or(u32::MAX);
+        let outcome = self.run_alone(ticket, cost).await;
+        self.node.reads().finish(ticket, &outcome);
+        outcome
+    }
+
+    async fn run_alone(&mut self, ticket: ids::Ticket, cost: u32) -> outcome::Outcome {
+        if let Err(refusal) = self.admit(ticket, cost).await {
+            return outcome::Outcome::NotRun(*refusal);
+        }
         let outcome = self.gather().await;
         let in_time = self.received.elapsed() <= self.search.deadline;
         let end = if in_time {
@@ -68,8 +78,7 @@
         outcome
     }
 
-    async fn admit(&self, cost: u32) -> Result<ids::Ticket, Box<outcome::Refusal>> {
-        let ticket = self.node.next_ticket();
+    async fn admit(&self, ticket: ids::Ticket, cost: u32) -> Result<(), Box<outcome::Refusal>> {
         let event = admission::Event::Arrived {
             ticket,
             kind: self.search.kind,
@@ -82,7 +91,7 @@
             return Err(self.refuse(outcome::RefusalReason::Overloaded, None));
         }
         match decision.await {
-            Ok(admission::Action::Start { ticket }) => Ok(ticket),
+            Ok(admission::Action::Start { .. }) => Ok(()),
             Ok(admission::Action::Refuse {
                 reason,
                 retry_after,
@@ -119,7 +128,7 @@
     async fn gather(&mut self) -> outcome::Outcome {
         let now = time::Instant::now();
         let view = self.view();
-        let plan = match plan::plan(&self.search, &view, now, self.entropy()) {
+        let plan = match self.node.plan(&self.search) {
             Ok(plan) => plan,
             Err(error) => return outcome::Outcome::NotRun(error.refusal(&self.search)),
         };
--- a/crates/fireflyspool/src/traffic/submission_task.rs
+++ b/crates/fireflyspool/src/traffic/submission_task.rs
@@ -2,7 +2,10 @@
 
 use std::{sync, time};
 
-use tokio::{sync::Notify, task};
+use tokio::{
+    sync::{Notify, oneshot},
+    task,
+};
 
 use crate::{gather, ids, outcome, state, traffic};
 
@@ -19,7 +22,7 @@
     received: time::Instant,
     claimant: u64,
     calls: task::JoinSet<gather::SubmissionEvent>,
-    finished: Option<outcome::Outcome>,
+    report: Option<oneshot::Sender<outcome::Outcome>>,
 }
 
 impl SubmissionTask {
@@ -36,24 +39,36 @@
             received,
             claimant,
             calls: task::JoinSet::new(),
-            finished: None,
+            report: None,
         }
     }
 
     /// Runs the submission to its outcome.
+    ///
+    /// The work goes on in a task of its own: an answer that arrives after the
+    /// caller was told must still be recorded for its resend.
     pub async fn run(mut self) -> outcome::Outcome {
+        let request = self.submit.request.clone();
+        let (sender, receiver) = oneshot::channel();
+        self.report = Some(sender);
+        tokio::spawn(self.drive());
+        receiver.await.unwrap_or(outcome::Outcome::Unknown {
+            request,
+            detail: "the submission ended without an outcome".to_owned(),
+        })
+    }
+
+    async fn drive(mut self) {
         let (mut coordinator, actions) =
             gather::SubmissionCoordinator::start(self.submit.clone(), self.received);
         self.execute(actions).await;
         let wake = sync::Arc::new(Notify::new());
         if let Some(at) = coordinator.next_wake() {
             let wake = sync::Arc::clone(&wake);
-            self.node
-                .shared()
-                .timer
-                .subscribe(at, move || wake.notify_one());
+            let timer = &self.node.shared().timer;
+            timer.subscribe(at, move || wake.notify_one());
         }
-        while self.finished.is_none() {
+        while self.report.is_some() || !self.calls.is_empty() {
             let event = tokio::select! {
                 ended = self.calls.join_next(), if !self.calls.is_empty() => match ended {
                     Some(Ok(event)) => event,
@@ -64,10 +79,6 @@
             let actions = self.step(&mut coordinator, event);
             self.execute(actions).await;
         }
-        self.finished.unwrap_or_else(|| outcome::Outcome::Unknown {
-            request: self.submit.request,
-            detail: "the submission ended without an outcome".to_owned(),
-        })
     }
 
     fn step(
@@ -92,7 +103,12 @@
                 gather::SubmissionAction::Record { request, end } => {
                     self.record(request, end).await;
                 }
-                gather::SubmissionAction::Finish(outcome) => self.finished = Some(outcome),
+                gather::SubmissionAction::Finish(outcome) => {
+                    if let Some(report) = self.report.take() {
+                        // The caller may have gone away.
+                        let _ = report.send(outcome);
+                    }
+                }
             }
         }
     }
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -15,7 +15,8 @@
 free_base() {
     local base try
     for try in $(seq 50); do
-        base=$((20000 + RANDOM % 20000))
+        # Below the range from which outgoing connections take their ports.
+        base=$((20000 + RANDOM % 12000))
         for offset in $(seq 1 40); do
             port_is_free $((base + offset)) || continue 2
         done
