Make the freeze test bite: the thawed VM cannot reach the control VMs

With a lease that never ends, the test now fails (a partial answer in place of the refusal); before, the VM renewed its lease ahead of the first request and the fault passed.

--- a/crates/bench/tests/processes.rs
+++ b/crates/bench/tests/processes.rs
@@ -55,24 +55,39 @@
 }
 
 /// Guards against a frozen entry VM that acts on a configuration which was
-/// replaced while it was stopped.
+/// replaced while it was stopped, before it has heard of the new one.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_thawed_entry_vm_sends_nothing_to_a_zone_taken_out() {
-    let mut site = site::Site::start(4, &ZONES).await;
+    let mut site = site::Site::start(4, &["a", "c", "c", "b"]).await;
     site.start_searchers(&["a", "b"], 2, "").await;
     assert!(is_complete(
         &site.query_at(4, SEARCH).await.expect("an answer")
     ));
-    // VM 2 is the one of zone b, so it owns the backend servers there.
-    site.signal(2, "STOP");
+    // VM 4 is the only one of zone b, so it owns the backend servers there.
+    site.signal(4, "STOP");
     site.accept("take out zone b").await;
     let before = site.runs("b").await;
-    site.signal(2, "CONT");
-    for _ in 0..20 {
-        let outcome = site.query_at(2, SEARCH).await.expect("an answer");
-        let refused = matches!(outcome, outcome::Outcome::NotRun(_));
-        assert!(refused || is_complete(&outcome), "{outcome:?}");
+    // With the control VMs stopped, VM 4 cannot learn of the change.
+    for vm in 1..=3 {
+        site.signal(vm, "STOP");
+    }
+    site.signal(4, "CONT");
+    for _ in 0..10 {
+        let outcome = site.query_at(4, SEARCH).await.expect("an answer");
+        let outcome::Outcome::NotRun(refusal) = outcome else {
+            panic!("{outcome:?}")
+        };
+        assert_eq!(refusal.reason, outcome::RefusalReason::NoLease);
+    }
+    for vm in 1..=3 {
+        site.signal(vm, "CONT");
     }
+    site.until("VM 4 to serve again", async |site| {
+        site.query_at(4, SEARCH)
+            .await
+            .is_ok_and(|outcome| is_complete(&outcome))
+    })
+    .await;
     assert_eq!(site.runs("b").await, before);
 }
 
