--- a/crates/bench/src/searcher/cancel_reply.rs
+++ b/crates/bench/src/searcher/cancel_reply.rs
@@ -3,7 +3,15 @@
 use fireflyspool::{backend, ids};
 
 /// What became of an attempt that was cancelled.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    serde::Deserialize
+)]
 pub struct CancelReply {
     /// Attempt that was to be cancelled.
     pub attempt: ids::AttemptId,
--- a/crates/fireflyspool/src/backend/hosted_shard.rs
+++ b/crates/fireflyspool/src/backend/hosted_shard.rs
@@ -4,7 +4,15 @@
 
 /// Shard of one index version of one collection.
 #[derive(
-    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize
 )]
 pub struct HostedShard {
     /// Collection.
--- a/crates/fireflyspool/src/backend/phase.rs
+++ b/crates/fireflyspool/src/backend/phase.rs
@@ -2,7 +2,15 @@
 
 /// Phase that a backend server announces.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize
 )]
 #[serde(rename_all = "lowercase")]
 pub enum Phase {
--- a/crates/fireflyspool/src/consensus/change_refusal.rs
+++ b/crates/fireflyspool/src/consensus/change_refusal.rs
@@ -2,7 +2,14 @@
 
 /// Why a leader refused a membership change.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, thiserror::Error, serde::Serialize, serde::Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    thiserror::Error,
+    serde::Serialize,
+    serde::Deserialize
 )]
 #[serde(rename_all = "snake_case")]
 pub enum ChangeRefusal {
--- a/crates/fireflyspool/src/control/mailbox.rs
+++ b/crates/fireflyspool/src/control/mailbox.rs
@@ -13,11 +13,6 @@
     sender: mpsc::SyncSender<control::Event>,
 }
 
-/// The control thread has ended or its queue is full.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the control thread takes no events")]
-pub struct MailboxClosed;
-
 impl Mailbox {
     /// A mailbox and the receiving side for the control thread.
     pub fn new() -> (Self, mpsc::Receiver<control::Event>) {
@@ -29,8 +24,10 @@
     ///
     /// # Errors
     ///
-    /// Returns [`MailboxClosed`] if the queue is full or the thread has ended.
-    pub fn send(&self, event: control::Event) -> Result<(), MailboxClosed> {
-        self.sender.try_send(event).map_err(|_| MailboxClosed)
+    /// Returns [`control::MailboxClosed`] if the queue is full or the thread has ended.
+    pub fn send(&self, event: control::Event) -> Result<(), control::MailboxClosed> {
+        self.sender
+            .try_send(event)
+            .map_err(|_| control::MailboxClosed)
     }
 }
--- a/crates/fireflyspool/src/control/shown.rs
+++ b/crates/fireflyspool/src/control/shown.rs
@@ -1,7 +1,15 @@
 //! Answer to a `show` statement.
 
 /// Table of one part of the state.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    serde::Deserialize
+)]
 pub struct Shown {
     /// Names of the columns.
     pub columns: Vec<String>,
--- /dev/null
+++ b/crates/fireflyspool/src/control/voter_apply.rs
@@ -0,0 +1,141 @@
+//! Execution of the replica's actions.
+
+use std::{collections, time};
+
+use crate::{consensus, control, ids, roster, state};
+
+/// Applied entries after which the state is saved and the log cut.
+///
+/// At 3,600 changes a day this is about once a day; a restart reads at most
+/// this many entries.
+const ENTRIES_PER_SNAPSHOT: u64 = 4_096;
+
+impl control::Voter {
+    pub(super) fn persist(
+        &mut self,
+        actions: &collections::VecDeque<consensus::Action>,
+    ) -> Result<(), control::ControlError> {
+        let record = |action: &consensus::Action| match action {
+            consensus::Action::Persist(record) => Some(record.clone()),
+            _ => None,
+        };
+        let records: Vec<_> = actions.iter().filter_map(record).collect();
+        if !records.is_empty() {
+            self.folder.append(&records)?;
+        }
+        Ok(())
+    }
+
+    pub(super) fn execute(
+        &mut self,
+        action: consensus::Action,
+        outlet: &dyn control::Outlet,
+        now: time::Instant,
+    ) -> Result<(), control::ControlError> {
+        match action {
+            consensus::Action::Persist(_) => {}
+            consensus::Action::Send(envelope) => {
+                if let Some(address) = self.address_of(envelope.to) {
+                    outlet.send(address, envelope);
+                }
+            }
+            consensus::Action::SetTimer(at) => self.timer = Some(at),
+            consensus::Action::Apply {
+                index,
+                payload,
+                ticket,
+                ..
+            } => {
+                self.apply(index, &payload, ticket, outlet, now)?;
+            }
+            consensus::Action::MembersChanged { members, .. } => {
+                let nodes: Vec<_> = members.iter().map(|member| member.node).collect();
+                slog::info!(self.logger, "control group changed"; "members" => ?nodes);
+            }
+            consensus::Action::Refuse { ticket, leader } => {
+                self.answer(ticket, control::ProposeReply::NotLeader { leader });
+            }
+            consensus::Action::RefuseChange { refusal, .. } => {
+                slog::debug!(self.logger, "membership step postponed"; "cause" => ?refusal);
+            }
+            consensus::Action::Uncertain { ticket } => {
+                self.answer(ticket, control::ProposeReply::Uncertain);
+            }
+            consensus::Action::Restore { snapshot } => {
+                self.state = state::ControlState::decode(&snapshot.bytes)?;
+                self.applied = snapshot.index;
+                self.unsaved = 0;
+                outlet.publish_control(self.addresses());
+            }
+            consensus::Action::RoleChanged { role, term, leader } => {
+                self.change_role(role, term, leader, now);
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn change_role(
+        &mut self,
+        role: consensus::Role,
+        term: ids::Term,
+        leader: Option<ids::NodeId>,
+        now: time::Instant,
+    ) {
+        slog::info!(self.logger, "role changed";
+            "role" => ?role, "term" => term, "leader" => leader);
+        if role == consensus::Role::Leader {
+            let same_term = self
+                .roster
+                .as_ref()
+                .is_some_and(|roster| roster.version().term == term);
+            if !same_term {
+                self.roster = Some(roster::Roster::new(term, now, self.lease));
+            }
+        } else {
+            self.roster = None;
+            // Dropped answers send their askers to the next leader.
+            self.in_force.clear();
+            self.claims.clear();
+            self.outcomes.clear();
+        }
+    }
+
+    pub(super) fn apply(
+        &mut self,
+        index: ids::LogIndex,
+        payload: &[u8],
+        ticket: Option<ids::Ticket>,
+        outlet: &dyn control::Outlet,
+        now: time::Instant,
+    ) -> Result<(), control::ControlError> {
+        let entry = state::Entry::decode(payload)?;
+        let applied = self.state.apply(&entry);
+        self.applied = index;
+        self.unsaved += 1;
+        if let state::Entry::Command { command, .. } = &entry {
+            self.log_command(command, &applied);
+            if !matches!(command.change, state::Directive::Change(_)) {
+                outlet.publish_control(self.addresses());
+                self.membership_due = now;
+            }
+        }
+        if let Some(waiter) = ticket.and_then(|ticket| self.waiters.remove(&ticket)) {
+            waiter.resolve(applied);
+        }
+        if self.unsaved >= ENTRIES_PER_SNAPSHOT {
+            self.unsaved = 0;
+            let snapshot = self.state.encode();
+            self.step(consensus::Event::Compact { index, snapshot }, outlet, now);
+        }
+        Ok(())
+    }
+
+    pub(super) fn log_command(&self, command: &state::Command, applied: &state::Applied) {
+        slog::info!(self.logger, "command applied";
+            "operator" => &command.operator,
+            "number" => command.number,
+            "change" => ?command.change,
+            "result" => ?applied,
+            "revision" => self.state.catalog.revision);
+    }
+}
--- a/crates/fireflyspool/src/dispatch/failure_cause.rs
+++ b/crates/fireflyspool/src/dispatch/failure_cause.rs
@@ -2,7 +2,15 @@
 
 /// Why a sub-request that may have run gave no usable answer.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize
 )]
 #[serde(rename_all = "snake_case")]
 pub enum FailureCause {
--- a/crates/fireflyspool/src/dispatch/skip_cause.rs
+++ b/crates/fireflyspool/src/dispatch/skip_cause.rs
@@ -2,7 +2,15 @@
 
 /// Why nothing of a sub-request ran.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize
 )]
 #[serde(rename_all = "snake_case")]
 pub enum SkipCause {
--- a/crates/fireflyspool/src/outcome/kind.rs
+++ b/crates/fireflyspool/src/outcome/kind.rs
@@ -12,7 +12,7 @@
     Ord,
     Hash,
     serde::Serialize,
-    serde::Deserialize,
+    serde::Deserialize
 )]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
--- a/crates/fireflyspool/src/outcome/refusal_reason.rs
+++ b/crates/fireflyspool/src/outcome/refusal_reason.rs
@@ -2,7 +2,16 @@
 
 /// Why a request was refused before anything of it ran.
 #[derive(
-    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+    Clone,
+    Copy,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize
 )]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalReason {
--- a/crates/fireflyspool/src/outcome/snapshot.rs
+++ b/crates/fireflyspool/src/outcome/snapshot.rs
@@ -3,7 +3,16 @@
 use crate::ids;
 
 /// Collection and index version.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize
+)]
 pub struct Snapshot {
     /// Collection that is searched.
     pub collection: ids::CollectionName,
--- a/crates/fireflyspool/src/roster/version.rs
+++ b/crates/fireflyspool/src/roster/version.rs
@@ -16,7 +16,7 @@
     PartialOrd,
     Ord,
     serde::Serialize,
-    serde::Deserialize,
+    serde::Deserialize
 )]
 pub struct Version {
     /// Term of the leader.
--- a/crates/fireflyspool/src/state/claim_book.rs
+++ b/crates/fireflyspool/src/state/claim_book.rs
@@ -33,7 +33,15 @@
 /// `floor` only rises, and an id issued at or below it is refused before any
 /// look-up. Only claims at or below it are dropped, so a dropped id never runs
 /// again.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    serde::Deserialize
+)]
 pub struct ClaimBook {
     clock: u64,
     floor: u64,
--- a/crates/fireflyspool/src/state/receipt_book.rs
+++ b/crates/fireflyspool/src/state/receipt_book.rs
@@ -18,7 +18,15 @@
 ///
 /// A full window drops its smallest number for each greater one, and a number
 /// below a full window is refused. A dropped number is therefore never run again.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(
+    Clone,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    serde::Serialize,
+    serde::Deserialize
+)]
 pub struct ReceiptBook {
     operators: sorted::SortedMap<ids::OperatorName, sorted::SortedMap<ids::CommandNumber, Record>>,
 }
--- a/crates/fireflyspool/src/telemetry/metrics.rs
+++ b/crates/fireflyspool/src/telemetry/metrics.rs
@@ -8,21 +8,17 @@
     registry,
 };
 
+use crate::telemetry;
+
 /// Upper bounds of the latency buckets in seconds.
 const LATENCY_BUCKETS: [f64; 14] = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.04, 0.078, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5, 10.0,
 ];
 
-/// Label set with one label.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, prometheus_client::encoding::EncodeLabelSet)]
-pub struct Label {
-    /// Value that tells the series apart.
-    pub name: String,
-}
-
-type Counters = family::Family<Label, counter::Counter>;
-type Gauges = family::Family<Label, gauge::Gauge<i64, atomic::AtomicI64>>;
-type Latencies = family::Family<Label, histogram::Histogram, fn() -> histogram::Histogram>;
+type Counters = family::Family<telemetry::Label, counter::Counter>;
+type Gauges = family::Family<telemetry::Label, gauge::Gauge<i64, atomic::AtomicI64>>;
+type Latencies =
+    family::Family<telemetry::Label, histogram::Histogram, fn() -> histogram::Histogram>;
 
 /// All metrics, with their registry.
 pub struct Metrics {
@@ -91,7 +87,7 @@
     /// Counts one event of a family.
     pub fn count(family: &Counters, name: &str) {
         family
-            .get_or_create(&Label {
+            .get_or_create(&telemetry::Label {
                 name: name.to_owned(),
             })
             .inc();
@@ -100,7 +96,7 @@
     /// Sets one gauge of the state family.
     pub fn set_state(&self, name: &str, value: i64) {
         self.state
-            .get_or_create(&Label {
+            .get_or_create(&telemetry::Label {
                 name: name.to_owned(),
             })
             .set(value);
@@ -108,7 +104,7 @@
 
     /// Records a latency.
     pub fn observe(&self, kind: &str, elapsed: std::time::Duration) {
-        let label = Label {
+        let label = telemetry::Label {
             name: kind.to_owned(),
         };
         self.latency
--- a/crates/fireflyspool/src/traffic/mod.rs
+++ b/crates/fireflyspool/src/traffic/mod.rs
@@ -7,11 +7,16 @@
 
 mod admission_message;
 mod admission_task;
+mod caller_requests;
 mod command_outcome;
 mod control_client;
 mod entry_node;
+mod node_metrics;
+mod operator_requests;
+mod owner_requests;
 mod query_task;
 mod running_guard;
+mod service_calls;
 mod service_message;
 mod service_table;
 mod service_task;
