--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -17,7 +17,7 @@
     for try in $(seq 50); do
         # Below the range from which outgoing connections take their ports.
         base=$((20000 + RANDOM % 12000))
-        for offset in $(seq 1 40); do
+        for offset in $(seq 1 60) $(seq 201 260); do
             port_is_free $((base + offset)) || continue 2
         done
         echo "$base"
@@ -35,7 +35,7 @@
     base=$(free_base)
     (umask 077; head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$work/key")
     for n in $(seq "$controls"); do
-        control+="  - {node: $n, rpc: '127.0.0.1:$((base + 20 + n))'}"$'\n'
+        control+="  - {node: $n, rpc: '127.0.0.1:$((base + 200 + n))'}"$'\n'
     done
     for n in $(seq "$vms"); do
         local roles="[entry]" data=""
@@ -46,7 +46,7 @@
 zone: ${zones[$(((n - 1) % ${#zones[@]}))]}
 roles: $roles
 http: 127.0.0.1:$((base + n))
-rpc: 127.0.0.1:$((base + 20 + n))
+rpc: 127.0.0.1:$((base + 200 + n))
 key-file: key
 traffic-threads: ${threads:-0}
 log-placements: ${placements:-true}
