--- a/crates/bench/src/load/latency.rs
+++ b/crates/bench/src/load/latency.rs
@@ -30,7 +30,8 @@
         let quantile = |share| histogram.value_at_quantile(share) as f64 / 1e3;
         Self {
             count: histogram.len(),
-            mean_ms: histogram.mean() / 1e3,
+            // Whole microseconds: the JSON reader does not restore the last digit of long fractions.
+            mean_ms: histogram.mean().round() / 1e3,
             p50_ms: quantile(0.5),
             p90_ms: quantile(0.9),
             p99_ms: quantile(0.99),
