--- a/crates/fireflyspool/src/cli/arguments.rs
+++ b/crates/fireflyspool/src/cli/arguments.rs
@@ -42,6 +42,9 @@
     /// Create the data folder of a control VM
     #[command(subcommand)]
     Data(cli::DataArguments),
+    /// Run a process on the users' platform
+    #[command(subcommand)]
+    Platform(cli::PlatformArguments),
     /// Look into a data folder
     #[command(subcommand)]
     Snapshot(cli::SnapshotArguments),
--- a/crates/fireflyspool/src/cli/run.rs
+++ b/crates/fireflyspool/src/cli/run.rs
@@ -4,7 +4,7 @@
 
 use anyhow::Context;
 
-use crate::{cli, directory, language, outcome, rim, settings, storage, traffic};
+use crate::{cli, directory, language, outcome, platform, rim, settings, storage, traffic};
 
 /// Runs the parsed command line.
 ///
@@ -32,6 +32,7 @@
             caller,
         } => block_on(addresses(entry, service, caller)),
         cli::Arguments::Data(cli::DataArguments::Init { settings, join }) => init(&settings, join),
+        cli::Arguments::Platform(arguments) => run_platform(arguments),
         cli::Arguments::Snapshot(cli::SnapshotArguments::Inspect { folder, json }) => {
             inspect(&folder, json)
         }
@@ -132,6 +133,20 @@
     Ok(cli::ExitCode::Success)
 }
 
+fn run_platform(arguments: cli::PlatformArguments) -> anyhow::Result<cli::ExitCode> {
+    let cut = match arguments {
+        cli::PlatformArguments::Entry => platform::run_entry()?,
+        cli::PlatformArguments::Control => {
+            platform::run_control()?;
+            0
+        }
+    };
+    Ok(match cut {
+        0 => cli::ExitCode::Success,
+        _ => cli::ExitCode::Cut,
+    })
+}
+
 fn block_on(
     work: impl Future<Output = anyhow::Result<cli::ExitCode>>,
 ) -> anyhow::Result<cli::ExitCode> {
--- /dev/null
+++ b/crates/fireflyspool/src/configuration/caller_limits.rs
@@ -0,0 +1,25 @@
+//! Limits on what a caller may send.
+
+use std::time;
+
+/// Bounds on one connection of a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest request head, in bytes.
+    pub head_bytes: usize,
+    /// Largest request body, in bytes.
+    pub body_bytes: usize,
+    /// Time after which an idle connection may be closed.
+    pub idle: time::Duration,
+}
+
+impl Default for CallerLimits {
+    /// Limits in force before the first configuration arrives.
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 256 * 1024,
+            idle: time::Duration::from_secs(15),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/configuration/configuration.rs
@@ -0,0 +1,68 @@
+//! One version of the routing configuration.
+
+use crate::{configuration, ids, sorted};
+
+/// Routes and services of one version.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Configuration {
+    /// Version that the operator gave; higher ones replace lower ones.
+    pub version: ids::ConfigVersion,
+    /// Routes.
+    pub routes: Vec<configuration::Route>,
+    /// Services that routes may name.
+    pub services: sorted::SortedMap<ids::ServiceName, configuration::Service>,
+    /// Limits on what callers may send.
+    pub limits: configuration::CallerLimits,
+}
+
+impl Configuration {
+    /// Checks that every route can be followed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault as a [`configuration::ConfigurationError`].
+    pub fn validate(&self) -> Result<(), configuration::ConfigurationError> {
+        let mut places: Vec<(&str, &str)> = Vec::with_capacity(self.routes.len());
+        for route in &self.routes {
+            self.validate_route(route)?;
+            places.push((&route.host, &route.prefix));
+        }
+        places.sort_unstable();
+        match places.windows(2).find(|pair| pair[0] == pair[1]) {
+            Some(pair) => Err(configuration::ConfigurationError::SamePlace {
+                host: pair[0].0.to_owned(),
+                prefix: pair[0].1.to_owned(),
+            }),
+            None => Ok(()),
+        }
+    }
+
+    fn validate_route(
+        &self,
+        route: &configuration::Route,
+    ) -> Result<(), configuration::ConfigurationError> {
+        let name = || route.name.clone();
+        if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
+            return Err(configuration::ConfigurationError::Prefix { route: name() });
+        }
+        if route.timeout.is_zero() {
+            return Err(configuration::ConfigurationError::NoTimeout { route: name() });
+        }
+        if let configuration::Target::Split(shares) = &route.target
+            && !shares.iter().any(|share| share.weight > 0.0)
+        {
+            return Err(configuration::ConfigurationError::NoWeight { route: name() });
+        }
+        let mut services = route.target.services();
+        if services.clone().next().is_none() {
+            return Err(configuration::ConfigurationError::NoTarget { route: name() });
+        }
+        match services.find(|service| !self.services.contains_key(*service)) {
+            Some(service) => Err(configuration::ConfigurationError::UnknownService {
+                route: name(),
+                service: service.clone(),
+            }),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/configuration/document.rs
@@ -0,0 +1,15 @@
+//! The text of a configuration.
+
+use std::sync;
+
+use crate::ids;
+
+/// Configuration as its operator sent it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Document {
+    /// Version that the text names.
+    pub version: ids::ConfigVersion,
+    /// Text, byte for byte.
+    pub text: sync::Arc<str>,
+}
--- /dev/null
+++ b/crates/fireflyspool/src/configuration/mod.rs
@@ -0,0 +1,33 @@
+//! Routing configuration: which requests exist and which services answer them.
+//!
+//! Operators replace the configuration as a whole. A [`Document`] is the text
+//! as it was received, with its version; it is what the replicated log holds
+//! and what a read returns. A [`Format`] turns it into a [`Configuration`],
+//! which [`RoutingTable`] indexes for lookups on every request.
+//!
+//! The highest version wins everywhere. A document of the version in force
+//! with other content never replaces it.
+
+mod caller_limits;
+mod configuration;
+mod configuration_error;
+mod document;
+mod format;
+mod gather;
+mod route;
+mod routing_table;
+mod service;
+mod split_share;
+mod target;
+
+pub use caller_limits::CallerLimits;
+pub use configuration::Configuration;
+pub use configuration_error::ConfigurationError;
+pub use document::Document;
+pub use format::Format;
+pub use gather::Gather;
+pub use route::Route;
+pub use routing_table::RoutingTable;
+pub use service::Service;
+pub use split_share::SplitShare;
+pub use target::Target;
--- a/crates/fireflyspool/src/control/entry_side.rs
+++ b/crates/fireflyspool/src/control/entry_side.rs
@@ -51,6 +51,26 @@
         outlet.renew(node, address, self.holder.request(now));
     }
 
+    /// Handles an event that belongs to the lease; returns any other.
+    pub fn handle(
+        &mut self,
+        event: control::Event,
+        outlet: &dyn control::Outlet,
+        now: time::Instant,
+    ) -> Option<control::Event> {
+        match event {
+            control::Event::RenewalEnded { sent, reply } => {
+                self.renewal_ended(reply.map(|reply| *reply), sent, outlet, now);
+            }
+            control::Event::Announce(announcement) => self.announce(&announcement, outlet, now),
+            control::Event::Crash(report) => self.crash(report, now),
+            control::Event::Released(server) => self.released(&server, now),
+            control::Event::Load(load) => self.set_load(load),
+            other => return Some(other),
+        }
+        None
+    }
+
     /// Takes the end of a renewal and publishes the resulting view.
     pub fn renewal_ended(
         &mut self,
--- a/crates/fireflyspool/src/control/event.rs
+++ b/crates/fireflyspool/src/control/event.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::{backend, consensus, control, ids, language, roster, state};
+use crate::{backend, consensus, control, hub, ids, language, roster, state};
 
 /// Message to the control thread.
 ///
@@ -34,6 +34,13 @@
         /// Where the answer goes.
         reply: oneshot::Sender<control::ProposeReply>,
     },
+    /// An order for the replicated state.
+    Order {
+        /// The order.
+        order: state::Order,
+        /// Where the answer goes; dropped if the result is open.
+        reply: oneshot::Sender<control::OrderReply>,
+    },
     /// Asks to be told when a revision is in force everywhere.
     AwaitInForce {
         /// The revision.
@@ -72,6 +79,10 @@
     Load(u32),
     /// This entry VM is shutting down.
     Leave,
+    /// For the hub of this control VM.
+    Hub(control::HubEvent),
+    /// The poll of this entry VM has ended; `None` if there was no answer.
+    Polled(Option<Box<hub::FollowReply>>),
     /// A deadline has come.
     Timer,
     /// The thread must end.
--- /dev/null
+++ b/crates/fireflyspool/src/control/hub_event.rs
@@ -0,0 +1,52 @@
+//! Events of the hub.
+
+use std::net;
+
+use tokio::sync::oneshot;
+
+use crate::{control, hub, ids, registry};
+
+/// Message for the hub of a control VM.
+pub enum HubEvent {
+    /// Report of a backend server.
+    Report {
+        /// The report.
+        report: Box<registry::Report>,
+        /// Told the address for later reports once the report is safe; dropped
+        /// if it is not.
+        reply: oneshot::Sender<net::SocketAddr>,
+    },
+    /// A backend server says that it ended.
+    Depart {
+        /// Backend server.
+        server: ids::ServerName,
+        /// Start of its life, if it told.
+        born: Option<ids::BornMillis>,
+        /// Told the address for reports once the departure is safe; dropped if
+        /// it is not.
+        reply: oneshot::Sender<net::SocketAddr>,
+    },
+    /// Batch of another hub.
+    Batch {
+        /// The batch.
+        batch: Box<hub::Batch>,
+        /// Where the answer goes.
+        reply: oneshot::Sender<hub::Ack>,
+    },
+    /// The exchange with another hub has ended.
+    Exchanged {
+        /// Listener of the other hub.
+        peer: net::SocketAddr,
+        /// Answer; `None` if there was none.
+        ack: Option<hub::Ack>,
+    },
+    /// Poll of an entry VM.
+    Follow {
+        /// The poll.
+        request: Box<hub::FollowRequest>,
+        /// Where the answer goes.
+        reply: oneshot::Sender<hub::FollowReply>,
+    },
+    /// The request of this VM to join the control group has ended.
+    Joined(Option<control::OrderReply>),
+}
--- a/crates/fireflyspool/src/control/outlet.rs
+++ b/crates/fireflyspool/src/control/outlet.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::{consensus, ids, roster, view};
+use crate::{consensus, fleet, hub, ids, roster, state, view};
 
 /// Side effects of the control thread.
 ///
@@ -24,6 +24,30 @@
     /// Publishes the addresses of the control VMs.
     fn publish_control(&self, addresses: Vec<(ids::NodeId, net::SocketAddr)>);
 
+    /// Sends a batch to another hub and reports [`crate::control::HubEvent::Exchanged`].
+    ///
+    /// Only control VMs with a hub need this and the next two.
+    fn exchange(&self, _peer: net::SocketAddr, _batch: hub::Batch) {}
+
+    /// Sends an order to a control VM and reports [`crate::control::HubEvent::Joined`].
+    fn order(&self, _peer: net::SocketAddr, _order: state::Order) {}
+
+    /// Publishes the addresses for callers.
+    fn publish_addresses(&self, _book: hub::AddressBook) {}
+
+    /// Polls a control VM and reports [`crate::control::Event::Polled`].
+    ///
+    /// Only entry VMs that follow a hub need this and the next two.
+    fn follow(&self, _hub: net::SocketAddr, _request: hub::FollowRequest) {}
+
+    /// Publishes what this entry VM knows to the traffic threads.
+    fn publish_fleet(&self, _view: fleet::View) {}
+
+    /// Backend servers that the traffic threads do not use until they are heard again.
+    fn suspended(&self) -> Vec<ids::ServerName> {
+        Vec::new()
+    }
+
     /// Raises [`crate::control::Event::Timer`] at that time; replaces an earlier call.
     fn wake_at(&self, at: time::Instant);
 
--- a/crates/fireflyspool/src/control/voter.rs
+++ b/crates/fireflyspool/src/control/voter.rs
@@ -88,6 +88,24 @@
         [self.timer, roster, membership].into_iter().flatten().min()
     }
 
+    /// Whether this replica leads.
+    pub fn leads(&self) -> bool {
+        self.replica.is_leader()
+    }
+
+    /// Proposes an order that nobody waits for.
+    pub fn retire(
+        &mut self,
+        order: state::Order,
+        outlet: &dyn control::Outlet,
+        now: time::Instant,
+    ) {
+        slog::info!(self.logger, "member of the control group replaced"; "order" => ?order);
+        let (reply, _) = oneshot::channel();
+        let entry = state::Entry::Order(order);
+        self.propose(&entry, waiter::Waiter::Order(reply), outlet, now);
+    }
+
     /// Takes an event; answers and messages go out with the next [`Voter::flush`].
     pub fn handle(
         &mut self,
@@ -105,6 +123,10 @@
             control::Event::Propose { command, reply } => {
                 self.propose_command(command, reply, outlet, now);
             }
+            control::Event::Order { order, reply } => {
+                let entry = state::Entry::Order(order);
+                self.propose(&entry, waiter::Waiter::Order(reply), outlet, now);
+            }
             control::Event::AwaitInForce { revision, reply }
                 // Dropping the answer tells the asker to look for the leader elsewhere.
                 if self.roster.is_some() => {
--- a/crates/fireflyspool/src/control/voter_apply.rs
+++ b/crates/fireflyspool/src/control/voter_apply.rs
@@ -119,6 +119,9 @@
                 self.membership_due = now;
             }
         }
+        if let state::Entry::Order(order) = &entry {
+            self.log_order(order, outlet);
+        }
         if let Some(waiter) = ticket.and_then(|ticket| self.waiters.remove(&ticket)) {
             waiter.resolve(applied);
         }
@@ -130,6 +133,21 @@
         Ok(())
     }
 
+    fn log_order(&mut self, order: &state::Order, outlet: &dyn control::Outlet) {
+        match order {
+            state::Order::Configure(document) => {
+                let held = self.state.document.as_ref().map(|held| held.version);
+                slog::info!(self.logger, "configuration applied";
+                    "version" => document.version, "in_force" => held);
+            }
+            state::Order::Read => {}
+            other => {
+                slog::info!(self.logger, "order applied"; "order" => ?other);
+                outlet.publish_control(self.addresses());
+            }
+        }
+    }
+
     pub(super) fn log_command(&self, command: &state::Command, applied: &state::Applied) {
         slog::info!(self.logger, "command applied";
             "operator" => &command.operator,
--- a/crates/fireflyspool/src/control/voter_membership.rs
+++ b/crates/fireflyspool/src/control/voter_membership.rs
@@ -13,6 +13,7 @@
         let mut all: Vec<_> = founding.chain(added).collect();
         all.retain(|(node, _)| !group.removed.contains_key(node));
         all.sort_unstable_by_key(|(node, _)| *node);
+        all.dedup_by_key(|(node, _)| *node);
         all
     }
 
--- a/crates/fireflyspool/src/control/waiter.rs
+++ b/crates/fireflyspool/src/control/waiter.rs
@@ -15,6 +15,8 @@
     Claims(Vec<oneshot::Sender<state::ClaimReply>>),
     /// Outcomes of claims that travel in one entry.
     Outcomes(Vec<oneshot::Sender<()>>),
+    /// An order.
+    Order(oneshot::Sender<control::OrderReply>),
 }
 
 impl Waiter {
@@ -34,6 +36,9 @@
                     let _ = reply.send(());
                 }
             }
+            (Self::Order(reply), state::Applied::Order(outcome)) => {
+                let _ = reply.send(control::OrderReply::Done { outcome });
+            }
             // Dropping the sender makes the caller ask the next leader.
             _ => {}
         }
@@ -41,8 +46,15 @@
 
     /// Tells that the entry is not committed here.
     pub(super) fn fail(self, answer: control::ProposeReply) {
-        if let Self::Command(reply) = self {
-            let _ = reply.send(answer);
+        match (self, answer) {
+            (Self::Command(reply), answer) => {
+                let _ = reply.send(answer);
+            }
+            (Self::Order(reply), control::ProposeReply::NotLeader { leader }) => {
+                let _ = reply.send(control::OrderReply::NotLeader { leader });
+            }
+            // Dropping the sender leaves the result open.
+            _ => {}
         }
     }
 }
--- /dev/null
+++ b/crates/fireflyspool/src/fleet/target.rs
@@ -0,0 +1,191 @@
+//! One backend server, as this VM's requests see it.
+
+use std::{net, time};
+
+use crate::{backend, fleet, ids, registry};
+
+/// Weight of a new latency sample.
+const LATENCY_WEIGHT: f64 = 0.3;
+
+/// Time after which a slow server's penalty has faded to about a third, so
+/// that it is tried again.
+const FORGIVENESS: time::Duration = time::Duration::from_millis(2_500);
+
+/// Age at which the load that a server told says nothing any more.
+const LOAD_LIFETIME: time::Duration = time::Duration::from_millis(250);
+
+/// Weight of a new failure or success.
+const FAILURE_WEIGHT: f64 = 0.25;
+
+/// Score of one overdue attempt, in units of a typical latency.
+const OVERDUE_PENALTY: f64 = 2.0;
+
+/// Score of a server whose attempts all fail, in units of a typical latency.
+const FAILURE_PENALTY: f64 = 8.0;
+
+/// Score of leaving the zone, in units of a typical latency: the way there and
+/// back, and the price of traffic between zones.
+const ZONE_PENALTY: f64 = 0.7;
+
+/// Failures in a row after which a server counts as unreachable.
+const BROKEN_LIMIT: u32 = 3;
+
+/// Backend server with what attempts showed.
+#[derive(Debug)]
+pub(super) struct Target {
+    pub(super) address: net::SocketAddr,
+    pub(super) local: bool,
+    pub(super) born: ids::BornMillis,
+    slots: f64,
+    serving: bool,
+    cold_until: time::Instant,
+    zone_out: bool,
+    pub(super) suspended: Option<time::Instant>,
+    pub(super) running: usize,
+    /// Attempts under way that take longer than usual.
+    overdue: Vec<ids::Ticket>,
+    /// Latency relative to what is typical.
+    slowness: f64,
+    slowness_at: time::Instant,
+    load: f64,
+    load_at: time::Instant,
+    failures: f64,
+    failures_at: time::Instant,
+    broken: u32,
+}
+
+impl Target {
+    pub(super) fn new(server: &fleet::KnownServer, local: bool, now: time::Instant) -> Self {
+        let record = &server.record;
+        Self {
+            address: record.address,
+            local,
+            born: record.born,
+            slots: f64::from(record.slots.max(1)),
+            serving: false,
+            cold_until: server.cold_until,
+            zone_out: false,
+            suspended: None,
+            running: 0,
+            overdue: Vec::new(),
+            slowness: 1.0,
+            slowness_at: now,
+            load: 0.0,
+            load_at: now,
+            failures: 0.0,
+            failures_at: now,
+            broken: 0,
+        }
+    }
+
+    /// Takes what the control VMs say.
+    pub(super) fn follow(&mut self, server: &fleet::KnownServer, out: bool, now: time::Instant) {
+        let record = &server.record;
+        self.serving = record.phase == registry::Phase::Serving && !record.silent;
+        self.cold_until = server.cold_until;
+        self.slots = f64::from(record.slots.max(1));
+        if self.zone_out && !out {
+            // Servers of a zone that returns may have become cold since their last report.
+            self.suspended = Some(now);
+        }
+        self.zone_out = out;
+        if self.suspended.is_some_and(|since| server.heard > since) {
+            self.suspended = None;
+            self.broken = 0;
+        }
+    }
+
+    pub(super) fn is_usable(&self, now: time::Instant) -> bool {
+        self.serving && !self.zone_out && self.cold_until <= now && self.suspended.is_none()
+    }
+
+    /// Expected cost of one more request; lower is better.
+    pub(super) fn score(&self, now: time::Instant) -> f64 {
+        let age = now
+            .saturating_duration_since(self.slowness_at)
+            .as_secs_f64();
+        let fade = (-age / FORGIVENESS.as_secs_f64()).exp();
+        let slowness = match self.slowness > 1.0 {
+            true => 1.0 + (self.slowness - 1.0) * fade,
+            false => self.slowness,
+        };
+        let age = now
+            .saturating_duration_since(self.failures_at)
+            .as_secs_f64();
+        let failures = self.failures * (-age / FORGIVENESS.as_secs_f64()).exp();
+        let told = match now.saturating_duration_since(self.load_at) < LOAD_LIFETIME {
+            true => self.load,
+            false => 0.0,
+        };
+        let busy = told.max(self.running as f64) / self.slots;
+        let zone = if self.local { 0.0 } else { ZONE_PENALTY };
+        slowness * (1.0 + busy)
+            + OVERDUE_PENALTY * self.overdue.len() as f64
+            + FAILURE_PENALTY * failures
+            + zone
+    }
+
+    pub(super) fn start(&mut self) {
+        self.running += 1;
+    }
+
+    /// Notes that an attempt takes longer than usual.
+    pub(super) fn note_overdue(&mut self, token: ids::Ticket, elapsed: f64, now: time::Instant) {
+        self.overdue.push(token);
+        if elapsed > self.slowness {
+            self.slowness = elapsed;
+            self.slowness_at = now;
+        }
+    }
+
+    pub(super) fn note_load(&mut self, load: backend::Load, now: time::Instant) {
+        self.load = f64::from(load.running) + f64::from(load.queued);
+        self.load_at = now;
+    }
+
+    /// Notes the end of an attempt; `typical` is the typical latency of its route.
+    pub(super) fn end(
+        &mut self,
+        token: ids::Ticket,
+        result: fleet::AttemptResult,
+        typical: time::Duration,
+        now: time::Instant,
+    ) {
+        self.running = self.running.saturating_sub(1);
+        self.overdue.retain(|overdue| *overdue != token);
+        let relative =
+            |elapsed: time::Duration| elapsed.as_secs_f64() / typical.as_secs_f64().max(1e-6);
+        match result {
+            fleet::AttemptResult::Answered { elapsed } => {
+                self.slowness += LATENCY_WEIGHT * (relative(elapsed) - self.slowness);
+                self.slowness_at = now;
+                self.note_failure(0.0, now);
+                self.broken = 0;
+            }
+            fleet::AttemptResult::Abandoned { elapsed } => {
+                let relative = relative(elapsed);
+                if relative > self.slowness {
+                    self.slowness = relative;
+                    self.slowness_at = now;
+                }
+            }
+            fleet::AttemptResult::Rejected => self.note_failure(1.0, now),
+            fleet::AttemptResult::Failed => {
+                self.note_failure(1.0, now);
+                self.broken += 1;
+                if self.broken >= BROKEN_LIMIT {
+                    self.suspended = Some(now);
+                }
+            }
+            fleet::AttemptResult::Unreachable => {
+                self.note_failure(1.0, now);
+                self.suspended = Some(now);
+            }
+        }
+    }
+
+    fn note_failure(&mut self, sample: f64, now: time::Instant) {
+        self.failures += FAILURE_WEIGHT * (sample - self.failures);
+        self.failures_at = now;
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/forward/merge.rs
@@ -0,0 +1,28 @@
+//! Merge of the records of several parts.
+
+/// Length of one record in bytes.
+pub const RECORD_BYTES: usize = 16;
+
+/// The greatest records of all bodies, greatest first, compared byte by byte.
+///
+/// A remainder shorter than a record is no record. Equal records all count.
+///
+/// ```
+/// use fireflyspool::forward;
+///
+/// let (low, high) = ([1_u8; 16], [2_u8; 16]);
+/// let bodies = [low.as_slice(), high.as_slice()];
+/// assert_eq!(forward::merge_top(bodies, 1), high);
+/// ```
+pub fn merge_top<'a>(bodies: impl IntoIterator<Item = &'a [u8]>, top: usize) -> Vec<u8> {
+    let mut records: Vec<&[u8]> = bodies
+        .into_iter()
+        .flat_map(|body| body.chunks_exact(RECORD_BYTES))
+        .collect();
+    if records.len() > top && top > 0 {
+        records.select_nth_unstable_by(top - 1, |a, b| b.cmp(a));
+    }
+    records.truncate(top);
+    records.sort_unstable_by(|a, b| b.cmp(a));
+    records.concat()
+}
--- /dev/null
+++ b/crates/fireflyspool/src/hub/config.rs
@@ -0,0 +1,38 @@
+//! Settings of a hub.
+
+use std::time;
+
+/// Times of a hub.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// Longest time between two batches to the same hub.
+    pub exchange: time::Duration,
+    /// Silence after which another hub counts as out of reach.
+    pub peer_patience: time::Duration,
+    /// Silence after which an entry VM is no longer named to callers.
+    pub member_patience: time::Duration,
+    /// Silence after which a backend server gets no new requests.
+    pub server_patience: time::Duration,
+    /// Longest time that a poll waits for news.
+    pub hold: time::Duration,
+    /// Longest time that a leaving server waits for its acknowledgement.
+    pub acknowledge: time::Duration,
+}
+
+impl Config {
+    /// Times that follow from the heartbeat interval of the backend servers.
+    pub fn new(heartbeat: time::Duration) -> Self {
+        Self {
+            exchange: time::Duration::from_secs(1),
+            // Two lost batches in a row.
+            peer_patience: time::Duration::from_millis(2_200),
+            // Several lost polls in a row; callers try another address meanwhile.
+            member_patience: time::Duration::from_millis(1_800),
+            // Three heartbeats in a row that are lost or go to hubs out of reach.
+            server_patience: heartbeat * 3 + time::Duration::from_millis(600),
+            hold: time::Duration::from_millis(400),
+            // Backend servers wait one second before they try another VM.
+            acknowledge: time::Duration::from_millis(800),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -0,0 +1,211 @@
+//! State of a hub.
+
+use std::{net, time};
+
+use crate::{configuration, hub, ids, registry, sorted};
+
+/// Record of an entry VM.
+#[derive(Debug)]
+pub(super) struct KnownMember {
+    pub(super) member: hub::Member,
+    pub(super) heard: time::Instant,
+    /// Whether it polls this hub, as opposed to being named by another one.
+    pub(super) follows: bool,
+}
+
+/// Poll that waits for news.
+pub(super) struct Waiting {
+    pub(super) ticket: ids::Ticket,
+    pub(super) request: hub::FollowRequest,
+    pub(super) until: time::Instant,
+}
+
+/// Report of a leaving server that waits for a majority.
+pub(super) struct Unacknowledged {
+    pub(super) ticket: ids::Ticket,
+    pub(super) position: ids::ChangePosition,
+    pub(super) until: time::Instant,
+}
+
+/// The hub of one control VM.
+pub struct Hub {
+    pub(super) own: hub::Origin,
+    pub(super) config: hub::Config,
+    pub(super) registry: registry::Registry,
+    pub(super) members: sorted::SortedMap<net::SocketAddr, KnownMember>,
+    pub(super) peers: sorted::SortedMap<net::SocketAddr, hub::peer::Peer>,
+    /// Listeners of the members of the control group, this one included.
+    pub(super) group: Vec<net::SocketAddr>,
+    pub(super) document: Option<configuration::Document>,
+    pub(super) zones: hub::ZonesOut,
+    pub(super) waiting: Vec<Waiting>,
+    pub(super) unacknowledged: Vec<Unacknowledged>,
+    pub(super) published: hub::AddressBook,
+    pub(super) outbox: Vec<hub::Action>,
+}
+
+impl Hub {
+    /// A hub that knows other control VMs by their listeners only.
+    pub fn new(own: hub::Origin, config: hub::Config, contacts: &[net::SocketAddr]) -> Self {
+        let mut hub = Self {
+            registry: registry::Registry::new(config.server_patience),
+            own,
+            config,
+            members: sorted::SortedMap::new(),
+            peers: sorted::SortedMap::new(),
+            group: contacts.to_vec(),
+            document: None,
+            zones: hub::ZonesOut::default(),
+            waiting: Vec::new(),
+            unacknowledged: Vec::new(),
+            published: hub::AddressBook::default(),
+            outbox: Vec::new(),
+        };
+        for contact in contacts {
+            hub.add_peer(*contact);
+        }
+        hub
+    }
+
+    /// Sets the listeners of the control group.
+    pub fn set_group(&mut self, group: Vec<net::SocketAddr>) {
+        for listener in &group {
+            self.add_peer(*listener);
+        }
+        if !group.is_empty() {
+            self.group = group;
+        }
+    }
+
+    /// Sets the configuration that the replicated log holds.
+    pub fn set_document(&mut self, document: &configuration::Document) {
+        self.document = Some(document.clone());
+    }
+
+    /// Sets the zones that the replicated log takes out.
+    pub fn set_zones(&mut self, zones: hub::ZonesOut) {
+        self.zones = zones;
+    }
+
+    /// Takes the report of a backend server; it is answered with the ticket.
+    pub fn report(&mut self, ticket: ids::Ticket, report: registry::Report, now: time::Instant) {
+        let leaving = report.phase != registry::Phase::Serving;
+        let server = report.server.clone();
+        let absorbed = self.registry.absorb(report, now, now);
+        if absorbed == registry::Absorbed::Refreshed {
+            for peer in self.peers.values_mut() {
+                peer.sighted.insert(server.clone(), ());
+            }
+        }
+        if leaving {
+            self.await_majority(ticket, now);
+        } else {
+            let accepted = true;
+            self.outbox
+                .push(hub::Action::Acknowledge { ticket, accepted });
+        }
+    }
+
+    /// Takes the word of a backend server that it ended.
+    pub fn depart(
+        &mut self,
+        ticket: ids::Ticket,
+        server: &str,
+        born: Option<ids::BornMillis>,
+        now: time::Instant,
+    ) {
+        self.registry.depart(server, born, now);
+        self.await_majority(ticket, now);
+    }
+
+    /// Address for the later reports of a server: a reachable hub of its own zone.
+    pub fn report_address(&self, zone: &str, now: time::Instant) -> net::SocketAddr {
+        let patience = self.config.peer_patience;
+        let reached = |peer: &&hub::peer::Peer| peer.is_reached(patience, now);
+        let origins = self.peers.values().filter(reached);
+        let same_zone = origins
+            .filter_map(|peer| peer.origin.as_ref())
+            .find(|origin| origin.zone == zone);
+        match same_zone {
+            Some(origin) if self.own.zone != zone => origin.control,
+            _ => self.own.control,
+        }
+    }
+
+    /// Does what is due and returns the actions that have come up.
+    pub fn advance(&mut self, now: time::Instant) -> Vec<hub::Action> {
+        self.registry.expire(now);
+        self.exchange_due(now);
+        self.acknowledge_due(now);
+        self.reply_due(now);
+        self.publish_addresses(now);
+        std::mem::take(&mut self.outbox)
+    }
+
+    /// When [`Self::advance`] must be called again at the latest.
+    pub fn next_deadline(&self, now: time::Instant) -> time::Instant {
+        let exchange = self
+            .peers
+            .values()
+            .filter(|peer| peer.in_flight.is_none())
+            .filter_map(|peer| peer.due(self.config.exchange));
+        let polls = self.waiting.iter().map(|waiting| waiting.until);
+        let reports = self.unacknowledged.iter().map(|report| report.until);
+        let all = exchange.chain(polls).chain(reports);
+        all.min().unwrap_or(now + self.config.exchange)
+    }
+
+    /// When another hub was last heard.
+    pub fn last_heard(&self, listener: net::SocketAddr) -> Option<time::Instant> {
+        self.peers.get(&listener)?.heard
+    }
+
+    /// Whether a majority of the control group is in reach.
+    pub fn has_quorum(&self, now: time::Instant) -> bool {
+        let reached = self.group.iter().filter(|listener| {
+            let peer = self.peers.get(*listener);
+            **listener == self.own.rpc
+                || peer.is_some_and(|peer| peer.is_reached(self.config.peer_patience, now))
+        });
+        reached.count() * 2 > self.group.len()
+    }
+
+    fn await_majority(&mut self, ticket: ids::Ticket, now: time::Instant) {
+        self.unacknowledged.push(Unacknowledged {
+            ticket,
+            position: self.registry.position(),
+            until: now + self.config.acknowledge,
+        });
+    }
+
+    fn acknowledge_due(&mut self, now: time::Instant) {
+        let waiting = std::mem::take(&mut self.unacknowledged);
+        for report in waiting {
+            let holders = self.group.iter().filter(|listener| {
+                let peer = self.peers.get(*listener);
+                **listener == self.own.rpc || peer.is_some_and(|peer| peer.acked >= report.position)
+            });
+            let accepted = holders.count() * 2 > self.group.len();
+            if accepted || report.until <= now {
+                let ticket = report.ticket;
+                self.outbox
+                    .push(hub::Action::Acknowledge { ticket, accepted });
+            } else {
+                self.unacknowledged.push(report);
+            }
+        }
+    }
+
+    fn publish_addresses(&mut self, now: time::Instant) {
+        let patience = self.config.member_patience;
+        let live = self.members.values().filter(|known| {
+            known.member.ready && now.saturating_duration_since(known.heard) <= patience
+        });
+        let members = live.map(|known| known.member.clone()).collect();
+        let book = hub::AddressBook { members };
+        if book != self.published {
+            self.published = book.clone();
+            self.outbox.push(hub::Action::Publish(book));
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/hub/hub_followers.rs
@@ -0,0 +1,99 @@
+//! Entry VMs that follow this hub.
+
+use std::time;
+
+use crate::{configuration, hub, ids, registry};
+
+/// Time after which an entry VM that is not heard is forgotten.
+const MEMBER_RETENTION: time::Duration = time::Duration::from_secs(60);
+
+impl hub::Hub {
+    /// Takes the poll of an entry VM; it is answered with the ticket.
+    pub fn follow(&mut self, ticket: ids::Ticket, request: hub::FollowRequest, now: time::Instant) {
+        self.note_member(request.member.clone(), now, true);
+        let until = now + self.config.hold;
+        self.waiting.push(hub::hub::Waiting {
+            ticket,
+            request,
+            until,
+        });
+    }
+
+    pub(super) fn note_member(&mut self, member: hub::Member, heard: time::Instant, follows: bool) {
+        let known = self.members.get(&member.callers);
+        if known.is_some_and(|known| known.heard > heard) {
+            return;
+        }
+        let known = hub::hub::KnownMember {
+            heard,
+            follows,
+            member,
+        };
+        self.members.insert(known.member.callers, known);
+        self.members
+            .retain(|_, known| heard.saturating_duration_since(known.heard) < MEMBER_RETENTION);
+    }
+
+    /// Answers polls for which there is news or whose time is over.
+    pub(super) fn reply_due(&mut self, now: time::Instant) {
+        let waiting = std::mem::take(&mut self.waiting);
+        for poll in waiting {
+            if poll.until <= now || self.has_news(&poll.request) {
+                let reply = Box::new(self.reply_to(&poll.request, now));
+                let ticket = poll.ticket;
+                self.outbox.push(hub::Action::Reply { ticket, reply });
+            } else {
+                self.waiting.push(poll);
+            }
+        }
+    }
+
+    fn has_news(&self, request: &hub::FollowRequest) -> bool {
+        let version = self
+            .document
+            .as_ref()
+            .map_or(0, |document| document.version);
+        request.incarnation != self.own.incarnation
+            || request.position != self.registry.position()
+            || version > request.version
+            || self.zones.revision > request.revision
+    }
+
+    fn reply_to(&self, request: &hub::FollowRequest, now: time::Instant) -> hub::FollowReply {
+        let known = request.incarnation == self.own.incarnation;
+        let changes = match known {
+            true => self.registry.since(request.position, now),
+            false => registry::ChangeSet {
+                position: self.registry.position(),
+                records: self.registry.records(now),
+            },
+        };
+        let lacking = |document: &&configuration::Document| document.version > request.version;
+        let suspended = request.suspended.iter();
+        let confirmations = suspended
+            .filter_map(|server| self.registry.record(server, now))
+            .filter(|record| record.phase == registry::Phase::Serving && record.cold_ms == 0)
+            .map(|record| hub::Confirmation::of(&record))
+            .collect();
+        let hubs = self.hubs(now);
+        hub::FollowReply {
+            incarnation: self.own.incarnation,
+            quorum: self.has_quorum(now),
+            document: self.document.as_ref().filter(lacking).cloned(),
+            zones: (self.zones.revision > request.revision).then(|| self.zones.clone()),
+            changes,
+            confirmations,
+            members: self.published.members.len(),
+            hubs: (!known || hubs.len() != request.hubs).then_some(hubs),
+        }
+    }
+
+    fn hubs(&self, now: time::Instant) -> Vec<hub::Origin> {
+        let patience = self.config.peer_patience;
+        let reached = |peer: &&hub::peer::Peer| peer.is_reached(patience, now);
+        let peers = self.peers.values().filter(reached);
+        let mut hubs: Vec<_> = peers.filter_map(|peer| peer.origin.clone()).collect();
+        hubs.push(self.own.clone());
+        hubs
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/hub/hub_peers.rs
@@ -0,0 +1,121 @@
+//! Exchange with the other hubs.
+
+use std::{net, time};
+
+use crate::{hub, registry};
+
+impl hub::Hub {
+    pub(super) fn add_peer(&mut self, listener: net::SocketAddr) {
+        if listener != self.own.rpc {
+            self.peers
+                .get_or_insert_with(listener, hub::peer::Peer::default);
+        }
+    }
+
+    /// Takes a batch of another hub.
+    pub fn receive(&mut self, batch: hub::Batch, now: time::Instant) -> hub::Ack {
+        let listener = batch.from.rpc;
+        self.add_peer(listener);
+        if let Some(peer) = self.peers.get_mut(&listener) {
+            peer.heard = Some(now);
+            peer.origin = Some(batch.from);
+        }
+        for record in batch.records {
+            self.registry.absorb_record(record, now);
+        }
+        for sighting in &batch.sightings {
+            self.registry.sight(sighting, now);
+        }
+        for record in batch.members {
+            let heard = now
+                .checked_sub(time::Duration::from_millis(record.age_ms))
+                .unwrap_or(now);
+            self.note_member(record.member, heard, false);
+        }
+        hub::Ack {
+            incarnation: self.own.incarnation,
+        }
+    }
+
+    /// Takes the end of an exchange; `None` means that no answer came.
+    pub fn exchanged(
+        &mut self,
+        listener: net::SocketAddr,
+        ack: Option<&hub::Ack>,
+        now: time::Instant,
+    ) {
+        let Some(peer) = self.peers.get_mut(&listener) else {
+            return;
+        };
+        let covered = peer.in_flight.take();
+        let Some(ack) = ack else { return };
+        peer.heard = Some(now);
+        if peer.incarnation.is_some_and(|life| life == ack.incarnation) {
+            peer.acked = peer.acked.max(covered.unwrap_or(0));
+        } else if peer.incarnation.is_none() && peer.acked == 0 {
+            peer.incarnation = Some(ack.incarnation);
+            peer.acked = covered.unwrap_or(0);
+        } else {
+            // The peer restarted and holds only what the last batch carried.
+            peer.incarnation = Some(ack.incarnation);
+            peer.acked = 0;
+            peer.sent = None;
+        }
+    }
+
+    pub(super) fn exchange_due(&mut self, now: time::Instant) {
+        let position = self.registry.position();
+        let interval = self.config.exchange;
+        let ready = |peer: &hub::peer::Peer| {
+            let news = peer.acked < position && peer.is_reached(self.config.peer_patience, now);
+            peer.in_flight.is_none() && (news || peer.due(interval).is_none_or(|due| due <= now))
+        };
+        let due: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| ready(peer))
+            .map(|(listener, _)| *listener)
+            .collect();
+        for listener in due {
+            self.send_batch(listener, now);
+        }
+    }
+
+    fn send_batch(&mut self, listener: net::SocketAddr, now: time::Instant) {
+        let members = self.followers(now);
+        let Some(peer) = self.peers.get_mut(&listener) else {
+            return;
+        };
+        let changes = self.registry.since(peer.acked, now);
+        let seen = std::mem::take(&mut peer.sighted);
+        let seen = seen
+            .keys()
+            .filter_map(|name| self.registry.record(name, now));
+        let sightings = seen.map(|record| registry::Sighting::of(&record)).collect();
+        peer.in_flight = Some(changes.position);
+        peer.sent = Some(now);
+        let batch = hub::Batch {
+            from: self.own.clone(),
+            records: changes.records,
+            sightings,
+            members,
+        };
+        let batch = Box::new(batch);
+        self.outbox.push(hub::Action::Exchange {
+            peer: listener,
+            batch,
+        });
+    }
+
+    fn followers(&self, now: time::Instant) -> Vec<hub::MemberRecord> {
+        let follows = self.members.values().filter(|known| known.follows);
+        let record = |known: &hub::hub::KnownMember| {
+            let age = now.saturating_duration_since(known.heard).as_millis();
+            hub::MemberRecord {
+                member: known.member.clone(),
+                age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+            }
+        };
+        follows.map(record).collect()
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/hub/member_record.rs
@@ -0,0 +1,13 @@
+//! An entry VM as hubs pass it on.
+
+use crate::hub;
+
+/// Entry VM with the age of its last poll.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct MemberRecord {
+    /// The entry VM.
+    pub member: hub::Member,
+    /// Age of its last poll in milliseconds.
+    pub age_ms: u64,
+}
--- /dev/null
+++ b/crates/fireflyspool/src/hub/peer.rs
@@ -0,0 +1,36 @@
+//! Another hub, as this one sees it.
+
+use std::time;
+
+use crate::{hub, ids, sorted};
+
+/// State of the exchange with one hub.
+#[derive(Debug, Default)]
+pub(super) struct Peer {
+    /// What the peer said about itself; `None` before its first batch.
+    pub(super) origin: Option<hub::Origin>,
+    /// Life of the peer that acknowledged `acked`.
+    pub(super) incarnation: Option<ids::Incarnation>,
+    /// Changes up to here are acknowledged.
+    pub(super) acked: ids::ChangePosition,
+    /// Position that the batch on its way covers.
+    pub(super) in_flight: Option<ids::ChangePosition>,
+    /// When the last batch was sent.
+    pub(super) sent: Option<time::Instant>,
+    /// When the peer was last heard, by batch or acknowledgement.
+    pub(super) heard: Option<time::Instant>,
+    /// Backend servers that reported here since the last batch.
+    pub(super) sighted: sorted::SortedMap<ids::ServerName, ()>,
+}
+
+impl Peer {
+    /// When the next batch is due, apart from urgent changes.
+    pub(super) fn due(&self, exchange: time::Duration) -> Option<time::Instant> {
+        self.sent.map(|sent| sent + exchange)
+    }
+
+    pub(super) fn is_reached(&self, patience: time::Duration, now: time::Instant) -> bool {
+        self.heard
+            .is_some_and(|heard| now.saturating_duration_since(heard) <= patience)
+    }
+}
--- a/crates/fireflyspool/src/ids.rs
+++ b/crates/fireflyspool/src/ids.rs
@@ -57,3 +57,12 @@
 
 /// Correlates an answer of the control thread with the request that waits for it.
 pub type Ticket = u64;
+
+/// Version of the routing configuration, given by its operator.
+pub type ConfigVersion = u64;
+
+/// Position in the change log of a registry.
+pub type ChangePosition = u64;
+
+/// Start time of a backend server in milliseconds since the Unix epoch; grows with each life.
+pub type BornMillis = u64;
--- /dev/null
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -0,0 +1,150 @@
+//! An entry VM.
+
+use std::{
+    sync::{self, atomic},
+    time,
+};
+
+use crate::{configuration, control, fleet, follow, forward, hub, node, telemetry, timer};
+
+/// Time before the end of the grace in which a leaving process must be gone.
+const EXIT_MARGIN: time::Duration = time::Duration::from_millis(700);
+
+/// Share of the grace in which new requests are still taken.
+const ACCEPT_SHARE: f64 = 0.5;
+
+/// Pause between two looks whether running requests are over.
+const DRAIN_STEP: time::Duration = time::Duration::from_millis(50);
+
+/// Log lines that may wait for the writer.
+const LOG_QUEUE: usize = 4_096;
+
+/// Handle of an entry VM for its front ends.
+pub struct Entry {
+    process: sync::Arc<node::Process>,
+    forwarding: sync::Arc<node::Forwarding>,
+    grace: time::Duration,
+    leaving: atomic::AtomicBool,
+}
+
+impl Entry {
+    /// Starts the control thread.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no thread can be started or the settings name no control VM.
+    pub fn start(
+        settings: node::EntrySettings,
+        format: sync::Arc<dyn configuration::Format>,
+        link: sync::Arc<dyn node::Link>,
+        logger: slog::Logger,
+    ) -> anyhow::Result<sync::Arc<Self>> {
+        let timer = timer::TimerService::start()?;
+        let (mailbox, receiver) = control::Mailbox::new();
+        let incarnation = rand::random::<u64>() >> 11;
+        let process = node::Process::new(logger.clone(), timer, mailbox, incarnation);
+        let process = sync::Arc::new(process);
+        let runtime = tokio::runtime::Handle::current();
+        let outlet = node::MeshOutlet::new(sync::Arc::clone(&process), runtime);
+        let member = hub::Member {
+            callers: settings.callers,
+            zone: settings.zone.clone(),
+            region: settings.region,
+            incarnation,
+            ready: false,
+        };
+        let now = time::Instant::now();
+        let follower = follow::Follower::new(member, format, settings.contacts, now)
+            .ok_or_else(|| anyhow::anyhow!("the settings name no control VM"))?;
+        let follow = control::FollowSide::new(follower, logger.clone());
+        let failed = logger.clone();
+        control::ControlThread::new(outlet, receiver, None, None, Vec::new(), logger)
+            .with_follower(follow)
+            .start(move |result| {
+                if let Err(error) = result {
+                    slog::error!(failed, "the control thread failed"; "error" => ?error);
+                }
+            })?;
+        let fleet = fleet::Fleet::new(settings.zone, settings.limits);
+        let forwarding = node::Forwarding::new(sync::Arc::clone(&process), fleet, link);
+        Ok(sync::Arc::new(Self {
+            process,
+            forwarding: sync::Arc::new(forwarding),
+            grace: settings.grace,
+            leaving: atomic::AtomicBool::new(false),
+        }))
+    }
+
+    /// Starts the logger of an entry VM.
+    pub fn logger(
+        settings: &node::EntrySettings,
+    ) -> (
+        slog::Logger,
+        slog_async::AsyncGuard,
+        telemetry::DroppedLines,
+    ) {
+        let number = node::process::number_of(settings.callers);
+        telemetry::start_logger(number, telemetry::LogLevel::Info, LOG_QUEUE)
+    }
+
+    /// What the parts of this process share.
+    pub fn process(&self) -> &sync::Arc<node::Process> {
+        &self.process
+    }
+
+    /// Metrics of this process.
+    pub fn metrics(&self) -> &telemetry::Metrics {
+        self.forwarding.metrics()
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.process.view.load().table.is_some()
+    }
+
+    /// Whether the process was told to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Limits on what callers may send.
+    pub fn limits(&self) -> configuration::CallerLimits {
+        let view = self.process.view.load();
+        let table = view.table.as_ref();
+        table.map_or_else(configuration::CallerLimits::default, |table| {
+            table.limits().clone()
+        })
+    }
+
+    /// Runs a request to its answer.
+    pub async fn serve(
+        &self,
+        request: forward::Request,
+        message: node::Message,
+    ) -> forward::Verdict {
+        self.forwarding.run(request, message).await
+    }
+
+    /// Leaves the answers to callers, and returns when new requests are to be refused.
+    ///
+    /// Callers that still hold an old answer are served meanwhile.
+    pub async fn announce_leaving(&self) {
+        self.leaving.store(true, atomic::Ordering::Relaxed);
+        self.process.tell(control::Event::Leave);
+        slog::info!(self.process.logger, "leaving");
+        self.process
+            .timer
+            .sleep(self.grace.mul_f64(ACCEPT_SHARE))
+            .await;
+    }
+
+    /// Waits for running requests, as long as the grace allows; returns how many are cut.
+    pub async fn finish(&self) -> usize {
+        let left = self.grace.mul_f64(1.0 - ACCEPT_SHARE);
+        let limit = time::Instant::now() + left.saturating_sub(EXIT_MARGIN);
+        while self.forwarding.running() > 0 && time::Instant::now() < limit {
+            self.process.timer.sleep(DRAIN_STEP).await;
+        }
+        self.forwarding.running()
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/node/mesh_listener.rs
@@ -0,0 +1,88 @@
+//! JSON-RPC listener for other processes of the tier.
+
+use std::{net, sync};
+
+use jsonrpsee::{server, types};
+use tokio::sync::oneshot;
+
+use crate::{consensus, control, hub, node, rim, state};
+
+/// Largest message; a configuration with some thousand routes fits.
+const MAX_MESSAGE: u32 = 16 * 1024 * 1024;
+
+/// Connections from other processes: one from each control VM, and from each
+/// entry VM that follows this one.
+const MAX_CONNECTIONS: u32 = 2_048;
+
+type Module = jsonrpsee::RpcModule<sync::Arc<node::Control>>;
+type Parsed<T> = Result<T, types::ErrorObjectOwned>;
+
+/// Code of an answer that says to ask another process.
+const ELSEWHERE: i32 = 1;
+
+/// Starts the listener.
+///
+/// # Errors
+///
+/// Returns a [`rim::RpcError`] if the address cannot be bound.
+pub async fn mesh_listener(
+    address: net::SocketAddr,
+    node: sync::Arc<node::Control>,
+) -> Result<server::ServerHandle, rim::RpcError> {
+    let config = server::ServerConfig::builder()
+        .ws_only()
+        .max_request_body_size(MAX_MESSAGE)
+        .max_response_body_size(MAX_MESSAGE)
+        .max_connections(MAX_CONNECTIONS)
+        .set_tcp_no_delay(true)
+        .build();
+    let builder = server::Server::builder().set_config(config);
+    let built = builder.build(address).await;
+    let listener = built.map_err(|source| rim::RpcError::Bind { address, source })?;
+    let mut module = Module::new(node);
+    register(&mut module)?;
+    Ok(listener.start(module))
+}
+
+fn register(module: &mut Module) -> Result<(), rim::RpcError> {
+    module.register_method(rim::Method::Consensus.name(), |parameters, node, _| {
+        let envelopes: Vec<consensus::Envelope> = parameters.one()?;
+        node.process().tell(control::Event::Envelopes(envelopes));
+        Parsed::Ok(())
+    })?;
+    module.register_async_method(
+        rim::Method::Exchange.name(),
+        |parameters, node, _| async move {
+            let batch: Box<hub::Batch> = parameters.one()?;
+            ask(&node, |reply| control::HubEvent::Batch { batch, reply }).await
+        },
+    )?;
+    module.register_async_method(
+        rim::Method::Follow.name(),
+        |parameters, node, _| async move {
+            let request: Box<hub::FollowRequest> = parameters.one()?;
+            ask(&node, |reply| control::HubEvent::Follow { request, reply }).await
+        },
+    )?;
+    module.register_async_method(
+        rim::Method::Order.name(),
+        |parameters, node, _| async move {
+            let order: state::Order = parameters.one()?;
+            node.decide_here(order).await.ok_or_else(elsewhere)
+        },
+    )?;
+    Ok(())
+}
+
+async fn ask<T>(
+    node: &node::Control,
+    make: impl FnOnce(oneshot::Sender<T>) -> control::HubEvent,
+) -> Parsed<T> {
+    let (sender, receiver) = oneshot::channel();
+    node.process().tell(control::Event::Hub(make(sender)));
+    receiver.await.map_err(|_| elsewhere())
+}
+
+fn elsewhere() -> types::ErrorObjectOwned {
+    types::ErrorObjectOwned::owned(ELSEWHERE, "no answer here; ask another process", None::<()>)
+}
--- /dev/null
+++ b/crates/fireflyspool/src/node/mesh_outlet.rs
@@ -0,0 +1,162 @@
+//! Side effects of the control thread.
+
+use std::{net, sync, time};
+
+use tokio::sync::mpsc;
+
+use crate::{consensus, control, fleet, hub, ids, node, rim, roster, sorted, state, timer, view};
+
+/// Messages to one replica that may wait; more are dropped and sent again by
+/// the replicated log itself.
+const LINK_CAPACITY: usize = 256;
+
+/// Messages that travel in one call.
+const LINK_BATCH: usize = 64;
+
+/// Time for one call to another control VM; a lost connection is noticed after it.
+const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(700);
+
+/// Time for one poll: the hub's hold, and a round trip.
+const POLL_TIMEOUT: time::Duration = time::Duration::from_millis(900);
+
+/// Connects the control thread to the network, the timer and the traffic threads.
+pub struct MeshOutlet {
+    process: sync::Arc<node::Process>,
+    runtime: tokio::runtime::Handle,
+    links: sync::Mutex<sorted::SortedMap<net::SocketAddr, mpsc::Sender<consensus::Envelope>>>,
+    wake: sync::Mutex<Option<timer::TimerToken>>,
+}
+
+impl MeshOutlet {
+    /// An outlet whose calls run on that runtime.
+    pub fn new(process: sync::Arc<node::Process>, runtime: tokio::runtime::Handle) -> Self {
+        Self {
+            process,
+            runtime,
+            links: sync::Mutex::default(),
+            wake: sync::Mutex::default(),
+        }
+    }
+
+    /// Calls another process and passes the result to the control thread.
+    fn call<P, R>(
+        &self,
+        listener: net::SocketAddr,
+        method: rim::Method,
+        parameter: P,
+        timeout: time::Duration,
+        event: impl FnOnce(Option<R>) -> control::Event + Send + 'static,
+    ) where
+        P: serde::Serialize + Send + Sync + 'static,
+        R: serde::de::DeserializeOwned + Send + 'static,
+    {
+        let process = sync::Arc::clone(&self.process);
+        self.runtime.spawn(async move {
+            let peer = process.peer(listener);
+            let reply = peer.call(method, &parameter, timeout).await;
+            if let Err(error) = &reply {
+                slog::debug!(process.logger, "call failed";
+                    "method" => method.name(), "peer" => %listener, "error" => %error);
+            }
+            process.tell(event(reply.ok()));
+        });
+    }
+}
+
+impl control::Outlet for MeshOutlet {
+    fn send(&self, address: net::SocketAddr, envelope: consensus::Envelope) {
+        // Only the control thread locks this; the lock is there for `Sync`.
+        let mut links = self
+            .links
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let link = links.get_or_insert_with(address, || {
+            let (sender, receiver) = mpsc::channel(LINK_CAPACITY);
+            let peer = self.process.peer(address);
+            self.runtime.spawn(run_link(peer, receiver));
+            sender
+        });
+        // The replicated log repeats what is lost.
+        let _ = link.try_send(envelope);
+    }
+
+    fn renew(&self, _node: ids::NodeId, _address: net::SocketAddr, _request: roster::RenewRequest) {
+        // Entry VMs of these processes follow hubs and hold no lease.
+    }
+
+    fn publish(&self, _view: view::View) {
+        // See `renew`.
+    }
+
+    fn give_up(&self, _servers: Vec<ids::ServerName>) {
+        // See `renew`.
+    }
+
+    fn publish_control(&self, addresses: Vec<(ids::NodeId, net::SocketAddr)>) {
+        self.process.group.store(sync::Arc::new(addresses));
+    }
+
+    fn exchange(&self, peer: net::SocketAddr, batch: hub::Batch) {
+        let event = move |ack| control::Event::Hub(control::HubEvent::Exchanged { peer, ack });
+        self.call(peer, rim::Method::Exchange, batch, CALL_TIMEOUT, event);
+    }
+
+    fn order(&self, peer: net::SocketAddr, order: state::Order) {
+        let event = |reply| control::Event::Hub(control::HubEvent::Joined(reply));
+        self.call(peer, rim::Method::Order, order, CALL_TIMEOUT, event);
+    }
+
+    fn publish_addresses(&self, book: hub::AddressBook) {
+        self.process.addresses.store(sync::Arc::new(book));
+    }
+
+    fn follow(&self, hub: net::SocketAddr, request: hub::FollowRequest) {
+        let event = |reply: Option<Box<hub::FollowReply>>| control::Event::Polled(reply);
+        self.call(hub, rim::Method::Follow, request, POLL_TIMEOUT, event);
+    }
+
+    fn publish_fleet(&self, view: fleet::View) {
+        self.process.view.store(sync::Arc::new(view));
+    }
+
+    fn suspended(&self) -> Vec<ids::ServerName> {
+        self.process.suspended.load().as_ref().clone()
+    }
+
+    fn wake_at(&self, at: time::Instant) {
+        let timer = &self.process.timer;
+        let mut wake = self
+            .wake
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if let Some(token) = wake.take() {
+            timer.cancel(token);
+        }
+        let mailbox = self.process.mailbox.clone();
+        *wake = Some(timer.subscribe(at, move || {
+            // A full queue wakes the control thread by itself.
+            let _ = mailbox.send(control::Event::Timer);
+        }));
+    }
+
+    fn entropy(&self) -> u64 {
+        rand::random()
+    }
+
+    fn wall_clock(&self) -> u64 {
+        let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+        let millis = since.unwrap_or_default().as_millis();
+        u64::try_from(millis).unwrap_or(u64::MAX)
+    }
+}
+
+async fn run_link(peer: sync::Arc<rim::Peer>, mut receiver: mpsc::Receiver<consensus::Envelope>) {
+    let mut batch = Vec::new();
+    while receiver.recv_many(&mut batch, LINK_BATCH).await > 0 {
+        // A lost batch is sent again by the replicated log.
+        let _ = peer
+            .call::<_, ()>(rim::Method::Consensus, &batch, CALL_TIMEOUT)
+            .await;
+        batch.clear();
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/node/process.rs
@@ -0,0 +1,72 @@
+//! What all parts of one process share.
+
+use std::{net, sync};
+
+use crate::{control, fleet, hub, ids, rim, timer};
+
+/// Published state and handles of one process.
+pub struct Process {
+    /// Logger.
+    pub logger: slog::Logger,
+    /// Timer service.
+    pub timer: timer::TimerService,
+    /// Queue of the control thread.
+    pub mailbox: control::Mailbox,
+    /// Connections to other processes.
+    pub peers: rim::Peers,
+    /// Random number of this process.
+    pub incarnation: ids::Incarnation,
+    /// Members of the control group, as this VM knows them.
+    pub group: arc_swap::ArcSwap<Vec<(ids::NodeId, net::SocketAddr)>>,
+    /// Addresses for callers, on control VMs.
+    pub addresses: arc_swap::ArcSwap<hub::AddressBook>,
+    /// Configuration and backend servers, on entry VMs.
+    pub view: arc_swap::ArcSwap<fleet::View>,
+    /// Backend servers that the traffic threads do not use until they are heard again.
+    pub suspended: arc_swap::ArcSwap<Vec<ids::ServerName>>,
+}
+
+impl Process {
+    /// Shared state of a process that has heard nothing yet.
+    pub fn new(
+        logger: slog::Logger,
+        timer: timer::TimerService,
+        mailbox: control::Mailbox,
+        incarnation: ids::Incarnation,
+    ) -> Self {
+        Self {
+            logger,
+            timer,
+            mailbox,
+            peers: rim::Peers::new(None),
+            incarnation,
+            group: arc_swap::ArcSwap::default(),
+            addresses: arc_swap::ArcSwap::default(),
+            view: arc_swap::ArcSwap::default(),
+            suspended: arc_swap::ArcSwap::default(),
+        }
+    }
+
+    /// Sends an event to the control thread.
+    pub fn tell(&self, event: control::Event) {
+        if self.mailbox.send(event).is_err() {
+            // The asker's answer is dropped with the event, so it tries again.
+            slog::warn!(self.logger, "the control thread's queue is full");
+        }
+    }
+
+    /// Handle for a call to another process.
+    pub fn peer(&self, listener: net::SocketAddr) -> sync::Arc<rim::Peer> {
+        self.peers.get(number_of(listener), listener)
+    }
+}
+
+/// Number of the VM at a listener; unique as long as addresses are.
+pub(super) fn number_of(listener: net::SocketAddr) -> ids::NodeId {
+    let host = match listener.ip() {
+        net::IpAddr::V4(ip) => u64::from(u32::from(ip)),
+        // The lower half tells VMs of one site apart.
+        net::IpAddr::V6(ip) => u64::try_from(u128::from(ip) & u128::from(u32::MAX)).unwrap_or(0),
+    };
+    (host << 16) | u64::from(listener.port())
+}
--- /dev/null
+++ b/crates/fireflyspool/src/platform/backend_link.rs
@@ -0,0 +1,121 @@
+//! Requests to backend servers and their answers.
+
+use std::{sync, time};
+
+use crate::platform::headers;
+use crate::{backend, forward, node, rim, timer};
+
+type Response = http::Response<hyper::body::Incoming>;
+type Ended = (forward::AttemptEnd, Option<backend::Load>);
+
+/// Client for backend servers on the platform.
+pub(super) struct BackendLink {
+    client: rim::ForwardClient,
+    timer: timer::TimerService,
+}
+
+impl BackendLink {
+    pub(super) fn new(timer: timer::TimerService) -> Self {
+        let client = rim::ForwardClient::default();
+        Self { client, timer }
+    }
+}
+
+impl node::Link for BackendLink {
+    fn send(&self, send: forward::Send, message: sync::Arc<node::Message>) -> node::Sending {
+        let client = self.client.clone();
+        let sleep = self.timer.sleep_until(send.deadline);
+        Box::pin(async move {
+            let Some(request) = encode(&send, &message) else {
+                return (forward::AttemptEnd::Unreachable, None);
+            };
+            tokio::select! {
+                ended = exchange(&client, request, &message.id) => ended,
+                () = sleep => (forward::AttemptEnd::TimedOut, None),
+            }
+        })
+    }
+}
+
+/// Adds what the backend server needs to know; `None` if a name is no header value.
+fn encode(
+    send: &forward::Send,
+    message: &node::Message,
+) -> Option<http::Request<http_body_util::Full<bytes::Bytes>>> {
+    let target = message.target.path_and_query()?.as_str();
+    let left = send
+        .deadline
+        .saturating_duration_since(time::Instant::now());
+    let mut request = http::Request::builder()
+        .method(message.method.clone())
+        .uri(format!("http://{}{target}", send.address))
+        .body(http_body_util::Full::new(message.body.clone()))
+        .ok()?;
+    let head = request.headers_mut();
+    *head = message.headers.clone();
+    let millis = left.as_millis().max(1).to_string();
+    head.insert(
+        headers::DEADLINE,
+        http::HeaderValue::from_str(&millis).ok()?,
+    );
+    let server = http::HeaderValue::from_str(&send.server).ok()?;
+    head.insert(headers::EXPECTED_SERVER, server);
+    Some(request)
+}
+
+async fn exchange(
+    client: &rim::ForwardClient,
+    request: http::Request<http_body_util::Full<bytes::Bytes>>,
+    id: &str,
+) -> Ended {
+    match client.send(request).await {
+        Ok(response) => decode(response, id).await,
+        Err(rim::ForwardError::Connect(_)) => (forward::AttemptEnd::Unreachable, None),
+        Err(_) => (forward::AttemptEnd::Broken, None),
+    }
+}
+
+async fn decode(response: Response, id: &str) -> Ended {
+    let (head, body) = response.into_parts();
+    let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+    let load = text(headers::LOAD).and_then(parse_load);
+    if text(headers::REQUEST_ID).is_some_and(|echoed| echoed != id) {
+        // Dropping the body closes the connection, on which answers and requests no longer match.
+        return (forward::AttemptEnd::Broken, None);
+    }
+    let wrong_server = head.status == http::StatusCode::MISDIRECTED_REQUEST;
+    let rejected = head.headers.contains_key(headers::NOT_EXECUTED);
+    let signature = text(headers::SIGNATURE).map(str::to_owned);
+    let Ok(body) = rim::ForwardClient::read(body).await else {
+        // Whether it ran is told by the head, which arrived whole.
+        return match (wrong_server, rejected) {
+            (true, _) => (forward::AttemptEnd::WrongServer, load),
+            (_, true) => (forward::AttemptEnd::Rejected, load),
+            _ => (forward::AttemptEnd::Broken, load),
+        };
+    };
+    let end = if wrong_server {
+        forward::AttemptEnd::WrongServer
+    } else if rejected {
+        forward::AttemptEnd::Rejected
+    } else if head.status.is_success() && signature.is_none() {
+        forward::AttemptEnd::Broken
+    } else {
+        forward::AttemptEnd::Answered(forward::Answer {
+            status: head.status.as_u16(),
+            headers: headers::end_to_end(&head.headers),
+            signature,
+            body,
+        })
+    };
+    (end, load)
+}
+
+/// Reads running, waiting and possible requests.
+fn parse_load(text: &str) -> Option<backend::Load> {
+    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
+    Some(backend::Load {
+        running: numbers.next()??,
+        queued: numbers.next()??,
+    })
+}
--- /dev/null
+++ b/crates/fireflyspool/src/platform/caller_service.rs
@@ -0,0 +1,114 @@
+//! Requests of callers.
+
+use std::{sync, time};
+
+use http_body_util::BodyExt as _;
+
+use crate::platform::headers;
+use crate::{forward, node, rim};
+
+type Body = http_body_util::Full<bytes::Bytes>;
+type Response = http::Response<Body>;
+
+/// Translates between callers and an entry VM.
+pub(super) struct CallerService {
+    node: sync::Arc<node::Entry>,
+}
+
+impl CallerService {
+    pub(super) fn new(node: sync::Arc<node::Entry>) -> Self {
+        Self { node }
+    }
+}
+
+impl rim::CallerHandler for CallerService {
+    fn handle(&self, request: http::Request<hyper::body::Incoming>) -> rim::Handling {
+        let node = sync::Arc::clone(&self.node);
+        Box::pin(async move {
+            let mut response = serve(&node, request).await;
+            if node.is_leaving() {
+                let close = http::HeaderValue::from_static("close");
+                response
+                    .headers_mut()
+                    .insert(http::header::CONNECTION, close);
+            }
+            response
+        })
+    }
+
+    fn idle(&self) -> time::Duration {
+        self.node.limits().idle
+    }
+}
+
+async fn serve(node: &node::Entry, request: http::Request<hyper::body::Incoming>) -> Response {
+    let (head, body) = request.into_parts();
+    let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
+    let Some(id) = text(headers::REQUEST_ID).map(str::to_owned) else {
+        return plain(http::StatusCode::BAD_REQUEST, "the request has no id");
+    };
+    let millis = text(headers::DEADLINE).and_then(|value| value.parse::<f64>().ok());
+    let patience =
+        millis.and_then(|millis| time::Duration::try_from_secs_f64(millis / 1_000.0).ok());
+    let host = text("host").or_else(|| head.uri.host()).unwrap_or_default();
+    let request = forward::Request {
+        id: id.clone(),
+        host: host.to_owned(),
+        path: head.uri.path().to_owned(),
+        patience,
+    };
+    let limit = node.limits().body_bytes;
+    let Ok(body) = http_body_util::Limited::new(body, limit).collect().await else {
+        return plain(http::StatusCode::PAYLOAD_TOO_LARGE, "the body is too large");
+    };
+    let message = node::Message {
+        id: id.clone(),
+        method: head.method,
+        headers: headers::end_to_end(&head.headers),
+        target: head.uri,
+        body: body.to_bytes(),
+    };
+    respond(node.serve(request, message).await, &id)
+}
+
+fn respond(verdict: forward::Verdict, id: &str) -> Response {
+    match verdict {
+        forward::Verdict::Passed(answer) => {
+            let status = http::StatusCode::from_u16(answer.status);
+            let mut response = Response::new(Body::new(answer.body));
+            *response.status_mut() = status.unwrap_or(http::StatusCode::BAD_GATEWAY);
+            *response.headers_mut() = answer.headers;
+            response
+        }
+        forward::Verdict::Gathered {
+            signatures,
+            missing,
+            body,
+        } => {
+            let built = http::Response::builder()
+                .header(headers::REQUEST_ID, id)
+                .header(headers::PART_SIGNATURES, signatures.join(", "))
+                .header(headers::MISSING_PARTS, missing)
+                .body(Body::new(body));
+            built.unwrap_or_else(|_| plain(http::StatusCode::BAD_GATEWAY, "unusable signature"))
+        }
+        forward::Verdict::Refused { retry_after } => {
+            let mut response = plain(http::StatusCode::SERVICE_UNAVAILABLE, "not run");
+            let seconds = format!("{:.3}", retry_after.as_secs_f64());
+            if let Ok(value) = http::HeaderValue::from_str(&seconds) {
+                let headers = response.headers_mut();
+                headers.insert(http::header::RETRY_AFTER, value);
+            }
+            response
+        }
+        forward::Verdict::NoRoute => plain(http::StatusCode::NOT_FOUND, "no route"),
+        forward::Verdict::Failed => plain(http::StatusCode::BAD_GATEWAY, "no usable answer"),
+        forward::Verdict::TimedOut => plain(http::StatusCode::GATEWAY_TIMEOUT, "out of time"),
+    }
+}
+
+fn plain(status: http::StatusCode, text: &'static str) -> Response {
+    let mut response = Response::new(Body::from(text));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/fireflyspool/src/platform/configuration_wire.rs
@@ -0,0 +1,100 @@
+//! A configuration on the wire.
+
+use std::time;
+
+use crate::platform::route_wire;
+use crate::{configuration, ids};
+
+/// Complete configuration.
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct ConfigurationWire {
+    version: ids::ConfigVersion,
+    routes: Vec<route_wire::RouteWire>,
+    /// Services; the wire calls a service a back end.
+    #[serde(rename = "Backends")]
+    services: Vec<ServiceWire>,
+    #[serde(default)]
+    limits: Option<LimitsWire>,
+}
+
+/// Service of a configuration.
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ServiceWire {
+    name: ids::ServiceName,
+    #[serde(rename = "MaxConnections", default)]
+    connections: Option<f64>,
+    /// Seconds for which a server is cold after its start.
+    #[serde(rename = "WarmupS", default)]
+    warm_up: f64,
+    /// Requests a second that a cold server bears.
+    #[serde(rename = "WarmupPerS", default)]
+    cold_rate: f64,
+}
+
+/// Limits on what callers may send.
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
+struct LimitsWire {
+    #[serde(rename = "MaxHeaderBytes")]
+    head_bytes: usize,
+    #[serde(rename = "MaxBodyBytes")]
+    body_bytes: usize,
+    #[serde(rename = "IdleTimeoutMs")]
+    idle_ms: f64,
+}
+
+/// Connections to a backend server of a service that sets no limit.
+const UNLIMITED_CONNECTIONS: usize = 1_000;
+
+impl ConfigurationWire {
+    pub(super) fn configuration(
+        self,
+    ) -> Result<configuration::Configuration, configuration::ConfigurationError> {
+        let routes: Result<Vec<_>, _> = self
+            .routes
+            .into_iter()
+            .map(route_wire::RouteWire::route)
+            .collect();
+        let mut services = Vec::with_capacity(self.services.len());
+        for service in self.services {
+            let limit = service.connections;
+            let connections = limit.map_or(UNLIMITED_CONNECTIONS, |limit| limit as usize);
+            let described = configuration::Service {
+                connections,
+                warm_up: millis("WarmupS", service.warm_up * 1_000.0)?,
+                cold_rate: service.cold_rate,
+            };
+            services.push((service.name, described));
+        }
+        let limits = match self.limits {
+            Some(limits) => configuration::CallerLimits {
+                head_bytes: limits.head_bytes,
+                body_bytes: limits.body_bytes,
+                idle: millis("IdleTimeoutMs", limits.idle_ms)?,
+            },
+            None => configuration::CallerLimits::default(),
+        };
+        Ok(configuration::Configuration {
+            version: self.version,
+            routes: routes?,
+            services: services.into_iter().collect(),
+            limits,
+        })
+    }
+}
+
+/// A duration from milliseconds on the wire.
+pub(super) fn millis(
+    name: &str,
+    millis: f64,
+) -> Result<time::Duration, configuration::ConfigurationError> {
+    time::Duration::try_from_secs_f64(millis / 1_000.0).map_err(|error| {
+        configuration::ConfigurationError::Unreadable {
+            detail: format!("{name}: {error}"),
+        }
+    })
+}
--- /dev/null
+++ b/crates/fireflyspool/src/platform/control_routes.rs
@@ -0,0 +1,123 @@
+//! Calls of backend servers and operators.
+
+use std::sync;
+
+use rocket::{data, http, response::content, serde::json};
+
+use crate::configuration::Format as _;
+use crate::platform::server_wire;
+use crate::{configuration, node, platform, state};
+
+type Node = rocket::State<sync::Arc<node::Control>>;
+
+/// Status and text for a call that is not answered with content.
+type Failure = (http::Status, String);
+
+/// Largest heartbeat in bytes.
+const REPORT_LIMIT: u64 = 16 * 1024;
+
+/// Largest configuration in bytes.
+const CONFIGURATION_LIMIT: u64 = 8 * 1024 * 1024;
+
+/// Routes of the control address.
+pub(super) fn control_routes() -> Vec<rocket::Route> {
+    rocket::routes![heartbeat, departure, replace, read, evacuate, return_zone]
+}
+
+#[rocket::post("/fireflyspool/Instances.Heartbeat/<server>", data = "<body>")]
+async fn heartbeat(
+    server: String,
+    body: rocket::Data<'_>,
+    node: &Node,
+) -> Result<json::Json<server_wire::HeartbeatAnswer>, Failure> {
+    let body = read_body(body, REPORT_LIMIT).await?;
+    let report = match platform::HeartbeatWire::decode(server, &body) {
+        Ok(report) => report,
+        Err(error) => {
+            slog::warn!(node.process().logger, "heartbeat refused"; "error" => %error);
+            return Err((http::Status::BadRequest, error.to_string()));
+        }
+    };
+    answer(node.report(report).await)
+}
+
+#[rocket::post("/fireflyspool/Instances.Deregister/<server>", data = "<body>")]
+async fn departure(
+    server: String,
+    body: rocket::Data<'_>,
+    node: &Node,
+) -> Result<json::Json<server_wire::HeartbeatAnswer>, Failure> {
+    let body = read_body(body, REPORT_LIMIT).await?;
+    let born = platform::DepartureWire::decode(&body).born;
+    answer(node.depart(server, born).await)
+}
+
+#[rocket::post("/fireflyspool/Config.Replace", data = "<body>")]
+async fn replace(body: rocket::Data<'_>, node: &Node) -> Result<(), Failure> {
+    let body = read_body(body, CONFIGURATION_LIMIT).await?;
+    let text =
+        String::from_utf8(body).map_err(|error| (http::Status::BadRequest, error.to_string()))?;
+    let decoded = platform::ConfigurationFormat.decode(&text);
+    let valid = decoded.and_then(|decoded| decoded.validate().map(|()| decoded.version));
+    let version = match valid {
+        Ok(version) => version,
+        Err(error) => {
+            slog::info!(node.process().logger, "configuration refused"; "error" => %error);
+            return Err((http::Status::BadRequest, error.to_string()));
+        }
+    };
+    let text = text.into();
+    let document = configuration::Document { version, text };
+    order(node, state::Order::Configure(document)).await
+}
+
+#[rocket::get("/fireflyspool/Config.Get")]
+async fn read(node: &Node) -> Result<content::RawJson<String>, Failure> {
+    match node.order(state::Order::Read).await {
+        node::OrderEnd::Done(state::OrderOutcome::Document(Some(document))) => {
+            Ok(content::RawJson(document.text.as_ref().to_owned()))
+        }
+        node::OrderEnd::Done(_) => Err(unavailable("there is no configuration yet")),
+        node::OrderEnd::Open => Err(unavailable("no majority of the control VMs answered")),
+    }
+}
+
+#[rocket::post("/fireflyspool/Evacuation.Start/<zone>")]
+async fn evacuate(zone: String, node: &Node) -> Result<(), Failure> {
+    order(node, state::Order::TakeOutZone { zone }).await
+}
+
+#[rocket::post("/fireflyspool/Evacuation.Finish/<zone>")]
+async fn return_zone(zone: String, node: &Node) -> Result<(), Failure> {
+    order(node, state::Order::BringBackZone { zone }).await
+}
+
+async fn order(node: &Node, order: state::Order) -> Result<(), Failure> {
+    match node.order(order).await {
+        node::OrderEnd::Done(_) => Ok(()),
+        node::OrderEnd::Open => Err(unavailable("no majority of the control VMs answered")),
+    }
+}
+
+fn answer(grant: Option<node::Grant>) -> Result<json::Json<server_wire::HeartbeatAnswer>, Failure> {
+    let grant = grant.ok_or_else(|| unavailable("too few control VMs know of it"))?;
+    let address = grant.address;
+    Ok(json::Json(server_wire::HeartbeatAnswer { address }))
+}
+
+fn unavailable(text: &str) -> Failure {
+    (http::Status::ServiceUnavailable, text.to_owned())
+}
+
+async fn read_body(body: rocket::Data<'_>, limit: u64) -> Result<Vec<u8>, Failure> {
+    let limit = data::ByteUnit::from(limit);
+    let read = body.open(limit).into_bytes().await;
+    let read = read.map_err(|error| (http::Status::BadRequest, error.to_string()))?;
+    match read.is_complete() {
+        true => Ok(read.into_inner()),
+        false => {
+            let text = "the body is too large".to_owned();
+            Err((http::Status::PayloadTooLarge, text))
+        }
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/platform/mod.rs
@@ -0,0 +1,31 @@
+//! Adapter to the users' platform.
+//!
+//! Everything here translates: settings of a process, requests of callers,
+//! heartbeats of backend servers, orders of operators and answers of backend
+//! servers, to and from the project's own types. It decides nothing and holds
+//! no state. Names of the platform's protocol appear in this folder only; no
+//! other module imports it, apart from the command line.
+
+mod backend_link;
+mod bounds;
+mod caller_service;
+mod configuration_format;
+mod configuration_wire;
+mod control_routes;
+mod departure_wire;
+mod directory_routes;
+mod headers;
+mod heartbeat_wire;
+mod platform_error;
+mod process_settings;
+mod ready_routes;
+mod route_wire;
+mod run;
+mod server_wire;
+
+pub use configuration_format::ConfigurationFormat;
+pub use departure_wire::DepartureWire;
+pub use heartbeat_wire::HeartbeatWire;
+pub use platform_error::PlatformError;
+pub use process_settings::ProcessSettings;
+pub use run::{run_control, run_entry};
--- /dev/null
+++ b/crates/fireflyspool/src/platform/process_settings.rs
@@ -0,0 +1,175 @@
+//! The platform's settings file.
+
+use std::{env, fs, net, path, time};
+
+use crate::platform::bounds;
+use crate::{fleet, node, platform};
+
+/// Environment variable that names the file.
+const SETTINGS_VARIABLE: &str = "FIREFLYSPOOL_CONFIG";
+
+/// Name of the site in data folders; the platform gives none.
+const SITE: &str = "platform";
+
+/// Settings of one process, as far as this project uses them.
+#[derive(Clone, Debug)]
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub struct ProcessSettings {
+    node_name: String,
+    ip: net::IpAddr,
+    zone: String,
+    #[serde(default)]
+    region: String,
+    /// First and last port that is free for traffic between processes.
+    internal_port_range: (u16, u16),
+    /// Control VMs, by their addresses for operators.
+    seeds: Vec<net::SocketAddr>,
+    #[serde(default)]
+    bootstrap: bool,
+    #[serde(default)]
+    data_dir: Option<path::PathBuf>,
+    #[serde(rename = "HeartbeatMs", default = "default_heartbeat")]
+    heartbeat: u64,
+    #[serde(default)]
+    listen_addrs: ListenAddresses,
+    #[serde(default)]
+    bounds: bounds::Bounds,
+}
+
+/// Addresses on which a process listens, as far as its role has them.
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(serde::Deserialize)]
+struct ListenAddresses {
+    /// For callers.
+    #[serde(rename = "Frontend")]
+    callers: Option<net::SocketAddr>,
+    /// For the platform's readiness checks.
+    #[serde(rename = "Ready")]
+    readiness: Option<net::SocketAddr>,
+    /// For operators and backend servers.
+    #[serde(rename = "Control")]
+    control: Option<net::SocketAddr>,
+    /// For callers that ask for addresses.
+    #[serde(rename = "directory")]
+    directory: Option<net::SocketAddr>,
+}
+
+/// Heartbeat interval in milliseconds of all known installations.
+fn default_heartbeat() -> u64 {
+    1_200
+}
+
+impl ProcessSettings {
+    /// Reads the file that the environment names.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`platform::PlatformError`] if it cannot be found, read or parsed.
+    pub fn from_environment() -> Result<Self, platform::PlatformError> {
+        let named = env::var_os(SETTINGS_VARIABLE);
+        let path = named.ok_or(platform::PlatformError::NoSettings(SETTINGS_VARIABLE))?;
+        Self::load(path::Path::new(&path))
+    }
+
+    /// Reads a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`platform::PlatformError`] if it cannot be read or parsed.
+    pub fn load(path: &path::Path) -> Result<Self, platform::PlatformError> {
+        let path = path.to_owned();
+        let text = match fs::read_to_string(&path) {
+            Ok(text) => text,
+            Err(source) => return Err(platform::PlatformError::Read { path, source }),
+        };
+        toml::from_str(&text).map_err(|source| platform::PlatformError::Parse {
+            path,
+            source: Box::new(source),
+        })
+    }
+
+    /// Settings of an entry VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`platform::PlatformError`] if the address for callers is missing.
+    pub fn entry(&self) -> Result<node::EntrySettings, platform::PlatformError> {
+        let callers = required("ListenAddrs.Frontend", self.listen_addrs.callers)?;
+        Ok(node::EntrySettings {
+            callers,
+            zone: self.zone.clone(),
+            region: self.region.clone(),
+            contacts: self.contacts(),
+            limits: fleet::Limits {
+                repeat_ratio: self.bounds.repeat_ratio,
+                repeat_slack: self.bounds.repeat_slack,
+                repeat_window: seconds(self.bounds.repeat_window),
+            },
+            grace: seconds(self.bounds.grace),
+        })
+    }
+
+    /// Settings of a control VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`platform::PlatformError`] if an address or the data folder is missing.
+    pub fn control(&self) -> Result<node::ControlSettings, platform::PlatformError> {
+        Ok(node::ControlSettings {
+            site: SITE.to_owned(),
+            rpc: self.internal(self.ip),
+            control: required("ListenAddrs.Control", self.listen_addrs.control)?,
+            zone: self.zone.clone(),
+            data: required("DataDir", self.data_dir.clone())?,
+            contacts: self.contacts(),
+            founding: self.bootstrap,
+            heartbeat: time::Duration::from_millis(self.heartbeat),
+        })
+    }
+
+    /// Address for readiness checks, if this process has one.
+    pub fn readiness(&self) -> Option<net::SocketAddr> {
+        self.listen_addrs.readiness
+    }
+
+    /// Address for callers that ask for addresses, if this process has one.
+    pub fn directory(&self) -> Option<net::SocketAddr> {
+        self.listen_addrs.directory
+    }
+
+    /// Name of the VM.
+    pub fn name(&self) -> &str {
+        &self.node_name
+    }
+
+    /// Address for metrics: the last internal port.
+    pub fn metrics(&self) -> net::SocketAddr {
+        net::SocketAddr::new(self.ip, self.internal_port_range.1)
+    }
+
+    fn contacts(&self) -> Vec<net::SocketAddr> {
+        self.seeds
+            .iter()
+            .map(|seed| self.internal(seed.ip()))
+            .collect()
+    }
+
+    /// Listener for other processes on a VM: the first internal port, which is
+    /// the same on all VMs.
+    fn internal(&self, ip: net::IpAddr) -> net::SocketAddr {
+        net::SocketAddr::new(ip, self.internal_port_range.0)
+    }
+}
+
+fn required<T>(name: &'static str, value: Option<T>) -> Result<T, platform::PlatformError> {
+    value.ok_or_else(|| platform::PlatformError::Setting {
+        name,
+        detail: "is missing".to_owned(),
+    })
+}
+
+/// A duration from seconds; 0 for what is no duration.
+fn seconds(seconds: f64) -> time::Duration {
+    time::Duration::try_from_secs_f64(seconds).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/fireflyspool/src/platform/route_wire.rs
@@ -0,0 +1,90 @@
+//! A route on the wire.
+
+use crate::configuration;
+use crate::platform::configuration_wire;
+
+/// Route of a configuration.
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
+#[serde(rename_all = "PascalCase")]
+pub(super) struct RouteWire {
+    #[serde(default)]
+    name: String,
+    #[serde(rename = "Hostname")]
+    host: String,
+    #[serde(rename = "PathPrefix")]
+    prefix: String,
+    /// Says what may be repeated.
+    route_type: String,
+    timeout_ms: f64,
+    /// Latency objective in milliseconds.
+    #[serde(rename = "TargetLatencyMs", default)]
+    objective_ms: Option<f64>,
+    #[serde(default)]
+    priority: f64,
+    #[serde(default)]
+    attempts: Option<f64>,
+    /// Service; the wire calls a service a back end.
+    #[serde(rename = "Backend", default)]
+    service: Option<String>,
+    #[serde(rename = "TrafficSplit", default)]
+    split: Option<Vec<SplitWire>>,
+    /// Services that hold one shard each.
+    #[serde(rename = "Gather", default)]
+    shards: Option<Vec<String>>,
+    /// Records in an answer.
+    #[serde(rename = "TopK", default)]
+    top: Option<f64>,
+    /// Least share of the shards in an answer.
+    #[serde(rename = "MinCoverage", default)]
+    coverage: Option<f64>,
+}
+
+/// Part of a split.
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
+struct SplitWire {
+    #[serde(rename = "Backend", alias = "Name", alias = "Service")]
+    service: String,
+    #[serde(rename = "Weight")]
+    weight: f64,
+}
+
+/// Route type whose requests may run more than once.
+const IDEMPOTENT: &str = "idempotent";
+
+impl RouteWire {
+    pub(super) fn route(self) -> Result<configuration::Route, configuration::ConfigurationError> {
+        let target = if let Some(shards) = self.shards {
+            configuration::Target::Gather(configuration::Gather {
+                shards,
+                top: self.top.unwrap_or(0.0) as usize,
+                coverage: self.coverage.unwrap_or(1.0),
+            })
+        } else if let Some(split) = self.split {
+            let share = |share: SplitWire| configuration::SplitShare {
+                service: share.service,
+                weight: share.weight,
+            };
+            configuration::Target::Split(split.into_iter().map(share).collect())
+        } else {
+            configuration::Target::Service(self.service.unwrap_or_default())
+        };
+        let timeout = configuration_wire::millis("TimeoutMs", self.timeout_ms)?;
+        let objective = match self.objective_ms {
+            Some(objective) => configuration_wire::millis("TargetLatencyMs", objective)?,
+            None => timeout,
+        };
+        Ok(configuration::Route {
+            name: self.name,
+            host: self.host.to_ascii_lowercase(),
+            prefix: self.prefix,
+            idempotent: self.route_type == IDEMPOTENT,
+            timeout,
+            objective,
+            priority: self.priority as u32,
+            attempts: self.attempts.map_or(1, |attempts| attempts as usize).max(1),
+            target,
+        })
+    }
+}
--- /dev/null
+++ b/crates/fireflyspool/src/platform/run.rs
@@ -0,0 +1,134 @@
+//! Processes on the platform.
+
+use std::{net, sync};
+
+use anyhow::Context as _;
+use rocket::config;
+use tokio::{signal::unix, sync::watch, task};
+
+use crate::platform::{
+    backend_link, caller_service, control_routes, directory_routes, ready_routes,
+};
+use crate::{node, platform, rim};
+
+/// Time that Rocket waits for open connections when the process ends, in seconds.
+const CLOSE_GRACE: u32 = 1;
+
+/// Runs an entry VM until it is told to stop; returns the requests cut short.
+///
+/// # Errors
+///
+/// Fails if the settings are not valid or an address cannot be bound.
+pub fn run_entry() -> anyhow::Result<usize> {
+    let settings = platform::ProcessSettings::from_environment()?;
+    runtime()?.block_on(entry(settings))
+}
+
+/// Runs a control VM until it is told to stop.
+///
+/// # Errors
+///
+/// Fails if the settings are not valid or an address cannot be bound.
+pub fn run_control() -> anyhow::Result<()> {
+    let settings = platform::ProcessSettings::from_environment()?;
+    runtime()?.block_on(control(settings))
+}
+
+/// One traffic thread: the VMs have a part of one core.
+fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .max_blocking_threads(2)
+        .thread_name("traffic")
+        .enable_all()
+        .build()
+}
+
+async fn entry(settings: platform::ProcessSettings) -> anyhow::Result<usize> {
+    let own = settings.entry()?;
+    let callers = own.callers;
+    let (logger, _guard, _) = node::Entry::logger(&own);
+    let timer = crate::timer::TimerService::start()?;
+    let link = backend_link::BackendLink::new(timer.clone());
+    let format = sync::Arc::new(platform::ConfigurationFormat);
+    let node = node::Entry::start(own, format, sync::Arc::new(link), logger.clone())?;
+    let (closing, closed) = watch::channel(false);
+    let handler = caller_service::CallerService::new(sync::Arc::clone(&node));
+    let callers = rim::caller_listener(callers, sync::Arc::new(handler), timer, closed);
+    let callers = tokio::spawn(callers);
+    if let Some(address) = settings.readiness() {
+        serve(address, ready_routes::ready_routes(), &node);
+    }
+    serve(settings.metrics(), ready_routes::metrics_routes(), &node);
+    slog::info!(logger, "started"; "vm" => settings.name(), "role" => "entry");
+    wait_for_stop(callers).await?;
+    node.announce_leaving().await;
+    // The listener and all connections may have ended already.
+    let _ = closing.send(true);
+    let cut = node.finish().await;
+    slog::info!(logger, "stopped"; "cut_requests" => cut);
+    Ok(cut)
+}
+
+async fn control(settings: platform::ProcessSettings) -> anyhow::Result<()> {
+    let own = settings.control()?;
+    let address = own.control;
+    let (logger, _guard, _) = node::Control::logger(&own);
+    let node = node::Control::start(own, logger.clone()).await?;
+    let listener = serve(address, control_routes::control_routes(), &node);
+    if let Some(address) = settings.directory() {
+        serve(address, directory_routes::directory_routes(), &node);
+    }
+    slog::info!(logger, "started"; "vm" => settings.name(), "role" => "control");
+    wait_for_stop(listener).await?;
+    slog::info!(logger, "stopped");
+    Ok(())
+}
+
+/// Waits for the signal to stop, or for a listener that ends by itself.
+async fn wait_for_stop<E>(mut listener: task::JoinHandle<Result<(), E>>) -> anyhow::Result<()>
+where
+    E: std::error::Error + Send + Sync + 'static,
+{
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut reload = unix::signal(unix::SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            // What may change in the file matters only to processes that start.
+            _ = reload.recv() => {}
+            ended = &mut listener => {
+                ended.context("the listener panicked")??;
+                anyhow::bail!("the listener ended");
+            }
+        }
+    }
+}
+
+/// Starts a Rocket listener.
+fn serve<T: Send + Sync + 'static>(
+    address: net::SocketAddr,
+    routes: Vec<rocket::Route>,
+    node: &sync::Arc<T>,
+) -> task::JoinHandle<Result<(), rocket::Error>> {
+    let shutdown = config::Shutdown {
+        ctrlc: false,
+        signals: Default::default(),
+        grace: CLOSE_GRACE,
+        mercy: CLOSE_GRACE,
+        ..config::Shutdown::default()
+    };
+    let config = rocket::Config {
+        address: address.ip(),
+        port: address.port(),
+        log_level: config::LogLevel::Off,
+        cli_colors: false,
+        ident: config::Ident::none(),
+        shutdown,
+        ..rocket::Config::release_default()
+    };
+    let rocket = rocket::custom(config)
+        .manage(sync::Arc::clone(node))
+        .mount("/", routes);
+    tokio::spawn(async move { rocket.launch().await.map(drop) })
+}
--- /dev/null
+++ b/crates/fireflyspool/src/registry/absorbed.rs
@@ -0,0 +1,12 @@
+//! Effect of a report.
+
+/// What a report did to a registry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Absorbed {
+    /// Older than what is known; without effect.
+    Stale,
+    /// A sign of life without other news.
+    Refreshed,
+    /// Written to the change log.
+    Changed,
+}
--- /dev/null
+++ b/crates/fireflyspool/src/rim/forward_client.rs
@@ -0,0 +1,87 @@
+//! HTTP client for requests that are passed on unchanged.
+//!
+//! It uses hyper's pooled client directly: a URL type, as reqwest requires,
+//! would normalize the request target, and the caller's bytes are to arrive as
+//! they were sent. The only request that this layer sends again is one that was
+//! never written, because its pooled connection had been closed.
+
+use std::time;
+
+use http_body_util::BodyExt as _;
+use hyper_util::{client::legacy, rt};
+
+/// Time for opening a connection.
+const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
+
+/// Time for which an idle connection is kept. Servers close theirs later, so a
+/// request rarely meets a connection that is being closed.
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
+
+/// Idle connections kept to one backend server.
+const IDLE_CONNECTIONS: usize = 4;
+
+type Body = http_body_util::Full<bytes::Bytes>;
+
+/// Pooled client.
+#[derive(Clone)]
+pub struct ForwardClient {
+    client: legacy::Client<legacy::connect::HttpConnector, Body>,
+}
+
+/// Why no answer arrived.
+#[derive(Debug, thiserror::Error)]
+pub enum ForwardError {
+    /// No connection could be opened; nothing was sent.
+    #[error("cannot connect")]
+    Connect(#[source] legacy::Error),
+    /// The connection broke after the request may have been sent.
+    #[error("the connection broke")]
+    Broken(#[source] legacy::Error),
+    /// The body of the answer is not complete.
+    #[error("the answer is not complete")]
+    Truncated(#[source] hyper::Error),
+}
+
+impl Default for ForwardClient {
+    fn default() -> Self {
+        let mut connector = legacy::connect::HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let client = legacy::Client::builder(rt::TokioExecutor::new())
+            .pool_timer(rt::TokioTimer::new())
+            .timer(rt::TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(IDLE_CONNECTIONS)
+            .set_host(false)
+            .build(connector);
+        Self { client }
+    }
+}
+
+impl ForwardClient {
+    /// Sends a request; its target must be absolute.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ForwardError`] if no answer arrives.
+    pub async fn send(
+        &self,
+        request: http::Request<Body>,
+    ) -> Result<http::Response<hyper::body::Incoming>, ForwardError> {
+        let sent = self.client.request(request).await;
+        sent.map_err(|error| match error.is_connect() {
+            true => ForwardError::Connect(error),
+            false => ForwardError::Broken(error),
+        })
+    }
+
+    /// Reads the whole body of an answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`ForwardError`] if the body ends early.
+    pub async fn read(body: hyper::body::Incoming) -> Result<bytes::Bytes, ForwardError> {
+        let collected = body.collect().await;
+        Ok(collected.map_err(ForwardError::Truncated)?.to_bytes())
+    }
+}
--- a/crates/fireflyspool/src/rim/method.rs
+++ b/crates/fireflyspool/src/rim/method.rs
@@ -21,6 +21,12 @@
     Dispatch,
     /// Cancellation of sub-requests.
     Cancel,
+    /// Batch between hubs.
+    Exchange,
+    /// Poll of an entry VM.
+    Follow,
+    /// Order for the leader.
+    Order,
 }
 
 impl Method {
@@ -36,6 +42,9 @@
             Self::Show => "control.show",
             Self::Dispatch => "dispatch.run",
             Self::Cancel => "dispatch.cancel",
+            Self::Exchange => "hub.exchange",
+            Self::Follow => "hub.follow",
+            Self::Order => "order.decide",
         }
     }
 }
--- a/crates/fireflyspool/src/rim/peer.rs
+++ b/crates/fireflyspool/src/rim/peer.rs
@@ -18,17 +18,21 @@
 /// Lazily opened connection that is opened again after it broke.
 pub struct Peer {
     address: net::SocketAddr,
-    key: settings::SharedKey,
+    /// Key of the site; `None` where the network admits only its processes.
+    key: Option<settings::SharedKey>,
     client: async_sync::RwLock<Option<Client>>,
+    /// When the last answer arrived.
+    answered: sync::Mutex<Option<time::Instant>>,
 }
 
 impl Peer {
     /// A peer that is not connected yet.
-    pub fn new(address: net::SocketAddr, key: settings::SharedKey) -> Self {
+    pub fn new(address: net::SocketAddr, key: Option<settings::SharedKey>) -> Self {
         Self {
             address,
             key,
             client: async_sync::RwLock::new(None),
+            answered: sync::Mutex::default(),
         }
     }
 
@@ -54,10 +58,14 @@
         R: serde::de::DeserializeOwned,
     {
         let client = self.connected().await?;
+        let started = time::Instant::now();
         let parameters = jsonrpsee::rpc_params![parameter];
         let call = client::ClientT::request(client.as_ref(), method.name(), parameters);
         match tokio::time::timeout(timeout, call).await {
-            Ok(Ok(result)) => Ok(result),
+            Ok(Ok(result)) => {
+                *self.last_answer() = Some(time::Instant::now());
+                Ok(result)
+            }
             Ok(Err(source)) => {
                 if !client.is_connected() {
                     self.forget(&client).await;
@@ -68,12 +76,24 @@
                     source,
                 })
             }
-            Err(_) => Err(rim::PeerError::Timeout {
-                address: self.address,
-            }),
+            Err(_) => {
+                // A connection on which nothing was answered since may have gone silent.
+                if self.last_answer().is_none_or(|answered| answered < started) {
+                    self.forget(&client).await;
+                }
+                Err(rim::PeerError::Timeout {
+                    address: self.address,
+                })
+            }
         }
     }
 
+    fn last_answer(&self) -> sync::MutexGuard<'_, Option<time::Instant>> {
+        self.answered
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     async fn connected(&self) -> Result<Client, rim::PeerError> {
         if let Some(client) = self.client.read().await.as_ref()
             && client.is_connected()
@@ -93,7 +113,9 @@
 
     async fn connect(&self) -> Result<ws_client::WsClient, rim::PeerError> {
         let mut headers = ws_client::HeaderMap::new();
-        if let Ok(value) = ws_client::HeaderValue::from_str(&self.key.header()) {
+        if let Some(key) = &self.key
+            && let Ok(value) = ws_client::HeaderValue::from_str(&key.header())
+        {
             headers.insert("authorization", value);
         }
         ws_client::WsClientBuilder::default()
--- a/crates/fireflyspool/src/rim/peers.rs
+++ b/crates/fireflyspool/src/rim/peers.rs
@@ -8,13 +8,13 @@
 ///
 /// The lock guards the table only and is never held across a call.
 pub struct Peers {
-    key: settings::SharedKey,
+    key: Option<settings::SharedKey>,
     table: sync::RwLock<sorted::SortedMap<ids::NodeId, sync::Arc<rim::Peer>>>,
 }
 
 impl Peers {
     /// An empty table.
-    pub fn new(key: settings::SharedKey) -> Self {
+    pub fn new(key: Option<settings::SharedKey>) -> Self {
         Self {
             key,
             table: sync::RwLock::default(),
--- a/crates/fireflyspool/src/state/applied.rs
+++ b/crates/fireflyspool/src/state/applied.rs
@@ -12,4 +12,6 @@
     Claims(Vec<state::ClaimReply>),
     /// The outcomes are recorded.
     ClaimOutcomes,
+    /// Outcome of the order.
+    Order(state::OrderOutcome),
 }
--- a/crates/fireflyspool/src/state/control_group.rs
+++ b/crates/fireflyspool/src/state/control_group.rs
@@ -46,6 +46,29 @@
         Ok(())
     }
 
+    /// Records that a VM is to join in place of any other at its address.
+    pub fn join(
+        &mut self,
+        node: ids::NodeId,
+        incarnation: ids::Incarnation,
+        rpc: net::SocketAddr,
+    ) -> state::OrderOutcome {
+        if self.removed.contains_key(&node) {
+            return state::OrderOutcome::Retired;
+        }
+        let replaced = |(other, record): (&ids::NodeId, &state::ControlRecord)| {
+            (*other != node && record.rpc == rpc).then_some(*other)
+        };
+        let former: Vec<_> = self.added.iter().filter_map(replaced).collect();
+        for other in former {
+            self.added.remove(&other);
+            self.removed.insert(other, 0);
+        }
+        self.added
+            .insert(node, state::ControlRecord { incarnation, rpc });
+        state::OrderOutcome::Accepted
+    }
+
     /// Records that a VM is to leave.
     ///
     /// # Errors
--- a/crates/fireflyspool/src/state/control_state.rs
+++ b/crates/fireflyspool/src/state/control_state.rs
@@ -1,6 +1,6 @@
 //! The replicated state machine.
 
-use crate::{ids, state};
+use crate::{configuration, ids, state};
 
 /// Everything that the replicated log determines.
 ///
@@ -26,6 +26,9 @@
     pub receipts: state::ReceiptBook,
     /// Claims of non-idempotent requests.
     pub claims: state::ClaimBook,
+    /// Routing configuration in force.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub document: Option<configuration::Document>,
 }
 
 impl ControlState {
@@ -46,6 +49,7 @@
                 }
                 state::Applied::ClaimOutcomes
             }
+            state::Entry::Order(order) => state::Applied::Order(self.follow(order)),
         }
     }
 
@@ -64,6 +68,40 @@
         Ok(serde_json::from_slice(bytes)?)
     }
 
+    fn follow(&mut self, order: &state::Order) -> state::OrderOutcome {
+        match order {
+            state::Order::Configure(document) => {
+                let version = self.document.as_ref().map_or(0, |held| held.version);
+                if document.version > version {
+                    self.document = Some(document.clone());
+                }
+            }
+            state::Order::TakeOutZone { zone } => {
+                let zone = zone.clone();
+                // The catalog refuses only a zone that is out already.
+                let _ = self.catalog.apply(&state::Change::TakeOutZone { zone });
+            }
+            state::Order::BringBackZone { zone } => {
+                let zone = zone.clone();
+                // The catalog refuses only a zone that is not out.
+                let _ = self.catalog.apply(&state::Change::BringBackZone { zone });
+            }
+            state::Order::Join {
+                node,
+                incarnation,
+                rpc,
+            } => return self.group.join(*node, *incarnation, *rpc),
+            state::Order::Retire { node } => {
+                // The group refuses only a VM that is removed already.
+                let _ = self.group.remove(*node, 0);
+            }
+            state::Order::Read => {
+                return state::OrderOutcome::Document(self.document.clone());
+            }
+        }
+        state::OrderOutcome::Accepted
+    }
+
     fn run(&mut self, command: &state::Command) -> state::Receipt {
         if let Some(receipt) = self.receipts.find(command) {
             return receipt;
--- a/crates/fireflyspool/src/state/entry.rs
+++ b/crates/fireflyspool/src/state/entry.rs
@@ -17,6 +17,8 @@
     Claims(Vec<state::Claim>),
     /// Outcomes of claimed requests.
     ClaimOutcomes(Vec<state::ClaimOutcome>),
+    /// Order that replaces state as a whole.
+    Order(state::Order),
 }
 
 impl Entry {
--- a/crates/fireflyspool/src/storage/data_folder.rs
+++ b/crates/fireflyspool/src/storage/data_folder.rs
@@ -53,6 +53,54 @@
         output::replace(disk, replay::IDENTITY, &owner)
     }
 
+    /// Whether a folder holds an identity.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the identity exists and cannot be read.
+    pub fn is_initialized(folder: &path::Path) -> Result<bool, storage::StorageError> {
+        let disk = storage::FolderDisk::unlocked(folder);
+        let found = storage::Disk::read(&disk, replay::IDENTITY);
+        let found = found.map_err(|error| output::io_error("read", replay::IDENTITY, error))?;
+        Ok(found.is_some())
+    }
+
+    /// Identity of a folder that is not open.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder is not initialized or its identity cannot be read.
+    pub fn identity_of(folder: &path::Path) -> Result<storage::Identity, storage::StorageError> {
+        replay::read_identity(&storage::FolderDisk::unlocked(folder))
+    }
+
+    /// Removes everything from a folder, the identity first.
+    ///
+    /// A folder whose initialization was interrupted holds nothing of value,
+    /// and neither does one whose node number was retired.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file cannot be removed.
+    pub fn clear(folder: &path::Path) -> Result<(), storage::StorageError> {
+        let failed = |error| output::io_error("remove", "the data folder's files", error);
+        fs::create_dir_all(folder).map_err(failed)?;
+        let mut names = vec![replay::IDENTITY.to_owned()];
+        let disk = storage::FolderDisk::unlocked(folder);
+        names.extend(storage::Disk::list(&disk).map_err(failed)?);
+        for name in names {
+            match fs::remove_file(folder.join(name)) {
+                Err(error) if error.kind() != std::io::ErrorKind::NotFound => {
+                    return Err(failed(error));
+                }
+                _ => {}
+            }
+        }
+        fs::File::open(folder)
+            .and_then(|folder| folder.sync_all())
+            .map_err(failed)
+    }
+
     /// Opens the data folder of a node and reads what it holds.
     ///
     /// # Errors
--- a/crates/fireflyspool/src/traffic/entry_node.rs
+++ b/crates/fireflyspool/src/traffic/entry_node.rs
@@ -25,7 +25,7 @@
 impl EntryNode {
     /// Assembles a process; must be called within the runtime.
     pub fn new(shared: sync::Arc<traffic::Shared>, key: settings::SharedKey) -> Self {
-        let peers = sync::Arc::new(rim::Peers::new(key.clone()));
+        let peers = sync::Arc::new(rim::Peers::new(Some(key.clone())));
         Self {
             services: traffic::ServiceTable::new(sync::Arc::clone(&shared)),
             control: traffic::ControlClient::new(
