Keep the listener between processes open

Cause: the server handle was dropped after the start, which ends the server; every call between processes failed and no configuration was acknowledged. Ruled out: addresses and ports (connections were refused, not silent). Change: the control VM holds the handle.

--- a/crates/fireflyspool/src/node/control.rs
+++ b/crates/fireflyspool/src/node/control.rs
@@ -2,6 +2,7 @@
 
 use std::{net, sync, time};
 
+use jsonrpsee::server;
 use tokio::sync::oneshot;
 
 use crate::{
@@ -31,6 +32,8 @@
 /// Handle of a control VM for its front ends.
 pub struct Control {
     process: sync::Arc<node::Process>,
+    /// Keeps the listener for other processes open.
+    listener: sync::OnceLock<server::ServerHandle>,
 }
 
 impl Control {
@@ -62,8 +65,12 @@
         let now = time::Instant::now();
         let contacts = settings.contacts.clone();
         let hub = control::HubSide::new(own, config, contacts, logger.clone(), now);
-        let node = sync::Arc::new(Self { process });
-        let _listener = node::mesh_listener(settings.rpc, sync::Arc::clone(&node)).await?;
+        let node = sync::Arc::new(Self {
+            process,
+            listener: sync::OnceLock::new(),
+        });
+        let listener = node::mesh_listener(settings.rpc, sync::Arc::clone(&node)).await?;
+        node.listener.get_or_init(|| listener);
         let opener = opener(settings, logger.clone());
         let failed = logger.clone();
         control::ControlThread::new(outlet, receiver, None, None, Vec::new(), logger)
