Answer replicas that the log does not list yet, and leave hubs that lag

Cause: a VM that joins has an empty log, so it knows no address for the number of the leader and its acknowledgements were dropped. It never caught up, yet entry VMs followed its hub and stayed on an old configuration (CONFIG). Ruled out: membership steps (the learners were added), lost messages (appends arrived). Change: replicas tell their listener with their messages; a hub that lacks a majority or newer state of the log says so, and entry VMs move on.

--- a/crates/fireflyspool/src/control/event.rs
+++ b/crates/fireflyspool/src/control/event.rs
@@ -1,6 +1,6 @@
 //! Events of the control thread.
 
-use std::time;
+use std::{net, time};
 
 use tokio::sync::oneshot;
 
@@ -11,8 +11,13 @@
 /// Senders of answers are one-shot channels; an answer whose receiver is gone
 /// is dropped.
 pub enum Event {
-    /// Messages of other replicas.
-    Envelopes(Vec<consensus::Envelope>),
+    /// Messages of another replica.
+    Envelopes {
+        /// Its listener, if it told.
+        from: Option<net::SocketAddr>,
+        /// The messages.
+        envelopes: Vec<consensus::Envelope>,
+    },
     /// Another entry VM, or this one, asks the leader for a lease.
     Renew {
         /// Request of the entry VM.
--- a/crates/fireflyspool/src/control/voter.rs
+++ b/crates/fireflyspool/src/control/voter.rs
@@ -27,6 +27,8 @@
     pub(super) roster: Option<roster::Roster>,
     pub(super) lease: roster::Config,
     pub(super) founding: sorted::SortedMap<ids::NodeId, net::SocketAddr>,
+    /// Listeners that senders told, for members that the log does not list here yet.
+    pub(super) learned: sorted::SortedMap<ids::NodeId, net::SocketAddr>,
     pub(super) waiters: sorted::SortedMap<ids::Ticket, waiter::Waiter>,
     pub(super) next_ticket: ids::Ticket,
     pub(super) claims: Vec<(state::Claim, oneshot::Sender<state::ClaimReply>)>,
@@ -64,6 +66,7 @@
             roster: None,
             lease,
             founding,
+            learned: sorted::SortedMap::new(),
             waiters: sorted::SortedMap::new(),
             next_ticket: 0,
             claims: Vec::new(),
@@ -114,8 +117,11 @@
         now: time::Instant,
     ) {
         match event {
-            control::Event::Envelopes(envelopes) => {
+            control::Event::Envelopes { from, envelopes } => {
                 for envelope in envelopes {
+                    if let Some(listener) = from {
+                        self.learned.insert(envelope.from, listener);
+                    }
                     self.step(consensus::Event::Received(envelope), outlet, now);
                 }
             }
--- a/crates/fireflyspool/src/control/voter_membership.rs
+++ b/crates/fireflyspool/src/control/voter_membership.rs
@@ -52,6 +52,8 @@
 
     pub(super) fn address_of(&self, node: ids::NodeId) -> Option<net::SocketAddr> {
         let added = self.state.group.added.get(&node).map(|record| record.rpc);
-        added.or_else(|| self.founding.get(&node).copied())
+        let founding = || self.founding.get(&node).copied();
+        let learned = || self.learned.get(&node).copied();
+        added.or_else(founding).or_else(learned)
     }
 }
--- a/crates/fireflyspool/src/follow/follower.rs
+++ b/crates/fireflyspool/src/follow/follower.rs
@@ -128,7 +128,7 @@
             self.hubs = hubs;
             self.prefer_own_zone();
         }
-        if reply.quorum {
+        if reply.current {
             self.view.confirmed = Some(now);
         } else {
             self.move_on(now);
--- a/crates/fireflyspool/src/hub/batch.rs
+++ b/crates/fireflyspool/src/hub/batch.rs
@@ -1,6 +1,6 @@
 //! Message between hubs.
 
-use crate::{hub, registry};
+use crate::{hub, ids, registry};
 
 /// News of one hub for another.
 #[derive(Clone, Debug, PartialEq)]
@@ -8,6 +8,12 @@
 pub struct Batch {
     /// Sender.
     pub from: hub::Origin,
+    /// Version of its configuration.
+    #[serde(default)]
+    pub version: ids::ConfigVersion,
+    /// Revision of its zones.
+    #[serde(default)]
+    pub revision: ids::Revision,
     /// Changed backend servers.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub records: Vec<registry::Record>,
--- a/crates/fireflyspool/src/hub/config.rs
+++ b/crates/fireflyspool/src/hub/config.rs
@@ -13,6 +13,8 @@
     pub member_patience: time::Duration,
     /// Silence after which a backend server gets no new requests.
     pub server_patience: time::Duration,
+    /// Time for which a hub may lag behind another one before entry VMs leave it.
+    pub lag_limit: time::Duration,
     /// Longest time that a poll waits for news.
     pub hold: time::Duration,
     /// Longest time that a leaving server waits for its acknowledgement.
@@ -30,6 +32,8 @@
             member_patience: time::Duration::from_millis(1_800),
             // Three heartbeats in a row that are lost or go to hubs out of reach.
             server_patience: heartbeat * 3 + time::Duration::from_millis(600),
+            // Far above the time of a replication, far below that of a configuration.
+            lag_limit: time::Duration::from_millis(500),
             hold: time::Duration::from_millis(400),
             // Backend servers wait one second before they try another VM.
             acknowledge: time::Duration::from_millis(800),
--- a/crates/fireflyspool/src/hub/follow_reply.rs
+++ b/crates/fireflyspool/src/hub/follow_reply.rs
@@ -8,8 +8,8 @@
 pub struct FollowReply {
     /// Life of the hub that answers.
     pub incarnation: ids::Incarnation,
-    /// Whether the hub reaches a majority of the control VMs.
-    pub quorum: bool,
+    /// Whether the hub reaches a majority of the control VMs and is up to date.
+    pub current: bool,
     /// Configuration, if the entry VM lacks it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub document: Option<configuration::Document>,
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -38,6 +38,8 @@
     pub(super) group: Vec<net::SocketAddr>,
     pub(super) document: Option<configuration::Document>,
     pub(super) zones: hub::ZonesOut,
+    /// Since when another hub has had newer state of the replicated log.
+    pub(super) behind: Option<time::Instant>,
     pub(super) waiting: Vec<Waiting>,
     pub(super) unacknowledged: Vec<Unacknowledged>,
     pub(super) published: hub::AddressBook,
@@ -56,6 +58,7 @@
             group: contacts.to_vec(),
             document: None,
             zones: hub::ZonesOut::default(),
+            behind: None,
             waiting: Vec::new(),
             unacknowledged: Vec::new(),
             published: hub::AddressBook::default(),
@@ -135,6 +138,7 @@
     /// Does what is due and returns the actions that have come up.
     pub fn advance(&mut self, now: time::Instant) -> Vec<hub::Action> {
         self.registry.expire(now);
+        self.note_lag(now);
         self.exchange_due(now);
         self.acknowledge_due(now);
         self.reply_due(now);
@@ -160,6 +164,21 @@
         self.peers.get(&listener)?.heard
     }
 
+    /// Version of the configuration, 0 without one.
+    pub(super) fn version(&self) -> ids::ConfigVersion {
+        self.document
+            .as_ref()
+            .map_or(0, |document| document.version)
+    }
+
+    /// Whether entry VMs may rely on this hub: it reaches a majority and does
+    /// not lag behind the replicated log.
+    pub(super) fn is_current(&self, now: time::Instant) -> bool {
+        let lags =
+            |since: time::Instant| now.saturating_duration_since(since) > self.config.lag_limit;
+        self.has_quorum(now) && self.document.is_some() && !self.behind.is_some_and(lags)
+    }
+
     /// Whether a majority of the control group is in reach.
     pub fn has_quorum(&self, now: time::Instant) -> bool {
         let reached = self.group.iter().filter(|listener| {
--- a/crates/fireflyspool/src/hub/hub_followers.rs
+++ b/crates/fireflyspool/src/hub/hub_followers.rs
@@ -49,13 +49,9 @@
     }
 
     fn has_news(&self, request: &hub::FollowRequest) -> bool {
-        let version = self
-            .document
-            .as_ref()
-            .map_or(0, |document| document.version);
         request.incarnation != self.own.incarnation
             || request.position != self.registry.position()
-            || version > request.version
+            || self.version() > request.version
             || self.zones.revision > request.revision
     }
 
@@ -78,7 +74,7 @@
         let hubs = self.hubs(now);
         hub::FollowReply {
             incarnation: self.own.incarnation,
-            quorum: self.has_quorum(now),
+            current: self.is_current(now),
             document: self.document.as_ref().filter(lacking).cloned(),
             zones: (self.zones.revision > request.revision).then(|| self.zones.clone()),
             changes,
--- a/crates/fireflyspool/src/hub/hub_peers.rs
+++ b/crates/fireflyspool/src/hub/hub_peers.rs
@@ -19,6 +19,8 @@
         if let Some(peer) = self.peers.get_mut(&listener) {
             peer.heard = Some(now);
             peer.origin = Some(batch.from);
+            peer.version = batch.version;
+            peer.revision = batch.revision;
         }
         for record in batch.records {
             self.registry.absorb_record(record, now);
@@ -96,6 +98,8 @@
         peer.sent = Some(now);
         let batch = hub::Batch {
             from: self.own.clone(),
+            version: self.version(),
+            revision: self.zones.revision,
             records: changes.records,
             sightings,
             members,
@@ -107,6 +111,18 @@
         });
     }
 
+    /// Notes since when another hub has had newer state of the replicated log.
+    pub(super) fn note_lag(&mut self, now: time::Instant) {
+        let (version, revision) = (self.version(), self.zones.revision);
+        let newer = |peer: &hub::peer::Peer| peer.version > version || peer.revision > revision;
+        match self.peers.values().any(newer) {
+            true => {
+                self.behind.get_or_insert(now);
+            }
+            false => self.behind = None,
+        }
+    }
+
     fn followers(&self, now: time::Instant) -> Vec<hub::MemberRecord> {
         let follows = self.members.values().filter(|known| known.follows);
         let record = |known: &hub::hub::KnownMember| {
--- a/crates/fireflyspool/src/hub/peer.rs
+++ b/crates/fireflyspool/src/hub/peer.rs
@@ -9,6 +9,10 @@
 pub(super) struct Peer {
     /// What the peer said about itself; `None` before its first batch.
     pub(super) origin: Option<hub::Origin>,
+    /// Version of the configuration that the peer holds.
+    pub(super) version: ids::ConfigVersion,
+    /// Revision of the zones that the peer holds.
+    pub(super) revision: ids::Revision,
     /// Life of the peer that acknowledged `acked`.
     pub(super) incarnation: Option<ids::Incarnation>,
     /// Changes up to here are acknowledged.
--- a/crates/fireflyspool/src/node/control.rs
+++ b/crates/fireflyspool/src/node/control.rs
@@ -54,6 +54,7 @@
         let outlet = node::MeshOutlet::new(
             sync::Arc::clone(&process),
             tokio::runtime::Handle::current(),
+            settings.rpc,
         );
         let own = hub::Origin {
             rpc: settings.rpc,
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -45,7 +45,7 @@
         let process = node::Process::new(logger.clone(), timer, mailbox, incarnation);
         let process = sync::Arc::new(process);
         let runtime = tokio::runtime::Handle::current();
-        let outlet = node::MeshOutlet::new(sync::Arc::clone(&process), runtime);
+        let outlet = node::MeshOutlet::new(sync::Arc::clone(&process), runtime, settings.callers);
         let member = hub::Member {
             callers: settings.callers,
             zone: settings.zone.clone(),
--- a/crates/fireflyspool/src/node/mesh_listener.rs
+++ b/crates/fireflyspool/src/node/mesh_listener.rs
@@ -5,7 +5,7 @@
 use jsonrpsee::{server, types};
 use tokio::sync::oneshot;
 
-use crate::{consensus, control, hub, node, rim, state};
+use crate::{control, hub, node, rim, state};
 
 /// Largest message; a configuration with some thousand routes fits.
 const MAX_MESSAGE: u32 = 16 * 1024 * 1024;
@@ -46,8 +46,11 @@
 
 fn register(module: &mut Module) -> Result<(), rim::RpcError> {
     module.register_method(rim::Method::Consensus.name(), |parameters, node, _| {
-        let envelopes: Vec<consensus::Envelope> = parameters.one()?;
-        node.process().tell(control::Event::Envelopes(envelopes));
+        let batch: node::ReplicaBatch = parameters.one()?;
+        let from = Some(batch.from);
+        let envelopes = batch.envelopes;
+        let event = control::Event::Envelopes { from, envelopes };
+        node.process().tell(event);
         Parsed::Ok(())
     })?;
     module.register_async_method(
--- a/crates/fireflyspool/src/node/mesh_outlet.rs
+++ b/crates/fireflyspool/src/node/mesh_outlet.rs
@@ -23,16 +23,23 @@
 pub struct MeshOutlet {
     process: sync::Arc<node::Process>,
     runtime: tokio::runtime::Handle,
+    /// Listener of this process; unused on entry VMs, which have no replica.
+    own: net::SocketAddr,
     links: sync::Mutex<sorted::SortedMap<net::SocketAddr, mpsc::Sender<consensus::Envelope>>>,
     wake: sync::Mutex<Option<timer::TimerToken>>,
 }
 
 impl MeshOutlet {
     /// An outlet whose calls run on that runtime.
-    pub fn new(process: sync::Arc<node::Process>, runtime: tokio::runtime::Handle) -> Self {
+    pub fn new(
+        process: sync::Arc<node::Process>,
+        runtime: tokio::runtime::Handle,
+        own: net::SocketAddr,
+    ) -> Self {
         Self {
             process,
             runtime,
+            own,
             links: sync::Mutex::default(),
             wake: sync::Mutex::default(),
         }
@@ -73,7 +80,7 @@
         let link = links.get_or_insert_with(address, || {
             let (sender, receiver) = mpsc::channel(LINK_CAPACITY);
             let peer = self.process.peer(address);
-            self.runtime.spawn(run_link(peer, receiver));
+            self.runtime.spawn(run_link(peer, self.own, receiver));
             sender
         });
         // The replicated log repeats what is lost.
@@ -150,13 +157,18 @@
     }
 }
 
-async fn run_link(peer: sync::Arc<rim::Peer>, mut receiver: mpsc::Receiver<consensus::Envelope>) {
-    let mut batch = Vec::new();
-    while receiver.recv_many(&mut batch, LINK_BATCH).await > 0 {
+async fn run_link(
+    peer: sync::Arc<rim::Peer>,
+    from: net::SocketAddr,
+    mut receiver: mpsc::Receiver<consensus::Envelope>,
+) {
+    let mut envelopes = Vec::new();
+    while receiver.recv_many(&mut envelopes, LINK_BATCH).await > 0 {
+        let envelopes = std::mem::take(&mut envelopes);
+        let batch = node::ReplicaBatch { from, envelopes };
         // A lost batch is sent again by the replicated log.
         let _ = peer
             .call::<_, ()>(rim::Method::Consensus, &batch, CALL_TIMEOUT)
             .await;
-        batch.clear();
     }
 }
--- a/crates/fireflyspool/src/node/mod.rs
+++ b/crates/fireflyspool/src/node/mod.rs
@@ -18,6 +18,7 @@
 mod message;
 mod order_end;
 mod process;
+mod replica_batch;
 
 pub use control::Control;
 pub use control_settings::ControlSettings;
@@ -31,3 +32,4 @@
 pub use message::Message;
 pub use order_end::OrderEnd;
 pub use process::Process;
+pub use replica_batch::ReplicaBatch;
--- a/crates/fireflyspool/src/rim/rpc_listener.rs
+++ b/crates/fireflyspool/src/rim/rpc_listener.rs
@@ -50,8 +50,10 @@
 fn register_control(module: &mut Module) -> Result<(), rim::RpcError> {
     module.register_method(rim::Method::Consensus.name(), |parameters, node, _| {
         let envelopes: Vec<consensus::Envelope> = parameters.one()?;
-        node.shared()
-            .tell_control(control::Event::Envelopes(envelopes));
+        node.shared().tell_control(control::Event::Envelopes {
+            from: None,
+            envelopes,
+        });
         Parsed::Ok(())
     })?;
     module.register_async_method(
