Let the number of a control VM hold its listener

Ruled out: election restrictions (all four asked for pre-votes, none arrived). Change: a number is made of listener and generation; the members in the recovered log are reachable at once.

--- a/crates/fireflyspool/src/control/voter.rs
+++ b/crates/fireflyspool/src/control/voter.rs
@@ -91,6 +91,16 @@
         [self.timer, roster, membership].into_iter().flatten().min()
     }
 
+    /// Members by the latest entry of the log.
+    pub fn members(&self) -> consensus::Members {
+        self.replica.members()
+    }
+
+    /// Tells the listener of a member, for the time until the log is applied.
+    pub fn learn(&mut self, node: ids::NodeId, listener: net::SocketAddr) {
+        self.learned.insert(node, listener);
+    }
+
     /// Whether this replica leads.
     pub fn leads(&self) -> bool {
         self.replica.is_leader()
--- a/crates/fireflyspool/src/node/control.rs
+++ b/crates/fireflyspool/src/node/control.rs
@@ -5,6 +5,7 @@
 use jsonrpsee::server;
 use tokio::sync::oneshot;
 
+use crate::node::numbering;
 use crate::{
     consensus, control, hub, ids, node, registry, rim, roster, sorted, state, storage, telemetry,
     timer,
@@ -26,9 +27,6 @@
     time::Duration::from_millis(1_300),
 );
 
-/// Numbers of VMs that join later lie above those made from addresses.
-const JOINED_NUMBERS: std::ops::Range<u64> = (1 << 50)..(1 << 53);
-
 /// Handle of a control VM for its front ends.
 pub struct Control {
     process: sync::Arc<node::Process>,
@@ -197,8 +195,8 @@
         let identity = storage::Identity {
             site: settings.site.clone(),
             node: match founds {
-                true => node::process::number_of(settings.rpc),
-                false => rand::random_range(JOINED_NUMBERS),
+                true => numbering::number_of(settings.rpc, 0),
+                false => numbering::number_of(settings.rpc, rand::random_range(1..=u16::MAX)),
             },
             incarnation: rand::random::<u64>() >> 11,
             joining: !founds,
@@ -215,7 +213,7 @@
     let founding: sorted::SortedMap<_, _> = match identity.joining {
         true => sorted::SortedMap::new(),
         false => contacts
-            .map(|rpc| (node::process::number_of(*rpc), *rpc))
+            .map(|rpc| (numbering::number_of(*rpc, 0), *rpc))
             .collect(),
     };
     let members = founding.keys().copied().collect();
@@ -226,7 +224,12 @@
         ..consensus::Config::new(identity.node, identity.incarnation, members)
     };
     let lease = roster::Config::default();
-    control::Voter::new(config, opened, lease, founding, logger.clone(), outlet, now)
+    let mut voter =
+        control::Voter::new(config, opened, lease, founding, logger.clone(), outlet, now)?;
+    for member in voter.members().iter() {
+        voter.learn(member.node, numbering::listener_of(member.node));
+    }
+    Ok(voter)
 }
 
 impl Control {
@@ -238,7 +241,7 @@
         slog_async::AsyncGuard,
         telemetry::DroppedLines,
     ) {
-        let number = node::process::number_of(settings.rpc);
+        let number = numbering::number_of(settings.rpc, 0);
         telemetry::start_logger(number, telemetry::LogLevel::Info, LOG_QUEUE)
     }
 }
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -5,6 +5,7 @@
     time,
 };
 
+use crate::node::numbering;
 use crate::{configuration, control, fleet, follow, forward, hub, node, telemetry, timer};
 
 /// Time before the end of the grace in which a leaving process must be gone.
@@ -83,7 +84,7 @@
         slog_async::AsyncGuard,
         telemetry::DroppedLines,
     ) {
-        let number = node::process::number_of(settings.callers);
+        let number = numbering::number_of(settings.callers, 0);
         telemetry::start_logger(number, telemetry::LogLevel::Info, LOG_QUEUE)
     }
 
--- a/crates/fireflyspool/src/node/mod.rs
+++ b/crates/fireflyspool/src/node/mod.rs
@@ -16,6 +16,7 @@
 mod mesh_listener;
 mod mesh_outlet;
 mod message;
+mod numbering;
 mod order_end;
 mod process;
 mod replica_batch;
--- a/crates/fireflyspool/src/node/process.rs
+++ b/crates/fireflyspool/src/node/process.rs
@@ -2,6 +2,7 @@
 
 use std::{net, sync};
 
+use crate::node::numbering;
 use crate::{control, fleet, hub, ids, rim, timer};
 
 /// Published state and handles of one process.
@@ -57,16 +58,6 @@
 
     /// Handle for a call to another process.
     pub fn peer(&self, listener: net::SocketAddr) -> sync::Arc<rim::Peer> {
-        self.peers.get(number_of(listener), listener)
+        self.peers.get(numbering::number_of(listener, 0), listener)
     }
 }
-
-/// Number of the VM at a listener; unique as long as addresses are.
-pub(super) fn number_of(listener: net::SocketAddr) -> ids::NodeId {
-    let host = match listener.ip() {
-        net::IpAddr::V4(ip) => u64::from(u32::from(ip)),
-        // The lower half tells VMs of one site apart.
-        net::IpAddr::V6(ip) => u64::try_from(u128::from(ip) & u128::from(u32::MAX)).unwrap_or(0),
-    };
-    (host << 16) | u64::from(listener.port())
-}
