Spare saturated shards, decide refused parts together, elect faster

Cause: with the copies of a shard out, each request failed at its first two refusals, and retries were spent on requests that could not be completed; after a loss of all VMs the first election took 1.1 s and nothing was served meanwhile. Ruled out: the registry (backend servers report within 0.4 s of the restart). Change: a shard that most requests miss is left out up to the required coverage; refused parts wait 3 ms for each other before a retry is taken; election timeout 400 to 750 ms.

--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -138,6 +138,26 @@
         pool.is_some_and(|pool| pool.budget.take(&limits, members, now))
     }
 
+    /// Whether the budget of a service allows a repeat.
+    pub fn allows_repeat(&mut self, service: &str, now: time::Instant) -> bool {
+        let (limits, members) = (self.limits, self.members);
+        let pool = self.pools.get_mut(service);
+        pool.is_some_and(|pool| pool.budget.allows(&limits, members, now))
+    }
+
+    /// Notes whether a service had its part in an answer.
+    pub fn note_part(&mut self, service: &str, filled: bool, now: time::Instant) {
+        if let Some(pool) = self.pools.get_mut(service) {
+            pool.losses.add(filled, now);
+        }
+    }
+
+    /// Share of recent requests that a service had no part in, 0 to 1.
+    pub fn loss_rate(&self, service: &str, now: time::Instant) -> f64 {
+        let pool = self.pools.get(service);
+        pool.map_or(0.0, |pool| pool.losses.rate(now))
+    }
+
     /// Notes that an attempt takes longer than usual.
     pub fn note_overdue(
         &mut self,
--- a/crates/fireflyspool/src/fleet/mod.rs
+++ b/crates/fireflyspool/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod fleet;
 mod known_server;
 mod limits;
+mod loss_rate;
 mod picked;
 mod pool;
 mod quantile;
--- a/crates/fireflyspool/src/fleet/pool.rs
+++ b/crates/fireflyspool/src/fleet/pool.rs
@@ -15,6 +15,7 @@
 pub(super) struct Pool {
     pub(super) targets: sorted::SortedMap<ids::ServerName, fleet::target::Target>,
     pub(super) budget: fleet::RepeatBudget,
+    pub(super) losses: fleet::loss_rate::LossRate,
     /// Connections that one backend server accepts from all entry VMs.
     pub(super) connections: usize,
 }
--- a/crates/fireflyspool/src/fleet/repeat_budget.rs
+++ b/crates/fireflyspool/src/fleet/repeat_budget.rs
@@ -49,17 +49,22 @@
 
     /// Takes one repeat if the budget allows it.
     pub fn take(&mut self, limits: &fleet::Limits, members: usize, now: time::Instant) -> bool {
-        self.advance(limits, now);
-        let requests: f64 = self.slots.iter().map(|slot| slot.requests).sum();
-        let repeats: f64 = self.slots.iter().map(|slot| slot.repeats).sum();
-        let slack = limits.repeat_slack / members.max(LEAST_MEMBERS) as f64;
-        let allowed = repeats + 1.0 <= SAFETY * (limits.repeat_ratio * requests + slack);
+        let allowed = self.allows(limits, members, now);
         if allowed && let Some(slot) = self.slots.back_mut() {
             slot.repeats += 1.0;
         }
         allowed
     }
 
+    /// Whether the budget allows one repeat.
+    pub fn allows(&mut self, limits: &fleet::Limits, members: usize, now: time::Instant) -> bool {
+        self.advance(limits, now);
+        let requests: f64 = self.slots.iter().map(|slot| slot.requests).sum();
+        let repeats: f64 = self.slots.iter().map(|slot| slot.repeats).sum();
+        let slack = limits.repeat_slack / members.max(LEAST_MEMBERS) as f64;
+        repeats + 1.0 <= SAFETY * (limits.repeat_ratio * requests + slack)
+    }
+
     fn advance(&mut self, limits: &fleet::Limits, now: time::Instant) {
         let length = limits.repeat_window / SLOTS;
         let mut began = self.began.unwrap_or(now);
--- a/crates/fireflyspool/src/fleet/target.rs
+++ b/crates/fireflyspool/src/fleet/target.rs
@@ -28,7 +28,7 @@
 const ZONE_PENALTY: f64 = 0.7;
 
 /// Failures in a row after which a server counts as unreachable.
-const BROKEN_LIMIT: u32 = 3;
+const BROKEN_LIMIT: u32 = 6;
 
 /// Backend server with what attempts showed.
 #[derive(Debug)]
--- a/crates/fireflyspool/src/forward/any_part.rs
+++ b/crates/fireflyspool/src/forward/any_part.rs
@@ -15,6 +15,7 @@
     pub(super) fn take(&mut self) -> Self {
         let state = forward::Lost {
             ran: false,
+            skipped: false,
             failure: None,
         };
         let service = ids::ServiceName::new();
--- a/crates/fireflyspool/src/forward/exchange.rs
+++ b/crates/fireflyspool/src/forward/exchange.rs
@@ -64,6 +64,7 @@
             let part = forward::Part::new(service);
             exchange.parts.push(any_part::AnyPart::Open(part));
         }
+        exchange.skip_saturated(fleet, entropy, now);
         for part in 0..exchange.parts.len() {
             exchange.send_first(part, fleet, entropy.rotate_left(part as u32), now);
         }
@@ -124,6 +125,20 @@
         std::mem::take(&mut self.outbox)
     }
 
+    /// Tells the fleet which services had a part in the answer.
+    pub fn note_parts(&self, fleet: &mut fleet::Fleet, now: time::Instant) {
+        for part in &self.parts {
+            match part {
+                any_part::AnyPart::Open(part) => fleet.note_part(&part.service, false, now),
+                any_part::AnyPart::Filled(part) => fleet.note_part(&part.service, true, now),
+                any_part::AnyPart::Lost(part) if !part.state.skipped => {
+                    fleet.note_part(&part.service, false, now);
+                }
+                any_part::AnyPart::Lost(_) => {}
+            }
+        }
+    }
+
     fn finish(&mut self, verdict: forward::Verdict) {
         self.finished = true;
         self.outbox.push(forward::Action::Finish(verdict));
--- a/crates/fireflyspool/src/forward/open.rs
+++ b/crates/fireflyspool/src/forward/open.rs
@@ -17,6 +17,10 @@
     pub(super) running: usize,
     /// When the newest attempt is overdue.
     pub(super) hedge_at: Option<time::Instant>,
+    /// Whether the service is spared, because it fails most requests.
+    pub(super) skipped: bool,
+    /// Whether a refused attempt waits for the decision to retry.
+    pub(super) refused: bool,
     /// Since when no backend server is free for a first attempt.
     pub(super) starved: Option<time::Instant>,
 }
--- a/crates/fireflyspool/src/forward/part.rs
+++ b/crates/fireflyspool/src/forward/part.rs
@@ -29,6 +29,7 @@
             service: self.service,
             state: forward::Lost {
                 ran: self.state.ran > 0,
+                skipped: self.state.skipped,
                 failure,
             },
         }
--- a/crates/fireflyspool/src/node/control.rs
+++ b/crates/fireflyspool/src/node/control.rs
@@ -18,13 +18,13 @@
 const ORDER_PAUSE: time::Duration = time::Duration::from_millis(60);
 
 /// Interval of the leader's heartbeats to the other replicas.
-const LEADER_HEARTBEAT: time::Duration = time::Duration::from_millis(150);
+const LEADER_HEARTBEAT: time::Duration = time::Duration::from_millis(100);
 
 /// Shortest and longest election timeout; several heartbeats, and far below
 /// the time in which an order must be acknowledged.
 const ELECTION: (time::Duration, time::Duration) = (
-    time::Duration::from_millis(700),
-    time::Duration::from_millis(1_300),
+    time::Duration::from_millis(400),
+    time::Duration::from_millis(750),
 );
 
 /// Handle of a control VM for its front ends.
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -183,6 +183,7 @@
             verdict = self.execute(actions, &mut sleep);
         }
         let verdict = verdict.unwrap_or(forward::Verdict::Failed);
+        exchange.note_parts(&mut forwarding.fleet(), time::Instant::now());
         self.report(&exchange, view, request, &verdict);
         self.linger();
         verdict
