Prefer backend servers of the own zone more strongly

Ruled out: control traffic as the main source (0.010 GB less with this change alone). Change: 2.0 typical latencies for leaving the zone, 4.0 for an overdue attempt.

--- a/crates/fireflyspool/src/fleet/target.rs
+++ b/crates/fireflyspool/src/fleet/target.rs
@@ -18,14 +18,14 @@
 const FAILURE_WEIGHT: f64 = 0.25;
 
 /// Score of one overdue attempt, in units of a typical latency.
-const OVERDUE_PENALTY: f64 = 2.0;
+const OVERDUE_PENALTY: f64 = 4.0;
 
 /// Score of a server whose attempts all fail, in units of a typical latency.
 const FAILURE_PENALTY: f64 = 8.0;
 
 /// Score of leaving the zone, in units of a typical latency: the way there and
 /// back, and the price of traffic between zones.
-const ZONE_PENALTY: f64 = 0.7;
+const ZONE_PENALTY: f64 = 2.0;
 
 /// Failures in a row after which a server counts as unreachable.
 const BROKEN_LIMIT: u32 = 6;
