--- a/crates/fireflyspool/src/fleet/target.rs
+++ b/crates/fireflyspool/src/fleet/target.rs
@@ -25,7 +25,7 @@
 
 /// Score of leaving the zone, in units of a typical latency: the way there and
 /// back, and the price of traffic between zones.
-const ZONE_PENALTY: f64 = 2.0;
+const ZONE_PENALTY: f64 = 4.0;
 
 /// Failures in a row after which a server counts as unreachable.
 const BROKEN_LIMIT: u32 = 6;
