Start queries in proportion to their likely success

Ruled out: retries (their budget is spent by then). Change: from the recent loss rate of each shard follows the chance to get enough parts; a query starts by that chance, else it is refused at once, not run.

--- a/crates/fireflyspool/src/forward/exchange.rs
+++ b/crates/fireflyspool/src/forward/exchange.rs
@@ -52,7 +52,10 @@
         };
         let usable = |service: &ids::ServiceName| fleet.is_usable(service, now);
         let reachable = services.iter().filter(|service| usable(service)).count();
-        if reachable < required || services.is_empty() {
+        let refused = reachable < required
+            || services.is_empty()
+            || !forward::likelihood::admits(&services, required, fleet, entropy, now);
+        if refused {
             exchange.finish(forward::Verdict::Refused {
                 retry_after: RETRY_PAUSE,
             });
--- a/crates/fireflyspool/src/forward/mod.rs
+++ b/crates/fireflyspool/src/forward/mod.rs
@@ -30,6 +30,7 @@
 mod exchange_ends;
 mod exchange_sends;
 mod filled;
+mod likelihood;
 mod lost;
 mod merge;
 mod open;
