--- a/crates/fireflyspool/src/hub/config.rs
+++ b/crates/fireflyspool/src/hub/config.rs
@@ -7,6 +7,8 @@
 pub struct Config {
     /// Longest time between two batches to the same hub.
     pub exchange: time::Duration,
+    /// Pause after a batch that failed.
+    pub retry_pause: time::Duration,
     /// Silence after which another hub counts as out of reach.
     pub peer_patience: time::Duration,
     /// Silence after which an entry VM is no longer named to callers.
@@ -26,6 +28,8 @@
     pub fn new(heartbeat: time::Duration) -> Self {
         Self {
             exchange: time::Duration::from_secs(1),
+            // Several tries while a leaving server waits.
+            retry_pause: time::Duration::from_millis(150),
             // Two lost batches in a row.
             peer_patience: time::Duration::from_millis(2_200),
             // Several lost polls in a row; callers try another address meanwhile.
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -152,7 +152,10 @@
             .peers
             .values()
             .filter(|peer| peer.in_flight.is_none())
-            .filter_map(|peer| peer.due(self.config.exchange));
+            .filter_map(|peer| match peer.acked < self.registry.position() {
+                true => peer.paused.or(peer.due(self.config.exchange)),
+                false => peer.due(self.config.exchange).max(peer.paused),
+            });
         let polls = self.waiting.iter().map(|waiting| waiting.until);
         let reports = self.unacknowledged.iter().map(|report| report.until);
         let all = exchange.chain(polls).chain(reports);
--- a/crates/fireflyspool/src/hub/hub_peers.rs
+++ b/crates/fireflyspool/src/hub/hub_peers.rs
@@ -50,7 +50,11 @@
             return;
         };
         let covered = peer.in_flight.take();
-        let Some(ack) = ack else { return };
+        let Some(ack) = ack else {
+            peer.paused = Some(now + self.config.retry_pause);
+            return;
+        };
+        peer.paused = None;
         peer.heard = Some(now);
         if peer.incarnation.is_some_and(|life| life == ack.incarnation) {
             peer.acked = peer.acked.max(covered.unwrap_or(0));
@@ -70,7 +74,7 @@
         let interval = self.config.exchange;
         let ready = |peer: &hub::peer::Peer| {
             let news = peer.acked < position && peer.is_reached(self.config.peer_patience, now);
-            peer.in_flight.is_none() && (news || peer.due(interval).is_none_or(|due| due <= now))
+            peer.may_send(now) && (news || peer.due(interval).is_none_or(|due| due <= now))
         };
         let due: Vec<_> = self
             .peers
--- a/crates/fireflyspool/src/hub/peer.rs
+++ b/crates/fireflyspool/src/hub/peer.rs
@@ -21,6 +21,8 @@
     pub(super) in_flight: Option<ids::ChangePosition>,
     /// When the last batch was sent.
     pub(super) sent: Option<time::Instant>,
+    /// Until when no batch is sent, after one that failed.
+    pub(super) paused: Option<time::Instant>,
     /// When the peer was last heard, by batch or acknowledgement.
     pub(super) heard: Option<time::Instant>,
     /// Backend servers that reported here since the last batch.
@@ -33,6 +35,11 @@
         self.sent.map(|sent| sent + exchange)
     }
 
+    /// Whether the pause after a failure is over.
+    pub(super) fn may_send(&self, now: time::Instant) -> bool {
+        self.in_flight.is_none() && self.paused.is_none_or(|until| until <= now)
+    }
+
     pub(super) fn is_reached(&self, patience: time::Duration, now: time::Instant) -> bool {
         self.heard
             .is_some_and(|heard| now.saturating_duration_since(heard) <= patience)
--- /dev/null
+++ b/crates/fireflyspool/tests/hub.rs
@@ -0,0 +1,249 @@
+//! Hubs, their exchange and the polls of entry VMs.
+
+use std::{net, time};
+
+use fireflyspool::{configuration, hub, registry};
+
+fn address(port: u16) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+fn origin(port: u16, zone: &str) -> hub::Origin {
+    hub::Origin {
+        rpc: address(port),
+        control: address(port + 1_000),
+        zone: zone.to_owned(),
+        incarnation: u64::from(port),
+    }
+}
+
+fn report(server: &str, phase: registry::Phase, sequence: u64) -> registry::Report {
+    registry::Report {
+        server: server.to_owned(),
+        born: 1,
+        sequence,
+        service: "shard-1".to_owned(),
+        address: address(9_000),
+        zone: "a".to_owned(),
+        slots: 2,
+        phase,
+        cold_left: time::Duration::ZERO,
+    }
+}
+
+fn member(port: u16, zone: &str, ready: bool) -> hub::Member {
+    hub::Member {
+        callers: address(port),
+        zone: zone.to_owned(),
+        region: "r".to_owned(),
+        incarnation: 1,
+        ready,
+    }
+}
+
+fn poll(member: hub::Member) -> hub::FollowRequest {
+    hub::FollowRequest {
+        member,
+        incarnation: 0,
+        position: 0,
+        version: 0,
+        revision: 0,
+        hubs: 0,
+        suspended: Vec::new(),
+    }
+}
+
+/// Three hubs whose batches arrive at once, except between hubs that are cut.
+struct Site {
+    hubs: Vec<hub::Hub>,
+    cut: Vec<usize>,
+    acknowledged: Vec<(u64, bool)>,
+    replies: Vec<hub::FollowReply>,
+    now: time::Instant,
+}
+
+impl Site {
+    fn new() -> Self {
+        let contacts: Vec<_> = (1..4).map(address).collect();
+        let config = hub::Config::new(time::Duration::from_millis(1_200));
+        let zones = ["a", "b", "c"];
+        let make = |(index, zone): (usize, &&str)| {
+            let port = u16::try_from(index + 1).expect("a small number");
+            let mut hub = hub::Hub::new(origin(port, zone), config, &contacts);
+            hub.set_group(contacts.clone());
+            hub
+        };
+        Self {
+            hubs: zones.iter().enumerate().map(make).collect(),
+            cut: Vec::new(),
+            acknowledged: Vec::new(),
+            replies: Vec::new(),
+            now: time::Instant::now(),
+        }
+    }
+
+    fn advance(&mut self, millis: u64) {
+        self.now += time::Duration::from_millis(millis);
+        // A batch can cause another one; a few rounds settle all.
+        for _ in 0..6 {
+            for index in 0..self.hubs.len() {
+                for action in self.hubs[index].advance(self.now) {
+                    self.execute(index, action);
+                }
+            }
+        }
+    }
+
+    fn execute(&mut self, index: usize, action: hub::Action) {
+        match action {
+            hub::Action::Exchange { peer, batch } => {
+                let other = usize::from(peer.port()) - 1;
+                let cut = self.cut.contains(&index) || self.cut.contains(&other);
+                let now = self.now;
+                let ack = (!cut).then(|| self.hubs[other].receive(*batch, now));
+                self.hubs[index].exchanged(peer, ack.as_ref(), now);
+            }
+            hub::Action::Acknowledge { ticket, accepted } => {
+                self.acknowledged.push((ticket, accepted));
+            }
+            hub::Action::Reply { reply, .. } => self.replies.push(*reply),
+            hub::Action::Publish(_) => {}
+        }
+    }
+}
+
+/// Guards against an acknowledged departure that is lost with the one hub that heard it.
+#[test]
+fn a_leaving_server_is_acknowledged_once_a_majority_holds_the_report() {
+    let mut site = Site::new();
+    site.advance(10);
+    site.cut = vec![0];
+    let now = site.now;
+    site.hubs[0].report(7, report("s", registry::Phase::Leaving, 3), now);
+    site.advance(100);
+    assert!(site.acknowledged.is_empty(), "only one hub holds the report");
+    site.advance(1_000);
+    assert_eq!(site.acknowledged, [(7, false)]);
+    site.cut.clear();
+    let now = site.now;
+    site.hubs[0].report(8, report("s", registry::Phase::Leaving, 4), now);
+    for _ in 0..3 {
+        site.advance(200);
+    }
+    assert_eq!(site.acknowledged[1], (8, true));
+}
+
+/// Guards against entry VMs that rely on a hub without a majority, or on one
+/// that lags behind the replicated log.
+#[test]
+fn a_hub_that_is_cut_off_or_lags_says_so() {
+    let mut site = Site::new();
+    let document = configuration::Document {
+        version: 4,
+        text: "{}".into(),
+    };
+    for hub in &mut site.hubs {
+        hub.set_document(&document);
+    }
+    site.advance(10);
+    let now = site.now;
+    site.hubs[2].follow(1, poll(member(100, "c", true)), now);
+    site.advance(10);
+    assert!(site.replies[0].current);
+    site.cut = vec![2];
+    site.advance(1_500);
+    site.advance(1_500);
+    let now = site.now;
+    site.hubs[2].follow(2, poll(member(100, "c", true)), now);
+    site.advance(10);
+    assert!(!site.replies[1].current, "it reaches no majority");
+    site.cut.clear();
+    let newer = configuration::Document {
+        version: 9,
+        ..document
+    };
+    site.hubs[0].set_document(&newer);
+    site.advance(1_100);
+    site.advance(1_100);
+    let now = site.now;
+    site.hubs[2].follow(3, poll(member(100, "c", true)), now);
+    site.advance(10);
+    assert!(!site.replies[2].current, "another hub holds a newer version");
+}
+
+/// Guards against changes that wait for the next regular batch or poll.
+#[test]
+fn a_change_reaches_the_follower_of_another_hub_at_once() {
+    let mut site = Site::new();
+    site.advance(10);
+    let now = site.now;
+    site.hubs[1].follow(1, poll(member(100, "b", true)), now);
+    site.advance(1);
+    let first = site.replies.pop().expect("the first poll is answered at once");
+    let now = site.now;
+    let mut second = poll(member(100, "b", true));
+    second.incarnation = first.incarnation;
+    second.position = first.changes.position;
+    second.hubs = 3;
+    site.hubs[1].follow(2, second, now);
+    site.advance(1);
+    assert!(site.replies.is_empty(), "nothing is new");
+    let now = site.now;
+    site.hubs[0].report(5, report("s", registry::Phase::Serving, 1), now);
+    site.advance(1);
+    let news = site.replies.pop().expect("the poll is answered");
+    assert_eq!(news.changes.records.len(), 1);
+}
+
+/// Guards against callers that are sent to entry VMs which do not serve.
+#[test]
+fn only_ready_and_live_entry_vms_are_named() {
+    let config = hub::Config::new(time::Duration::from_millis(1_200));
+    let mut hub = hub::Hub::new(origin(1, "a"), config, &[address(1)]);
+    let now = time::Instant::now();
+    let follow = |hub: &mut hub::Hub, port, ready, at| {
+        hub.follow(u64::from(port), poll(member(port, "a", ready)), at);
+    };
+    follow(&mut hub, 101, true, now);
+    follow(&mut hub, 102, false, now);
+    follow(&mut hub, 103, true, now);
+    let published = |actions: Vec<hub::Action>| {
+        let book = actions.into_iter().rev().find_map(|action| match action {
+            hub::Action::Publish(book) => Some(book),
+            _ => None,
+        });
+        book.expect("a change of the addresses")
+    };
+    let query = hub::AddressQuery {
+        zone: "a".to_owned(),
+        region: "r".to_owned(),
+    };
+    let book = published(hub.advance(now));
+    assert_eq!(book.answer(&query), [address(101), address(103)]);
+    let later = now + time::Duration::from_secs(3);
+    follow(&mut hub, 103, true, later);
+    let book = published(hub.advance(later));
+    assert_eq!(book.answer(&query), [address(103)], "101 has been silent");
+}
+
+/// Guards against a hub that restarts and never gets the records it lost.
+#[test]
+fn a_restarted_hub_gets_all_records_again() {
+    let mut site = Site::new();
+    site.advance(10);
+    let now = site.now;
+    site.hubs[0].report(1, report("s", registry::Phase::Serving, 1), now);
+    site.advance(10);
+    let contacts: Vec<_> = (1..4).map(address).collect();
+    let config = hub::Config::new(time::Duration::from_millis(1_200));
+    let mut restarted = origin(3, "c");
+    restarted.incarnation = 99;
+    site.hubs[2] = hub::Hub::new(restarted, config, &contacts);
+    site.advance(1_100);
+    site.advance(1_100);
+    let now = site.now;
+    site.hubs[2].follow(4, poll(member(100, "c", true)), now);
+    site.advance(10);
+    let reply = site.replies.pop().expect("an answer");
+    assert_eq!(reply.changes.records.len(), 1);
+}
--- /dev/null
+++ b/crates/fireflyspool/tests/platform_wire.rs
@@ -0,0 +1,143 @@
+//! Messages of the platform: what is decoded, and what is refused and why.
+
+use fireflyspool::configuration::Format as _;
+use fireflyspool::{configuration, platform, registry};
+
+const HEARTBEAT: &str = r#"{"Backend":"shard","Address":"10.0.0.9:8080","Zone":"a",
+    "Version":"v1","Concurrency":3,"State":"ready","WarmupLeftMs":0,"Sequence":4,"born":17}"#;
+
+const CONFIGURATION: &str = r#"{"Version":7,"Routes":[
+    {"Name":"r1","Hostname":"Host.example","PathPrefix":"/a/","RouteType":"idempotent",
+     "TimeoutMs":800,"TargetLatencyMs":120,"Priority":1,"Gather":["s1","s2"],"Attempts":2,
+     "TopK":20,"MinCoverage":0.5},
+    {"Name":"r2","Hostname":"host.example","PathPrefix":"/a/b/","RouteType":"non_idempotent",
+     "TimeoutMs":3000,"TargetLatencyMs":500,"Priority":2,"Backend":"s1","Attempts":2},
+    {"Name":"r3","Hostname":"other.example","PathPrefix":"/","RouteType":"idempotent",
+     "TimeoutMs":3000,"TrafficSplit":[{"Backend":"s1","Weight":1},{"Backend":"s2","Weight":3}]}],
+    "Backends":[{"Name":"s1","HealthPath":"/health","MaxConnections":66,"WarmupS":3.0,
+     "WarmupPerS":0.0},{"Name":"s2"}],
+    "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,
+     "IdleTimeoutMs":15000}}"#;
+
+fn decode(text: &str) -> Result<configuration::Configuration, configuration::ConfigurationError> {
+    let decoded = platform::ConfigurationFormat.decode(text)?;
+    decoded.validate()?;
+    Ok(decoded)
+}
+
+/// Guards against fields that are read from the wrong place.
+#[test]
+fn a_heartbeat_is_decoded() {
+    let report = platform::HeartbeatWire::decode("i-1".to_owned(), HEARTBEAT.as_bytes())
+        .expect("a proper heartbeat");
+    assert_eq!((report.server.as_str(), report.born), ("i-1", 17));
+    assert_eq!((report.service.as_str(), report.slots), ("shard", 3));
+    assert_eq!((report.zone.as_str(), report.sequence), ("a", 4));
+    assert_eq!(report.phase, registry::Phase::Serving);
+    assert!(report.cold_left.is_zero());
+}
+
+/// Guards against a garbled heartbeat that is taken for a server to use.
+#[test]
+fn a_garbled_heartbeat_is_refused_with_its_fault() {
+    let garbled = [
+        ("", "EOF"),
+        ("\u{fffd}", "expected"),
+        (&HEARTBEAT.replace(r#""ready""#, r#""resting""#), "resting"),
+        (&HEARTBEAT.replace(r#""Sequence":4,"#, ""), "Sequence"),
+        (&HEARTBEAT.replace("10.0.0.9:8080", "nowhere"), "socket address"),
+        (&HEARTBEAT.replace(r#""Sequence":4"#, r#""Sequence":"4""#), "string"),
+        (&HEARTBEAT.replace(r#""Zone":"a""#, r#""Zone":7"#), "integer"),
+        (&HEARTBEAT.replace(r#"Ms":0"#, r#"Ms":-1"#), "WarmupLeftMs"),
+    ];
+    for (body, fault) in garbled {
+        let decoded = platform::HeartbeatWire::decode("i-1".to_owned(), body.as_bytes());
+        let error = decoded.expect_err(body).to_string();
+        assert!(error.contains(fault), "`{error}` does not name `{fault}`");
+    }
+    let cut = platform::HeartbeatWire::decode("i-1".to_owned(), &[0xff, 0xfe]);
+    assert!(cut.is_err());
+}
+
+/// Guards against a decoder that panics on what another writer sends.
+#[test]
+fn no_body_makes_a_decoder_panic() {
+    fn property(bytes: Vec<u8>, cut: usize) -> bool {
+        let _ = platform::HeartbeatWire::decode("i-1".to_owned(), &bytes);
+        let _ = platform::DepartureWire::decode(&bytes);
+        let text = &CONFIGURATION[..cut % CONFIGURATION.len()];
+        decode(text).is_err()
+    }
+    quickcheck::QuickCheck::new()
+        .tests(2_000)
+        .quickcheck(property as fn(Vec<u8>, usize) -> bool);
+}
+
+/// Guards against a route that is found under another host or a shorter prefix.
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let decoded = decode(CONFIGURATION).expect("a proper configuration");
+    let table = configuration::RoutingTable::new(decoded);
+    let name = |host: &str, path: &str| table.find(host, path).map(|route| route.name.clone());
+    assert_eq!(name("host.example", "/a/x").as_deref(), Some("r1"));
+    assert_eq!(name("HOST.example:80", "/a/b/x").as_deref(), Some("r2"));
+    assert_eq!(name("other.example", "/a/x").as_deref(), Some("r3"));
+    assert_eq!(name("host.example", "/ab"), None);
+    assert_eq!(name("nowhere.example", "/a/x"), None);
+    let r2 = table.find("host.example", "/a/b/").expect("a route");
+    assert!(!r2.idempotent, "the type decides, not the name");
+}
+
+/// Guards against an invalid configuration that is acknowledged.
+#[test]
+fn an_invalid_configuration_is_refused_with_its_first_fault() {
+    let faults = [
+        (CONFIGURATION.replace(r#""s1","s2""#, r#""s1","s9""#), "s9"),
+        (CONFIGURATION.replace("/a/b/", "/a/"), "share host"),
+        (CONFIGURATION.replace(r#"TimeoutMs":800"#, r#"TimeoutMs":0"#), "no timeout"),
+        (
+            CONFIGURATION
+                .replace(r#""Weight":1"#, r#""Weight":0"#)
+                .replace(r#""Weight":3"#, r#""Weight":0"#),
+            "add up to 0",
+        ),
+        (CONFIGURATION.replace(r#""Backend":"s1","Attempts""#, r#""Attempts""#), "unknown service"),
+        (CONFIGURATION.replace(r#""/a/b/""#, r#""/a/b""#), "slash"),
+        (CONFIGURATION[..CONFIGURATION.len() / 2].to_owned(), "cannot be read"),
+    ];
+    for (text, fault) in faults {
+        let error = decode(&text).expect_err(&text).to_string();
+        assert!(error.contains(fault), "`{error}` does not name `{fault}`");
+    }
+}
+
+/// Guards against settings that a newer platform extends and this release cannot read.
+#[test]
+fn settings_with_unknown_fields_are_read() {
+    let text = r#"
+        NodeName = "edge-1"
+        Ip = "10.1.0.39"
+        Zone = "a"
+        Region = "r"
+        InternalPortRange = [7740, 7755]
+        Seeds = ["10.1.0.42:8224"]
+        Novelty = { deep = [1, 2] }
+        [ListenAddrs]
+        Frontend = "10.1.0.39:8226"
+        [Bounds]
+        RetryBudgetRatio = 0.2
+        BudgetSlack = 116
+        GraceS = 6
+    "#;
+    let folder = std::env::temp_dir().join(format!("fireflyspool-wire-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let path = folder.join("settings.toml");
+    std::fs::write(&path, text).expect("a file");
+    let settings = platform::ProcessSettings::load(&path).expect("proper settings");
+    let entry = settings.entry().expect("an entry VM");
+    assert_eq!(entry.contacts[0].to_string(), "10.1.0.42:7740");
+    assert_eq!(entry.limits.repeat_slack, 116.0);
+    let error = settings.control().expect_err("no control address").to_string();
+    assert!(error.contains("ListenAddrs.Control"), "{error}");
+    std::fs::remove_dir_all(&folder).expect("the folder is removed");
+}
