--- a/crates/fireflyspool/tests/fleet.rs
+++ b/crates/fireflyspool/tests/fleet.rs
@@ -142,7 +142,11 @@
         zones: Vec::new(),
     };
     site.follow();
-    assert_eq!(site.pick(1), None, "its last report is older than the return");
+    assert_eq!(
+        site.pick(1),
+        None,
+        "its last report is older than the return"
+    );
     assert_eq!(site.fleet.suspended(), ["s"]);
     site.now += time::Duration::from_millis(500);
     let mut fresh = record("s", "b");
@@ -241,7 +245,10 @@
         ];
         let most = counted.into_iter().max().unwrap_or(0) as f64;
         let allowed = LIMITS.repeat_ratio * most + LIMITS.repeat_slack;
-        assert!(sent <= allowed, "{sent} of {allowed} in the window from {from} ms");
+        assert!(
+            sent <= allowed,
+            "{sent} of {allowed} in the window from {from} ms"
+        );
     }
 }
 
--- a/crates/fireflyspool/tests/follow.rs
+++ b/crates/fireflyspool/tests/follow.rs
@@ -142,7 +142,10 @@
     first.hubs = Some(vec![origin(1, "a"), origin(9, "b")]);
     follower.polled(Some(first), now).expect("it decodes");
     now += time::Duration::from_secs(1);
-    assert_eq!(follower.poll(&[], now).expect("a poll is due").hub, address(9));
+    assert_eq!(
+        follower.poll(&[], now).expect("a poll is due").hub,
+        address(9)
+    );
 }
 
 /// Guards against callers that are sent here after the process was told to stop.
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -121,7 +121,10 @@
     let now = site.now;
     site.hubs[0].report(7, report("s", registry::Phase::Leaving, 3), now);
     site.advance(100);
-    assert!(site.acknowledged.is_empty(), "only one hub holds the report");
+    assert!(
+        site.acknowledged.is_empty(),
+        "only one hub holds the report"
+    );
     site.advance(1_000);
     assert_eq!(site.acknowledged, [(7, false)]);
     site.cut.clear();
@@ -168,7 +171,10 @@
     let now = site.now;
     site.hubs[2].follow(3, poll(member(100, "c", true)), now);
     site.advance(10);
-    assert!(!site.replies[2].current, "another hub holds a newer version");
+    assert!(
+        !site.replies[2].current,
+        "another hub holds a newer version"
+    );
 }
 
 /// Guards against changes that wait for the next regular batch or poll.
@@ -179,7 +185,10 @@
     let now = site.now;
     site.hubs[1].follow(1, poll(member(100, "b", true)), now);
     site.advance(1);
-    let first = site.replies.pop().expect("the first poll is answered at once");
+    let first = site
+        .replies
+        .pop()
+        .expect("the first poll is answered at once");
     let now = site.now;
     let mut second = poll(member(100, "b", true));
     second.incarnation = first.incarnation;
--- /dev/null
+++ b/crates/fireflyspool/tests/platform_site/mod.rs
@@ -0,0 +1,171 @@
+//! A small site on loopback: real processes, stand-in backend servers, an
+//! operator and a caller that checks what it gets.
+
+mod caller;
+mod process;
+mod searcher;
+
+use std::{net, path, time};
+
+pub(crate) use caller::Caller;
+pub(crate) use process::Process;
+pub(crate) use searcher::{Searcher, record};
+
+/// Most time for anything that must happen; a busy machine takes long.
+pub(crate) const PATIENCE: time::Duration = time::Duration::from_secs(40);
+
+/// Shards of the gathering route.
+pub(crate) const SHARDS: [&str; 3] = ["shard-1", "shard-2", "shard-3"];
+
+/// Service of the route with one target.
+pub(crate) const DESK: &str = "desk";
+
+/// Addresses and folders of a site.
+pub(crate) struct Site {
+    folder: path::PathBuf,
+    network: u8,
+    ports: [u16; 4],
+    pub(crate) http: reqwest::Client,
+}
+
+impl Site {
+    pub(crate) fn new(network: u8) -> Self {
+        let free = || {
+            let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+            listener.local_addr().expect("an address").port()
+        };
+        let name = format!("fireflyspool-site-{}-{network}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        Self {
+            folder,
+            network,
+            ports: [free(), free(), free(), free()],
+            http: reqwest::Client::builder()
+                .no_proxy()
+                .timeout(time::Duration::from_secs(2))
+                .build()
+                .expect("a client"),
+        }
+    }
+
+    pub(crate) fn ip(&self, vm: u8) -> net::IpAddr {
+        net::IpAddr::from([127, 9, self.network, vm])
+    }
+
+    pub(crate) fn at(&self, vm: u8, port: usize) -> net::SocketAddr {
+        net::SocketAddr::new(self.ip(vm), self.ports[port])
+    }
+
+    /// Address of a control VM for operators and backend servers.
+    pub(crate) fn control(&self, vm: u8) -> net::SocketAddr {
+        self.at(vm, 1)
+    }
+
+    pub(crate) fn data(&self, vm: u8) -> path::PathBuf {
+        self.folder.join(format!("data-{vm}"))
+    }
+
+    /// Starts a process; VMs 1 to 3 are the seeds.
+    pub(crate) fn start(&self, vm: u8, role: &str, zone: &str, bootstrap: bool) -> Process {
+        let (ip, internal) = (self.ip(vm), self.ports[0]);
+        let seeds: Vec<_> = (1..4)
+            .map(|seed| format!("{:?}", self.control(seed)))
+            .collect();
+        let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let addresses = match role {
+            "control" => format!(
+                "Control = \"{}\"\ndirectory = \"{}\"",
+                self.at(vm, 1),
+                self.at(vm, 2)
+            ),
+            _ => format!(
+                "Frontend = \"{}\"\nReady = \"{}\"",
+                self.at(vm, 1),
+                self.at(vm, 2)
+            ),
+        };
+        let text = format!(
+            "NodeName = \"{role}-{vm}\"\nIp = \"{ip}\"\nZone = \"{zone}\"\nRegion = \"r\"\n\
+             InternalPortRange = [{internal}, {}]\nSeeds = [{}]\nBootstrap = {bootstrap}\n\
+             DataDir = \"{}\"\nHeartbeatMs = 300\n[ListenAddrs]\n{addresses}\n[Bounds]\n\
+             RetryBudgetRatio = 0.2\nBudgetSlack = 500\nRetryWindowS = 10\nGraceS = 4\n",
+            self.ports[3],
+            seeds.join(","),
+            self.data(vm).display(),
+        );
+        let path = self.folder.join(format!("{role}-{vm}.toml"));
+        std::fs::write(&path, text).expect("settings");
+        Process::start(role, &path, &self.folder.join(format!("{role}-{vm}.log")))
+    }
+
+    /// Configuration of a version with a timeout for the gathering route.
+    pub(crate) fn configuration(&self, version: u64, timeout_ms: u64) -> String {
+        let service = |name: &str| format!(r#"{{"Name":"{name}","MaxConnections":60}}"#);
+        let services: Vec<_> = SHARDS
+            .iter()
+            .chain([&DESK])
+            .map(|name| service(name))
+            .collect();
+        format!(
+            r#"{{"Version":{version},"Routes":[{{"Name":"all","Hostname":"h.example",
+            "PathPrefix":"/all/","RouteType":"idempotent","TimeoutMs":{timeout_ms},
+            "TargetLatencyMs":400,"Priority":1,"Gather":["shard-1","shard-2","shard-3"],
+            "Attempts":2,"TopK":4,"MinCoverage":0.6}},{{"Name":"one","Hostname":"h.example",
+            "PathPrefix":"/one/","RouteType":"non_idempotent","TimeoutMs":2000,
+            "TargetLatencyMs":400,"Priority":2,"Backend":"desk","Attempts":2}}],
+            "Backends":[{}],"Limits":{{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,
+            "HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}}}"#,
+            services.join(",")
+        )
+    }
+
+    /// Sends an order to the control VMs in turn until one acknowledges it.
+    pub(crate) async fn order(&self, controls: &[u8], path: &str, body: String) {
+        let start = time::Instant::now();
+        let mut turn = 0;
+        while start.elapsed() < PATIENCE {
+            let control = self.control(controls[turn % controls.len()]);
+            turn += 1;
+            let sent = self.http.post(format!("http://{control}{path}"));
+            match sent.body(body.clone()).send().await {
+                Ok(answer) if answer.status().is_success() => return,
+                Ok(answer) if answer.status().as_u16() < 500 => {
+                    panic!(
+                        "{path} was refused: {}",
+                        answer.text().await.unwrap_or_default()
+                    );
+                }
+                _ => tokio::time::sleep(time::Duration::from_millis(50)).await,
+            }
+        }
+        panic!("{path} was not acknowledged in {PATIENCE:?}");
+    }
+
+    /// Reads the configuration back, from whichever control VM is sure of it.
+    pub(crate) async fn read_back(&self, controls: &[u8]) -> String {
+        let start = time::Instant::now();
+        let mut turn = 0;
+        while start.elapsed() < PATIENCE {
+            let control = self.control(controls[turn % controls.len()]);
+            turn += 1;
+            let url = format!("http://{control}/fireflyspool/Config.Get");
+            match self.http.get(url).send().await {
+                Ok(answer) if answer.status().is_success() => {
+                    return answer.text().await.expect("a body");
+                }
+                _ => tokio::time::sleep(time::Duration::from_millis(50)).await,
+            }
+        }
+        panic!("no configuration was read in {PATIENCE:?}");
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            // What is left lies in the temporary folder of the system.
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
--- a/crates/fireflyspool/tests/platform_wire.rs
+++ b/crates/fireflyspool/tests/platform_wire.rs
@@ -45,9 +45,18 @@
         ("\u{fffd}", "expected"),
         (&HEARTBEAT.replace(r#""ready""#, r#""resting""#), "resting"),
         (&HEARTBEAT.replace(r#""Sequence":4,"#, ""), "Sequence"),
-        (&HEARTBEAT.replace("10.0.0.9:8080", "nowhere"), "socket address"),
-        (&HEARTBEAT.replace(r#""Sequence":4"#, r#""Sequence":"4""#), "string"),
-        (&HEARTBEAT.replace(r#""Zone":"a""#, r#""Zone":7"#), "integer"),
+        (
+            &HEARTBEAT.replace("10.0.0.9:8080", "nowhere"),
+            "socket address",
+        ),
+        (
+            &HEARTBEAT.replace(r#""Sequence":4"#, r#""Sequence":"4""#),
+            "string",
+        ),
+        (
+            &HEARTBEAT.replace(r#""Zone":"a""#, r#""Zone":7"#),
+            "integer",
+        ),
         (&HEARTBEAT.replace(r#"Ms":0"#, r#"Ms":-1"#), "WarmupLeftMs"),
     ];
     for (body, fault) in garbled {
@@ -94,16 +103,25 @@
     let faults = [
         (CONFIGURATION.replace(r#""s1","s2""#, r#""s1","s9""#), "s9"),
         (CONFIGURATION.replace("/a/b/", "/a/"), "share host"),
-        (CONFIGURATION.replace(r#"TimeoutMs":800"#, r#"TimeoutMs":0"#), "no timeout"),
+        (
+            CONFIGURATION.replace(r#"TimeoutMs":800"#, r#"TimeoutMs":0"#),
+            "no timeout",
+        ),
         (
             CONFIGURATION
                 .replace(r#""Weight":1"#, r#""Weight":0"#)
                 .replace(r#""Weight":3"#, r#""Weight":0"#),
             "add up to 0",
         ),
-        (CONFIGURATION.replace(r#""Backend":"s1","Attempts""#, r#""Attempts""#), "unknown service"),
+        (
+            CONFIGURATION.replace(r#""Backend":"s1","Attempts""#, r#""Attempts""#),
+            "unknown service",
+        ),
         (CONFIGURATION.replace(r#""/a/b/""#, r#""/a/b""#), "slash"),
-        (CONFIGURATION[..CONFIGURATION.len() / 2].to_owned(), "cannot be read"),
+        (
+            CONFIGURATION[..CONFIGURATION.len() / 2].to_owned(),
+            "cannot be read",
+        ),
     ];
     for (text, fault) in faults {
         let error = decode(&text).expect_err(&text).to_string();
@@ -137,7 +155,10 @@
     let entry = settings.entry().expect("an entry VM");
     assert_eq!(entry.contacts[0].to_string(), "10.1.0.42:7740");
     assert_eq!(entry.limits.repeat_slack, 116.0);
-    let error = settings.control().expect_err("no control address").to_string();
+    let error = settings
+        .control()
+        .expect_err("no control address")
+        .to_string();
     assert!(error.contains("ListenAddrs.Control"), "{error}");
     std::fs::remove_dir_all(&folder).expect("the folder is removed");
 }
--- a/crates/fireflyspool/tests/registry.rs
+++ b/crates/fireflyspool/tests/registry.rs
@@ -53,7 +53,11 @@
     registry.absorb(report("s", 2, 1), now, now);
     assert_eq!(phase(&registry, "s", now), registry::Phase::Serving);
     let late = registry.depart("s", Some(1), now);
-    assert_eq!(late, registry::Absorbed::Stale, "the departure of the former life");
+    assert_eq!(
+        late,
+        registry::Absorbed::Stale,
+        "the departure of the former life"
+    );
 }
 
 /// Guards against requests to the former holder of an address that was given on.
@@ -65,7 +69,11 @@
     registry.absorb(report("b", 2, 1), now, now);
     assert_eq!(phase(&registry, "a", now), registry::Phase::Gone);
     let late = registry.absorb(report("a", 1, 2), now, now);
-    assert_eq!(late, registry::Absorbed::Stale, "a heartbeat of the former holder");
+    assert_eq!(
+        late,
+        registry::Absorbed::Stale,
+        "a heartbeat of the former holder"
+    );
     assert_eq!(phase(&registry, "b", now), registry::Phase::Serving);
 }
 
@@ -77,10 +85,18 @@
     registry.absorb(report("s", 1, 1), now, now);
     let later = now + PATIENCE * 2;
     registry.expire(later);
-    assert!(registry.record("s", later).is_some_and(|record| record.silent));
+    assert!(
+        registry
+            .record("s", later)
+            .is_some_and(|record| record.silent)
+    );
     let position = registry.position();
     registry.absorb(report("s", 1, 2), later, later);
-    assert!(registry.record("s", later).is_some_and(|record| !record.silent));
+    assert!(
+        registry
+            .record("s", later)
+            .is_some_and(|record| !record.silent)
+    );
     assert!(registry.position() > position, "followers must be told");
 }
 
