Weigh failures of a backend server more

Cause: while 23 of 30 servers lose 40% of their answers, a failing server of the own zone (penalty 3.2) was preferred to a good one of another zone (4.0). Change: a server whose attempts all fail scores 20 typical latencies, 8 before.

--- a/crates/fireflyspool/src/fleet/target.rs
+++ b/crates/fireflyspool/src/fleet/target.rs
@@ -21,7 +21,7 @@
 const OVERDUE_PENALTY: f64 = 4.0;
 
 /// Score of a server whose attempts all fail, in units of a typical latency.
-const FAILURE_PENALTY: f64 = 8.0;
+const FAILURE_PENALTY: f64 = 20.0;
 
 /// Score of leaving the zone, in units of a typical latency: the way there and
 /// back, and the price of traffic between zones.
