Keep idle connections to backend servers for 15 s

Cause: an entry VM of the grown site reaches one backend server less than once in 3 s, so most requests opened a connection (35,171 of 108,534) and took 6 ms of a slot for it. Ruled out: connection limits (43 refused arrivals). Change: idle time 2.5 s to 15 s.

--- a/crates/fireflyspool/src/rim/forward_client.rs
+++ b/crates/fireflyspool/src/rim/forward_client.rs
@@ -15,7 +15,7 @@
 
 /// Time for which an idle connection is kept. Servers close theirs later, so a
 /// request rarely meets a connection that is being closed.
-const IDLE_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
+const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(15);
 
 /// Idle connections kept to one backend server.
 const IDLE_CONNECTIONS: usize = 4;
