Share slow servers between entry VMs; bound the set-up of a connection

Change 1: entry VMs tell their hub of overdue attempts; a server with more than five faded reports over 180 ms is listed to all for 1.3 s after the last one. Change 2: the whole set-up is bounded by 0.5 s.

--- a/crates/fireflyspool/src/control/control_thread.rs
+++ b/crates/fireflyspool/src/control/control_thread.rs
@@ -204,6 +204,11 @@
                     follow.polled(reply.map(|reply| *reply), &self.outlet, now);
                 }
             }
+            control::Event::Slow(server) => {
+                if let Some(follow) = &mut self.follow {
+                    follow.note_slow(server);
+                }
+            }
             control::Event::Leave => {
                 if let Some(entry) = &mut self.entry {
                     entry.leave(now);
--- a/crates/fireflyspool/src/control/follow_side.rs
+++ b/crates/fireflyspool/src/control/follow_side.rs
@@ -10,6 +10,8 @@
     logger: slog::Logger,
     in_touch: bool,
     version: ids::ConfigVersion,
+    /// Slow backend servers that the hub has not been told of.
+    slow: Vec<ids::ServerName>,
 }
 
 impl FollowSide {
@@ -20,6 +22,7 @@
             logger,
             in_touch: false,
             version: 0,
+            slow: Vec::new(),
         }
     }
 
@@ -30,6 +33,10 @@
 
     /// Sends the poll that is due.
     pub fn tick(&mut self, outlet: &dyn control::Outlet, now: time::Instant) {
+        if !self.slow.is_empty() {
+            let reports = std::mem::take(&mut self.slow);
+            outlet.report_slow(self.follower.hub(), reports);
+        }
         if self.follower.next_poll().is_none_or(|due| due > now) {
             return;
         }
@@ -38,6 +45,11 @@
         }
     }
 
+    /// Takes a slow backend server, of which the hub is told with the next tick.
+    pub fn note_slow(&mut self, server: ids::ServerName) {
+        self.slow.push(server);
+    }
+
     /// Takes the end of a poll.
     pub fn polled(
         &mut self,
--- a/crates/fireflyspool/src/control/hub_event.rs
+++ b/crates/fireflyspool/src/control/hub_event.rs
@@ -40,6 +40,8 @@
         /// Answer; `None` if there was none.
         ack: Option<hub::Ack>,
     },
+    /// Backend servers that an entry VM found slow.
+    Slow(Vec<ids::ServerName>),
     /// Poll of an entry VM.
     Follow {
         /// The poll.
--- a/crates/fireflyspool/src/control/outlet.rs
+++ b/crates/fireflyspool/src/control/outlet.rs
@@ -37,9 +37,12 @@
 
     /// Polls a control VM and reports [`crate::control::Event::Polled`].
     ///
-    /// Only entry VMs that follow a hub need this and the next two.
+    /// Only entry VMs that follow a hub need this and the next three.
     fn follow(&self, _hub: net::SocketAddr, _request: hub::FollowRequest) {}
 
+    /// Tells a control VM of slow backend servers; the message may be lost.
+    fn report_slow(&self, _hub: net::SocketAddr, _reports: Vec<ids::ServerName>) {}
+
     /// Publishes what this entry VM knows to the traffic threads.
     fn publish_fleet(&self, _view: fleet::View) {}
 
--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -12,6 +12,8 @@
     generation: u64,
     members: usize,
     next_token: ids::Ticket,
+    /// Slow servers of which the control VMs have not been told.
+    slow: Vec<ids::ServerName>,
     pools: sorted::SortedMap<ids::ServiceName, fleet::pool::Pool>,
     routes: sorted::SortedMap<String, fleet::route_latency::RouteLatency>,
     splits: sorted::SortedMap<String, fleet::split_state::SplitState>,
@@ -26,6 +28,7 @@
             generation: 0,
             members: 0,
             next_token: 0,
+            slow: Vec::new(),
             pools: sorted::SortedMap::new(),
             routes: sorted::SortedMap::new(),
             splits: sorted::SortedMap::new(),
@@ -40,7 +43,9 @@
         self.generation = view.generation;
         self.members = view.members;
         for (name, server) in view.servers.iter() {
-            self.follow_server(name, server, &view.zones.zones, now);
+            let out = view.zones.zones.contains(&server.record.zone);
+            let slow = view.slow.binary_search(name).is_ok();
+            self.follow_server(name, server, (out, slow), now);
         }
         for (service, pool) in self.pools.iter_mut() {
             let known = |name: &ids::ServerName| {
@@ -59,7 +64,7 @@
         &mut self,
         name: &ids::ServerName,
         server: &fleet::KnownServer,
-        out: &[ids::ZoneName],
+        told: (bool, bool),
         now: time::Instant,
     ) {
         let record = &server.record;
@@ -75,7 +80,7 @@
             pool.targets.insert(name.clone(), fresh);
         }
         if let Some(target) = pool.targets.get_mut(name) {
-            target.follow(server, out.contains(&record.zone), now);
+            target.follow(server, told, now);
         }
     }
 
@@ -170,7 +175,9 @@
         let typical = self.typical(route).as_secs_f64();
         let pool = self.pools.get_mut(service);
         if let Some(target) = pool.and_then(|pool| pool.targets.get_mut(server)) {
-            target.note_overdue(token, elapsed.as_secs_f64() / typical, now);
+            let factor = elapsed.as_secs_f64() / typical;
+            target.note_overdue(token, factor, now);
+            self.slow.push(server.to_owned());
         }
     }
 
@@ -208,6 +215,11 @@
         }
     }
 
+    /// Slow servers that were noticed since the last call.
+    pub fn take_slow(&mut self) -> Vec<ids::ServerName> {
+        std::mem::take(&mut self.slow)
+    }
+
     /// Latency that most attempts of a route do not exceed.
     pub fn high_latency(&mut self, route: &configuration::Route) -> time::Duration {
         self.latency(route).high.value()
--- a/crates/fireflyspool/src/fleet/target.rs
+++ b/crates/fireflyspool/src/fleet/target.rs
@@ -27,6 +27,10 @@
 /// back, and the price of traffic between zones.
 const ZONE_PENALTY: f64 = 4.0;
 
+/// Least slowness of a server that entry VMs together find slow; above what
+/// leaving the zone costs.
+const LISTED_SLOWNESS: f64 = 6.5;
+
 /// Failures in a row after which a server counts as unreachable.
 const BROKEN_LIMIT: u32 = 6;
 
@@ -47,6 +51,8 @@
     /// Latency relative to what is typical.
     slowness: f64,
     slowness_at: time::Instant,
+    /// Whether entry VMs together find it slow.
+    listed_slow: bool,
     load: f64,
     load_at: time::Instant,
     failures: f64,
@@ -70,6 +76,7 @@
             overdue: Vec::new(),
             slowness: 1.0,
             slowness_at: now,
+            listed_slow: false,
             load: 0.0,
             load_at: now,
             failures: 0.0,
@@ -79,7 +86,13 @@
     }
 
     /// Takes what the control VMs say.
-    pub(super) fn follow(&mut self, server: &fleet::KnownServer, out: bool, now: time::Instant) {
+    pub(super) fn follow(
+        &mut self,
+        server: &fleet::KnownServer,
+        (out, slow): (bool, bool),
+        now: time::Instant,
+    ) {
+        self.listed_slow = slow;
         let record = &server.record;
         self.serving = record.phase == registry::Phase::Serving && !record.silent;
         self.cold_until = server.cold_until;
@@ -109,6 +122,10 @@
             true => 1.0 + (self.slowness - 1.0) * fade,
             false => self.slowness,
         };
+        let slowness = match self.listed_slow {
+            true => slowness.max(LISTED_SLOWNESS),
+            false => slowness,
+        };
         let age = now
             .saturating_duration_since(self.failures_at)
             .as_secs_f64();
--- a/crates/fireflyspool/src/follow/follower.rs
+++ b/crates/fireflyspool/src/follow/follower.rs
@@ -21,6 +21,7 @@
     failures: usize,
     incarnation: ids::Incarnation,
     position: ids::ChangePosition,
+    slow_revision: u64,
     view: fleet::View,
     leaving: bool,
     in_flight: bool,
@@ -49,6 +50,7 @@
             failures: 0,
             incarnation: 0,
             position: 0,
+            slow_revision: 0,
             view: fleet::View::default(),
             leaving: false,
             in_flight: false,
@@ -61,6 +63,11 @@
         (!self.in_flight).then_some(self.due)
     }
 
+    /// The control VM that is followed.
+    pub fn hub(&self) -> net::SocketAddr {
+        self.current
+    }
+
     /// What this VM knows.
     pub fn view(&self) -> &fleet::View {
         &self.view
@@ -90,6 +97,7 @@
             position: self.position,
             version: table.map_or(0, |table| table.version()),
             revision: self.view.zones.revision,
+            slow_revision: self.slow_revision,
             hubs: self.hubs.len(),
             suspended: suspended.to_vec(),
         };
@@ -118,6 +126,8 @@
         self.position = reply.changes.position;
         self.view.generation += 1;
         self.view.members = reply.members;
+        self.slow_revision = reply.slow_revision;
+        self.view.slow.clone_from(&reply.slow);
         self.merge_servers(&reply, now);
         if let Some(zones) = reply.zones
             && zones.revision > self.view.zones.revision
--- a/crates/fireflyspool/src/hub/follow_reply.rs
+++ b/crates/fireflyspool/src/hub/follow_reply.rs
@@ -21,6 +21,11 @@
     /// Signs of life of the suspended servers that the poll names.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub confirmations: Vec<hub::Confirmation>,
+    /// Revision of the list of slow backend servers.
+    pub slow_revision: u64,
+    /// Backend servers that entry VMs find slow.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub slow: Vec<ids::ServerName>,
     /// Live entry VMs.
     pub members: usize,
     /// Control VMs, if the list changed.
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -40,6 +40,8 @@
     pub(super) zones: hub::ZonesOut,
     /// Since when another hub has had newer state of the replicated log.
     pub(super) behind: Option<time::Instant>,
+    /// Backend servers that entry VMs find slow.
+    pub(super) slow: hub::slow_list::SlowList,
     pub(super) waiting: Vec<Waiting>,
     pub(super) unacknowledged: Vec<Unacknowledged>,
     pub(super) published: hub::AddressBook,
@@ -59,6 +61,7 @@
             document: None,
             zones: hub::ZonesOut::default(),
             behind: None,
+            slow: hub::slow_list::SlowList::default(),
             waiting: Vec::new(),
             unacknowledged: Vec::new(),
             published: hub::AddressBook::default(),
@@ -109,6 +112,13 @@
         }
     }
 
+    /// Takes reports of slow backend servers from an entry VM.
+    pub fn report_slow(&mut self, reports: Vec<ids::ServerName>, now: time::Instant) {
+        for server in reports {
+            self.slow.report(server, now);
+        }
+    }
+
     /// Takes the word of a backend server that it ended.
     pub fn depart(
         &mut self,
@@ -138,6 +148,7 @@
     /// Does what is due and returns the actions that have come up.
     pub fn advance(&mut self, now: time::Instant) -> Vec<hub::Action> {
         self.registry.expire(now);
+        self.slow.expire(now);
         self.note_lag(now);
         self.exchange_due(now);
         self.acknowledge_due(now);
--- a/crates/fireflyspool/src/hub/hub_peers.rs
+++ b/crates/fireflyspool/src/hub/hub_peers.rs
@@ -28,6 +28,9 @@
         for sighting in &batch.sightings {
             self.registry.sight(sighting, now);
         }
+        for server in batch.slow {
+            self.slow.adopt(server, now);
+        }
         for record in batch.members {
             let heard = now
                 .checked_sub(time::Duration::from_millis(record.age_ms))
@@ -65,7 +68,7 @@
             // The peer restarted and holds only what the last batch carried.
             peer.incarnation = Some(ack.incarnation);
             peer.acked = 0;
-            peer.sent = None;
+            peer.told = None;
         }
     }
 
@@ -73,7 +76,8 @@
         let position = self.registry.position();
         let interval = self.config.exchange;
         let ready = |peer: &hub::peer::Peer| {
-            let news = peer.acked < position && peer.is_reached(self.config.peer_patience, now);
+            let behind = peer.acked < position || peer.slow != self.slow.own_revision();
+            let news = behind && peer.is_reached(self.config.peer_patience, now);
             peer.may_send(now) && (news || peer.due(interval).is_none_or(|due| due <= now))
         };
         let due: Vec<_> = self
@@ -88,7 +92,14 @@
     }
 
     fn send_batch(&mut self, listener: net::SocketAddr, now: time::Instant) {
-        let members = self.followers(now);
+        let regular = self.peers.get(&listener).and_then(|peer| peer.told);
+        let interval = self.config.exchange;
+        let regular = regular.is_none_or(|told| now.saturating_duration_since(told) >= interval);
+        // Urgent batches carry changes only.
+        let members = match regular {
+            true => self.followers(now),
+            false => Vec::new(),
+        };
         let Some(peer) = self.peers.get_mut(&listener) else {
             return;
         };
@@ -99,13 +110,17 @@
             .filter_map(|name| self.registry.record(name, now));
         let sightings = seen.map(|record| registry::Sighting::of(&record)).collect();
         peer.in_flight = Some(changes.position);
-        peer.sent = Some(now);
+        if regular {
+            peer.told = Some(now);
+        }
+        peer.slow = self.slow.own_revision();
         let batch = hub::Batch {
             from: self.own.clone(),
             version: self.version(),
             revision: self.zones.revision,
             records: changes.records,
             sightings,
+            slow: self.slow.own(),
             members,
         };
         let batch = Box::new(batch);
--- a/crates/fireflyspool/src/hub/mod.rs
+++ b/crates/fireflyspool/src/hub/mod.rs
@@ -33,6 +33,7 @@
 mod member_record;
 mod origin;
 mod peer;
+mod slow_list;
 mod zones_out;
 
 pub use ack::Ack;
--- a/crates/fireflyspool/src/hub/peer.rs
+++ b/crates/fireflyspool/src/hub/peer.rs
@@ -13,14 +13,16 @@
     pub(super) version: ids::ConfigVersion,
     /// Revision of the zones that the peer holds.
     pub(super) revision: ids::Revision,
+    /// Revision of the list of slow servers that was sent last.
+    pub(super) slow: u64,
     /// Life of the peer that acknowledged `acked`.
     pub(super) incarnation: Option<ids::Incarnation>,
     /// Changes up to here are acknowledged.
     pub(super) acked: ids::ChangePosition,
     /// Position that the batch on its way covers.
     pub(super) in_flight: Option<ids::ChangePosition>,
-    /// When the last batch was sent.
-    pub(super) sent: Option<time::Instant>,
+    /// When the peer was last told of the entry VMs that follow here.
+    pub(super) told: Option<time::Instant>,
     /// Until when no batch is sent, after one that failed.
     pub(super) paused: Option<time::Instant>,
     /// When the peer was last heard, by batch or acknowledgement.
@@ -32,7 +34,7 @@
 impl Peer {
     /// When the next batch is due, apart from urgent changes.
     pub(super) fn due(&self, exchange: time::Duration) -> Option<time::Instant> {
-        self.sent.map(|sent| sent + exchange)
+        self.told.map(|told| told + exchange)
     }
 
     /// Whether the pause after a failure is over.
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -7,7 +7,7 @@
 
 use tokio::task;
 
-use crate::{fleet, forward, ids, node, telemetry};
+use crate::{control, fleet, forward, ids, node, telemetry};
 
 /// Time for which attempts that lost a race go on, so that their connections
 /// can be used again. A longer one is cut: its server is slow or silent.
@@ -134,6 +134,13 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Tells the control thread which servers turned out slow.
+    fn tell_slow(&self, fleet: &mut fleet::Fleet) {
+        for server in fleet.take_slow() {
+            self.process.tell(control::Event::Slow(server));
+        }
+    }
+
     fn publish_suspended(&self, fleet: &fleet::Fleet) {
         let suspended = fleet.suspended();
         if **self.process.suspended.load() != suspended {
@@ -177,7 +184,10 @@
                 }
                 () = &mut sleep => {
                     let mut fleet = forwarding.fleet();
-                    exchange.wake(&mut fleet, rand::random(), time::Instant::now())
+                    let now = time::Instant::now();
+                    let actions = exchange.wake(&mut fleet, rand::random(), now);
+                    forwarding.tell_slow(&mut fleet);
+                    actions
                 }
             };
             verdict = self.execute(actions, &mut sleep);
--- a/crates/fireflyspool/src/node/mesh_listener.rs
+++ b/crates/fireflyspool/src/node/mesh_listener.rs
@@ -5,7 +5,7 @@
 use jsonrpsee::{server, types};
 use tokio::sync::oneshot;
 
-use crate::{control, hub, node, rim, state};
+use crate::{control, hub, ids, node, rim, state};
 
 /// Largest message; a configuration with some thousand routes fits.
 const MAX_MESSAGE: u32 = 16 * 1024 * 1024;
@@ -67,6 +67,12 @@
             ask(&node, |reply| control::HubEvent::Follow { request, reply }).await
         },
     )?;
+    module.register_method(rim::Method::Slow.name(), |parameters, node, _| {
+        let reports: Vec<ids::ServerName> = parameters.one()?;
+        let event = control::Event::Hub(control::HubEvent::Slow(reports));
+        node.process().tell(event);
+        Parsed::Ok(())
+    })?;
     module.register_async_method(
         rim::Method::Order.name(),
         |parameters, node, _| async move {
--- a/crates/fireflyspool/src/node/mesh_outlet.rs
+++ b/crates/fireflyspool/src/node/mesh_outlet.rs
@@ -122,6 +122,17 @@
         self.call(hub, rim::Method::Follow, request, POLL_TIMEOUT, event);
     }
 
+    fn report_slow(&self, hub: net::SocketAddr, reports: Vec<ids::ServerName>) {
+        let process = sync::Arc::clone(&self.process);
+        self.runtime.spawn(async move {
+            let peer = process.peer(hub);
+            let called = peer.call::<_, ()>(rim::Method::Slow, &reports, CALL_TIMEOUT);
+            if let Err(error) = called.await {
+                slog::debug!(process.logger, "slow servers not reported"; "error" => %error);
+            }
+        });
+    }
+
     fn publish_fleet(&self, view: fleet::View) {
         self.process.view.store(sync::Arc::new(view));
     }
--- a/crates/fireflyspool/src/rim/method.rs
+++ b/crates/fireflyspool/src/rim/method.rs
@@ -27,6 +27,8 @@
     Follow,
     /// Order for the leader.
     Order,
+    /// Slow backend servers that an entry VM noticed.
+    Slow,
 }
 
 impl Method {
@@ -45,6 +47,7 @@
             Self::Exchange => "hub.exchange",
             Self::Follow => "hub.follow",
             Self::Order => "order.decide",
+            Self::Slow => "hub.slow",
         }
     }
 }
--- a/crates/fireflyspool/src/rim/peer.rs
+++ b/crates/fireflyspool/src/rim/peer.rs
@@ -118,17 +118,23 @@
         {
             headers.insert("authorization", value);
         }
-        ws_client::WsClientBuilder::default()
+        let url = format!("ws://{}", self.address);
+        let opening = ws_client::WsClientBuilder::default()
             .set_headers(headers)
             .set_tcp_no_delay(true)
             .connection_timeout(CONNECT_TIMEOUT)
             .max_concurrent_requests(MAX_CALLS)
-            .build(format!("ws://{}", self.address))
-            .await
-            .map_err(|source| rim::PeerError::Connect {
-                address: self.address,
-                source: Box::new(source),
-            })
+            .build(url);
+        // The library's own timeout does not cover the handshake: a stopped
+        // process has its connections accepted by the system and never answers.
+        let opened = tokio::time::timeout(CONNECT_TIMEOUT, opening).await;
+        let opened = opened.map_err(|_| rim::PeerError::Unanswered {
+            address: self.address,
+        })?;
+        opened.map_err(|source| rim::PeerError::Connect {
+            address: self.address,
+            source: Box::new(source),
+        })
     }
 
     async fn forget(&self, broken: &Client) {
--- a/crates/fireflyspool/src/rim/peer_error.rs
+++ b/crates/fireflyspool/src/rim/peer_error.rs
@@ -16,6 +16,12 @@
         /// Error of the client library.
         source: Box<jsonrpsee::core::ClientError>,
     },
+    /// A connection was accepted but not set up in time; nothing was sent.
+    #[error("{address} accepted a connection and did not answer")]
+    Unanswered {
+        /// Address that was tried.
+        address: net::SocketAddr,
+    },
     /// The call failed after it may have been sent.
     #[error("call to {address} failed")]
     Call {
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -48,6 +48,7 @@
         position: 0,
         version: 0,
         revision: 0,
+        slow_revision: 0,
         hubs: 0,
         suspended: Vec::new(),
     }
@@ -256,3 +257,36 @@
     let reply = site.replies.pop().expect("an answer");
     assert_eq!(reply.changes.records.len(), 1);
 }
+
+/// Guards against each entry VM that has to find a slow server by itself, and
+/// against a short pause that takes a server from all of them.
+#[test]
+fn a_server_that_stays_slow_is_told_to_the_followers_of_all_hubs() {
+    let mut site = Site::new();
+    site.advance(10);
+    let slow = || vec!["s".to_owned(); 4];
+    let listed = |site: &mut Site| {
+        let now = site.now;
+        site.hubs[2].follow(1, poll(member(100, "c", true)), now);
+        site.advance(1);
+        site.replies.pop().expect("an answer").slow.len()
+    };
+    for _ in 0..3 {
+        let now = site.now;
+        site.hubs[0].report_slow(slow(), now);
+        site.advance(30);
+    }
+    site.advance(1_100);
+    assert_eq!(listed(&mut site), 0, "a pause of 60 ms");
+    for _ in 0..3 {
+        let now = site.now;
+        site.hubs[0].report_slow(slow(), now);
+        site.advance(100);
+    }
+    site.advance(1_000);
+    assert_eq!(listed(&mut site), 1);
+    for _ in 0..6 {
+        site.advance(1_000);
+    }
+    assert_eq!(listed(&mut site), 0, "it must be tried again");
+}
