--- a/crates/fireflyspool/src/hub/slow_list.rs
+++ b/crates/fireflyspool/src/hub/slow_list.rs
@@ -14,7 +14,7 @@
 
 /// Reports that list a server, each faded by its age. A busy server whose
 /// slowest requests are reported stays far below.
-const LEAST_REPORTS: f64 = 5.0;
+const LEAST_REPORTS: f64 = 9.0;
 
 /// Time after which a report counts about a third.
 const FADE: time::Duration = time::Duration::from_millis(500);
