--- a/crates/fireflyspool/src/cli/arguments.rs
+++ b/crates/fireflyspool/src/cli/arguments.rs
@@ -42,6 +42,14 @@
     /// Create the data folder of a control VM
     #[command(subcommand)]
     Data(cli::DataArguments),
+    /// Print what logs say about one request, in the order of time
+    Explain {
+        /// Id of the request
+        request: String,
+        /// Log files of any VMs
+        #[arg(required = true)]
+        files: Vec<path::PathBuf>,
+    },
     /// Run a process on the users' platform
     #[command(subcommand)]
     Platform(cli::PlatformArguments),
--- a/crates/fireflyspool/src/cli/mod.rs
+++ b/crates/fireflyspool/src/cli/mod.rs
@@ -11,6 +11,7 @@
 mod command_arguments;
 mod data_arguments;
 mod exit_code;
+mod explain;
 mod platform_arguments;
 mod query_arguments;
 mod render;
--- a/crates/fireflyspool/src/cli/run.rs
+++ b/crates/fireflyspool/src/cli/run.rs
@@ -32,6 +32,7 @@
             caller,
         } => block_on(addresses(entry, service, caller)),
         cli::Arguments::Data(cli::DataArguments::Init { settings, join }) => init(&settings, join),
+        cli::Arguments::Explain { request, files } => cli::explain::explain(&request, &files),
         cli::Arguments::Platform(arguments) => run_platform(arguments),
         cli::Arguments::Snapshot(cli::SnapshotArguments::Inspect { folder, json }) => {
             inspect(&folder, json)
--- a/crates/fireflyspool/src/configuration/mod.rs
+++ b/crates/fireflyspool/src/configuration/mod.rs
@@ -9,6 +9,7 @@
 //! with other content never replaces it.
 
 mod caller_limits;
+#[allow(clippy::module_inception, reason = "a file is named after its type")]
 mod configuration;
 mod configuration_error;
 mod document;
--- a/crates/fireflyspool/src/control/control_thread.rs
+++ b/crates/fireflyspool/src/control/control_thread.rs
@@ -136,7 +136,7 @@
             return Ok(());
         };
         voter.tick(&self.outlet, now);
-        if let Some(hub) = &self.hub
+        if let Some(hub) = &mut self.hub
             && voter.leads()
             && let Some(node) = hub.replaced(voter, now)
         {
--- a/crates/fireflyspool/src/control/hub_side.rs
+++ b/crates/fireflyspool/src/control/hub_side.rs
@@ -6,7 +6,7 @@
 
 use crate::{control, hub, ids, registry, sorted, state};
 
-/// Pause between two requests to join the control group.
+/// Pause between two requests to join the control group, or to retire a member.
 const JOIN_PAUSE: time::Duration = time::Duration::from_secs(1);
 
 /// Silence after which a member of the control group gives way to one that
@@ -28,6 +28,7 @@
     contacts: Vec<net::SocketAddr>,
     join_due: time::Instant,
     join_target: usize,
+    replace_due: time::Instant,
     /// When each member of the control group was first listed.
     listed: sorted::SortedMap<net::SocketAddr, time::Instant>,
     version: ids::ConfigVersion,
@@ -55,6 +56,7 @@
             contacts,
             join_due: now,
             join_target: 0,
+            replace_due: now,
             listed: sorted::SortedMap::new(),
             version: 0,
             group: Vec::new(),
@@ -133,7 +135,11 @@
     }
 
     /// Member of the control group that a later one replaces.
-    pub fn replaced(&self, voter: &control::Voter, now: time::Instant) -> Option<ids::NodeId> {
+    pub fn replaced(&mut self, voter: &control::Voter, now: time::Instant) -> Option<ids::NodeId> {
+        if now < self.replace_due {
+            return None;
+        }
+        self.replace_due = now + JOIN_PAUSE;
         let newest = self.listed.values().max().copied()?;
         let is_replaced = |listener: &net::SocketAddr| {
             let heard = self.hub.last_heard(*listener);
--- a/crates/fireflyspool/src/control/voter_apply.rs
+++ b/crates/fireflyspool/src/control/voter_apply.rs
@@ -10,6 +10,10 @@
 /// this many entries.
 const ENTRIES_PER_SNAPSHOT: u64 = 4_096;
 
+/// Bytes of applied entries after which the state is saved; a configuration
+/// with some hundred routes takes 100 KB, and disks hold 128 MB.
+const BYTES_PER_SNAPSHOT: usize = 8 * 1024 * 1024;
+
 impl control::Voter {
     pub(super) fn persist(
         &mut self,
@@ -65,6 +69,7 @@
                 self.state = state::ControlState::decode(&snapshot.bytes)?;
                 self.applied = snapshot.index;
                 self.unsaved = 0;
+                self.unsaved_bytes = 0;
                 outlet.publish_control(self.addresses());
             }
             consensus::Action::RoleChanged { role, term, leader } => {
@@ -112,6 +117,7 @@
         let applied = self.state.apply(&entry);
         self.applied = index;
         self.unsaved += 1;
+        self.unsaved_bytes += payload.len();
         if let state::Entry::Command { command, .. } = &entry {
             self.log_command(command, &applied);
             if !matches!(command.change, state::Directive::Change(_)) {
@@ -125,8 +131,9 @@
         if let Some(waiter) = ticket.and_then(|ticket| self.waiters.remove(&ticket)) {
             waiter.resolve(applied);
         }
-        if self.unsaved >= ENTRIES_PER_SNAPSHOT {
+        if self.unsaved >= ENTRIES_PER_SNAPSHOT || self.unsaved_bytes >= BYTES_PER_SNAPSHOT {
             self.unsaved = 0;
+            self.unsaved_bytes = 0;
             let snapshot = self.state.encode();
             self.step(consensus::Event::Compact { index, snapshot }, outlet, now);
         }
--- a/crates/fireflyspool/src/fleet/mod.rs
+++ b/crates/fireflyspool/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 //! VM's share of what all entry VMs may send together.
 
 mod attempt_result;
+#[allow(clippy::module_inception, reason = "a file is named after its type")]
 mod fleet;
 mod known_server;
 mod limits;
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -4,35 +4,12 @@
 
 use crate::{configuration, hub, ids, registry, sorted};
 
-/// Record of an entry VM.
-#[derive(Debug)]
-pub(super) struct KnownMember {
-    pub(super) member: hub::Member,
-    pub(super) heard: time::Instant,
-    /// Whether it polls this hub, as opposed to being named by another one.
-    pub(super) follows: bool,
-}
-
-/// Poll that waits for news.
-pub(super) struct Waiting {
-    pub(super) ticket: ids::Ticket,
-    pub(super) request: hub::FollowRequest,
-    pub(super) until: time::Instant,
-}
-
-/// Report of a leaving server that waits for a majority.
-pub(super) struct Unacknowledged {
-    pub(super) ticket: ids::Ticket,
-    pub(super) position: ids::ChangePosition,
-    pub(super) until: time::Instant,
-}
-
 /// The hub of one control VM.
 pub struct Hub {
     pub(super) own: hub::Origin,
     pub(super) config: hub::Config,
     pub(super) registry: registry::Registry,
-    pub(super) members: sorted::SortedMap<net::SocketAddr, KnownMember>,
+    pub(super) members: sorted::SortedMap<net::SocketAddr, hub::known_member::KnownMember>,
     pub(super) peers: sorted::SortedMap<net::SocketAddr, hub::peer::Peer>,
     /// Listeners of the members of the control group, this one included.
     pub(super) group: Vec<net::SocketAddr>,
@@ -42,8 +19,8 @@
     pub(super) behind: Option<time::Instant>,
     /// Backend servers that entry VMs find slow.
     pub(super) slow: hub::slow_list::SlowList,
-    pub(super) waiting: Vec<Waiting>,
-    pub(super) unacknowledged: Vec<Unacknowledged>,
+    pub(super) waiting: Vec<hub::waiting::Waiting>,
+    pub(super) unacknowledged: Vec<hub::unacknowledged::Unacknowledged>,
     pub(super) published: hub::AddressBook,
     pub(super) outbox: Vec<hub::Action>,
 }
@@ -204,11 +181,12 @@
     }
 
     fn await_majority(&mut self, ticket: ids::Ticket, now: time::Instant) {
-        self.unacknowledged.push(Unacknowledged {
-            ticket,
-            position: self.registry.position(),
-            until: now + self.config.acknowledge,
-        });
+        self.unacknowledged
+            .push(hub::unacknowledged::Unacknowledged {
+                ticket,
+                position: self.registry.position(),
+                until: now + self.config.acknowledge,
+            });
     }
 
     fn acknowledge_due(&mut self, now: time::Instant) {
--- a/crates/fireflyspool/src/hub/hub_followers.rs
+++ b/crates/fireflyspool/src/hub/hub_followers.rs
@@ -12,7 +12,7 @@
     pub fn follow(&mut self, ticket: ids::Ticket, request: hub::FollowRequest, now: time::Instant) {
         self.note_member(request.member.clone(), now, true);
         let until = now + self.config.hold;
-        self.waiting.push(hub::hub::Waiting {
+        self.waiting.push(hub::waiting::Waiting {
             ticket,
             request,
             until,
@@ -24,7 +24,7 @@
         if known.is_some_and(|known| known.heard > heard) {
             return;
         }
-        let known = hub::hub::KnownMember {
+        let known = hub::known_member::KnownMember {
             heard,
             follows,
             member,
--- a/crates/fireflyspool/src/hub/hub_peers.rs
+++ b/crates/fireflyspool/src/hub/hub_peers.rs
@@ -144,7 +144,7 @@
 
     fn followers(&self, now: time::Instant) -> Vec<hub::MemberRecord> {
         let follows = self.members.values().filter(|known| known.follows);
-        let record = |known: &hub::hub::KnownMember| {
+        let record = |known: &hub::known_member::KnownMember| {
             let age = now.saturating_duration_since(known.heard).as_millis();
             hub::MemberRecord {
                 member: known.member.clone(),
--- /dev/null
+++ b/crates/fireflyspool/src/hub/known_member.rs
@@ -0,0 +1,14 @@
+//! An entry VM, as a hub knows it.
+
+use std::time;
+
+use crate::hub;
+
+/// Record of an entry VM.
+#[derive(Debug)]
+pub(super) struct KnownMember {
+    pub(super) member: hub::Member,
+    pub(super) heard: time::Instant,
+    /// Whether it polls this hub, as opposed to being named by another one.
+    pub(super) follows: bool,
+}
--- a/crates/fireflyspool/src/hub/mod.rs
+++ b/crates/fireflyspool/src/hub/mod.rs
@@ -26,14 +26,18 @@
 mod confirmation;
 mod follow_reply;
 mod follow_request;
+#[allow(clippy::module_inception, reason = "a file is named after its type")]
 mod hub;
 mod hub_followers;
 mod hub_peers;
+mod known_member;
 mod member;
 mod member_record;
 mod origin;
 mod peer;
 mod slow_list;
+mod unacknowledged;
+mod waiting;
 mod zones_out;
 
 pub use ack::Ack;
--- /dev/null
+++ b/crates/fireflyspool/src/node/attempt_guard.rs
@@ -0,0 +1,80 @@
+//! Report of the end of an attempt.
+
+use std::{sync, time};
+
+use crate::{backend, configuration, fleet, forward, node};
+
+/// Reports an attempt as given up if it is dropped before its end.
+pub(super) struct AttemptGuard {
+    forwarding: sync::Arc<node::Forwarding>,
+    route: sync::Arc<configuration::Route>,
+    send: forward::Send,
+    started: time::Instant,
+    ended: bool,
+}
+
+impl AttemptGuard {
+    /// An attempt that starts now.
+    pub(super) fn new(
+        forwarding: sync::Arc<node::Forwarding>,
+        route: sync::Arc<configuration::Route>,
+        send: forward::Send,
+    ) -> Self {
+        Self {
+            forwarding,
+            route,
+            send,
+            started: time::Instant::now(),
+            ended: false,
+        }
+    }
+
+    /// Reports the end.
+    pub(super) fn end(mut self, end: &forward::AttemptEnd, load: Option<backend::Load>) {
+        self.ended = true;
+        let elapsed = self.started.elapsed();
+        let result = match end {
+            forward::AttemptEnd::Answered(answer) if answer.status < 500 => {
+                fleet::AttemptResult::Answered { elapsed }
+            }
+            forward::AttemptEnd::Answered(_) | forward::AttemptEnd::Broken => {
+                fleet::AttemptResult::Failed
+            }
+            forward::AttemptEnd::Rejected => fleet::AttemptResult::Rejected,
+            forward::AttemptEnd::WrongServer | forward::AttemptEnd::Unreachable => {
+                fleet::AttemptResult::Unreachable
+            }
+            forward::AttemptEnd::TimedOut => fleet::AttemptResult::Abandoned { elapsed },
+        };
+        self.note(result, load);
+        let failed = matches!(
+            result,
+            fleet::AttemptResult::Failed | fleet::AttemptResult::Unreachable
+        );
+        if failed {
+            self.forwarding.publish_suspended(&self.forwarding.fleet());
+            slog::info!(self.forwarding.process.logger, "attempt failed";
+                "server" => &self.send.server, "service" => &self.send.service,
+                "result" => ?result, "elapsed_us" => node::forwarding::micros(elapsed));
+        }
+    }
+
+    fn note(&self, result: fleet::AttemptResult, load: Option<backend::Load>) {
+        let mut fleet = self.forwarding.fleet();
+        let now = time::Instant::now();
+        let place = (self.send.service.as_str(), self.send.server.as_str());
+        fleet.note_end(place, self.send.token, &self.route, result, now);
+        if let Some(load) = load {
+            fleet.note_load(place, load, now);
+        }
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        if !self.ended {
+            let elapsed = self.started.elapsed();
+            self.note(fleet::AttemptResult::Abandoned { elapsed }, None);
+        }
+    }
+}
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -26,6 +26,7 @@
     forwarding: sync::Arc<node::Forwarding>,
     grace: time::Duration,
     leaving: atomic::AtomicBool,
+    dropped: telemetry::DroppedLines,
 }
 
 impl Entry {
@@ -38,7 +39,7 @@
         settings: node::EntrySettings,
         format: sync::Arc<dyn configuration::Format>,
         link: sync::Arc<dyn node::Link>,
-        logger: slog::Logger,
+        (logger, dropped): (slog::Logger, telemetry::DroppedLines),
     ) -> anyhow::Result<sync::Arc<Self>> {
         let timer = timer::TimerService::start()?;
         let (mailbox, receiver) = control::Mailbox::new();
@@ -73,6 +74,7 @@
             forwarding: sync::Arc::new(forwarding),
             grace: settings.grace,
             leaving: atomic::AtomicBool::new(false),
+            dropped,
         }))
     }
 
@@ -93,9 +95,26 @@
         &self.process
     }
 
-    /// Metrics of this process.
-    pub fn metrics(&self) -> &telemetry::Metrics {
-        self.forwarding.metrics()
+    /// Metrics of this process in the OpenMetrics text format.
+    pub fn metrics(&self) -> String {
+        let metrics = self.forwarding.metrics();
+        let dropped = self.dropped.load(atomic::Ordering::Relaxed);
+        metrics
+            .dropped_lines
+            .set(i64::try_from(dropped).unwrap_or(i64::MAX));
+        let view = self.process.view.load();
+        let count = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let version = view.table.as_ref().map_or(0, |table| table.version());
+        metrics.set_state("configuration", i64::try_from(version).unwrap_or(i64::MAX));
+        metrics.set_state("backend_servers", count(view.servers.len()));
+        metrics.set_state("entry_members", count(view.members));
+        metrics.set_state("running_requests", count(self.forwarding.running()));
+        metrics.set_state(
+            "suspended_servers",
+            count(self.process.suspended.load().len()),
+        );
+        metrics.set_state("slow_servers", count(view.slow.len()));
+        metrics.encode()
     }
 
     /// Whether callers may be sent here.
--- /dev/null
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -0,0 +1,175 @@
+//! Task of one request.
+
+use std::{sync, time};
+
+use tokio::task;
+
+use crate::{configuration, fleet, forward, ids, node, telemetry, timer};
+
+/// Time for which attempts that lost a race go on, so that their connections
+/// can be used again. A longer one is cut: its server is slow or silent.
+const LINGER: time::Duration = time::Duration::from_millis(250);
+
+/// End of an attempt, with what the server told about its load.
+type Ended = (ids::AttemptId, forward::AttemptEnd);
+
+/// One request under way.
+pub(super) struct ForwardTask {
+    forwarding: sync::Arc<node::Forwarding>,
+    route: sync::Arc<configuration::Route>,
+    message: sync::Arc<node::Message>,
+    attempts: task::JoinSet<Ended>,
+    /// Service, backend server and time of each send, for the log.
+    trail: String,
+    received: time::Instant,
+}
+
+impl ForwardTask {
+    /// A request that has not started.
+    pub(super) fn new(
+        forwarding: sync::Arc<node::Forwarding>,
+        route: sync::Arc<configuration::Route>,
+        message: node::Message,
+        received: time::Instant,
+    ) -> Self {
+        Self {
+            forwarding,
+            route,
+            message: sync::Arc::new(message),
+            attempts: task::JoinSet::new(),
+            trail: String::new(),
+            received,
+        }
+    }
+
+    /// Runs the request to its answer.
+    pub(super) async fn run(
+        mut self,
+        (view, request): (&fleet::View, &forward::Request),
+        timing: forward::Timing,
+    ) -> forward::Verdict {
+        let forwarding = sync::Arc::clone(&self.forwarding);
+        let timer = &forwarding.process.timer;
+        let (mut exchange, actions) = self.start(view, timing);
+        let mut sleep = timer.sleep_until(timing.deadline);
+        let mut verdict = self.execute(actions, &mut sleep);
+        while verdict.is_none() {
+            let actions = tokio::select! {
+                Some(ended) = self.attempts.join_next() => {
+                    // A panic in an attempt harms that attempt only.
+                    let Ok((attempt, end)) = ended else { continue };
+                    let mut fleet = forwarding.fleet();
+                    let now = time::Instant::now();
+                    exchange.ended(attempt, end, &mut fleet, rand::random(), now)
+                }
+                () = &mut sleep => {
+                    let mut fleet = forwarding.fleet();
+                    let now = time::Instant::now();
+                    let actions = exchange.wake(&mut fleet, rand::random(), now);
+                    forwarding.tell_slow(&mut fleet);
+                    actions
+                }
+            };
+            verdict = self.execute(actions, &mut sleep);
+        }
+        let verdict = verdict.unwrap_or(forward::Verdict::Failed);
+        exchange.note_parts(&mut forwarding.fleet(), time::Instant::now());
+        self.report(&exchange, view, request, &verdict);
+        self.linger();
+        verdict
+    }
+
+    fn start(
+        &mut self,
+        view: &fleet::View,
+        timing: forward::Timing,
+    ) -> (forward::Exchange, Vec<forward::Action>) {
+        let mut fleet = self.forwarding.fleet();
+        let now = time::Instant::now();
+        if fleet.follow(view, now) {
+            self.forwarding.publish_suspended(&fleet);
+        }
+        let route = sync::Arc::clone(&self.route);
+        forward::Exchange::start(route, timing, &mut fleet, rand::random(), now)
+    }
+
+    fn execute(
+        &mut self,
+        actions: Vec<forward::Action>,
+        sleep: &mut timer::Sleep,
+    ) -> Option<forward::Verdict> {
+        let mut verdict = None;
+        for action in actions {
+            match action {
+                forward::Action::Send(send) => self.send(send),
+                forward::Action::WakeAt(at) => sleep.reset(at),
+                forward::Action::Finish(end) => verdict = Some(end),
+            }
+        }
+        verdict
+    }
+
+    fn send(&mut self, send: forward::Send) {
+        use std::fmt::Write as _;
+        let elapsed = self.received.elapsed().as_millis();
+        // Writing to a string cannot fail.
+        let _ = write!(self.trail, "{}>{}@{elapsed} ", send.service, send.server);
+        let guard = node::attempt_guard::AttemptGuard::new(
+            sync::Arc::clone(&self.forwarding),
+            sync::Arc::clone(&self.route),
+            send.clone(),
+        );
+        let sending = self
+            .forwarding
+            .link
+            .send(send.clone(), sync::Arc::clone(&self.message));
+        self.attempts.spawn(async move {
+            let (end, load) = sending.await;
+            guard.end(&end, load);
+            (send.attempt, end)
+        });
+    }
+
+    fn report(
+        &self,
+        exchange: &forward::Exchange,
+        view: &fleet::View,
+        request: &forward::Request,
+        verdict: &forward::Verdict,
+    ) {
+        let elapsed = self.received.elapsed();
+        let metrics = &self.forwarding.metrics;
+        telemetry::Metrics::count(&metrics.outcomes, verdict.label());
+        metrics.observe(&self.route.name, elapsed);
+        let missing = match verdict {
+            forward::Verdict::Gathered { missing, .. } => *missing,
+            _ => 0,
+        };
+        let status = match verdict {
+            forward::Verdict::Passed(answer) => answer.status,
+            _ => 0,
+        };
+        let age = view.confirmed.map_or(0, |at| at.elapsed().as_millis());
+        slog::info!(self.forwarding.process.logger, "request answered";
+            "request" => &request.id, "route" => &self.route.name,
+            "outcome" => verdict.label(), "status" => status, "missing" => missing,
+            "elapsed_us" => node::forwarding::micros(elapsed), "hedges" => exchange.hedges(),
+            "retries" => exchange.retries(), "open" => ?exchange.open_services(),
+            "sends" => self.trail.trim_end(),
+            "view" => view.generation, "view_age_ms" => u64::try_from(age).unwrap_or(u64::MAX));
+    }
+
+    /// Lets attempts go on for a moment after the answer.
+    fn linger(mut self) {
+        if self.attempts.is_empty() {
+            return;
+        }
+        tokio::spawn(async move {
+            let sleep = self.forwarding.process.timer.sleep(LINGER);
+            tokio::select! {
+                () = sleep => {}
+                () = async { while self.attempts.join_next().await.is_some() {} } => {}
+            }
+        });
+    }
+}
--- a/crates/fireflyspool/src/node/mod.rs
+++ b/crates/fireflyspool/src/node/mod.rs
@@ -6,10 +6,12 @@
 //! what it publishes. Front ends translate to and from the typed messages here
 //! and hold no state of their own.
 
+mod attempt_guard;
 mod control;
 mod control_settings;
 mod entry;
 mod entry_settings;
+mod forward_task;
 mod forwarding;
 mod grant;
 mod link;
@@ -20,6 +22,7 @@
 mod order_end;
 mod process;
 mod replica_batch;
+mod running;
 
 pub use control::Control;
 pub use control_settings::ControlSettings;
--- a/crates/fireflyspool/src/platform/configuration_wire.rs
+++ b/crates/fireflyspool/src/platform/configuration_wire.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::platform::route_wire;
+use crate::platform::{limits_wire, route_wire, service_wire};
 use crate::{configuration, ids};
 
 /// Complete configuration.
@@ -14,37 +14,9 @@
     routes: Vec<route_wire::RouteWire>,
     /// Services; the wire calls a service a back end.
     #[serde(rename = "Backends")]
-    services: Vec<ServiceWire>,
+    services: Vec<service_wire::ServiceWire>,
     #[serde(default)]
-    limits: Option<LimitsWire>,
-}
-
-/// Service of a configuration.
-#[derive(Debug)]
-#[derive(serde::Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct ServiceWire {
-    name: ids::ServiceName,
-    #[serde(rename = "MaxConnections", default)]
-    connections: Option<f64>,
-    /// Seconds for which a server is cold after its start.
-    #[serde(rename = "WarmupS", default)]
-    warm_up: f64,
-    /// Requests a second that a cold server bears.
-    #[serde(rename = "WarmupPerS", default)]
-    cold_rate: f64,
-}
-
-/// Limits on what callers may send.
-#[derive(Debug)]
-#[derive(serde::Deserialize)]
-struct LimitsWire {
-    #[serde(rename = "MaxHeaderBytes")]
-    head_bytes: usize,
-    #[serde(rename = "MaxBodyBytes")]
-    body_bytes: usize,
-    #[serde(rename = "IdleTimeoutMs")]
-    idle_ms: f64,
+    limits: Option<limits_wire::LimitsWire>,
 }
 
 /// Connections to a backend server of a service that sets no limit.
--- a/crates/fireflyspool/src/platform/control_routes.rs
+++ b/crates/fireflyspool/src/platform/control_routes.rs
@@ -5,7 +5,7 @@
 use rocket::{data, http, response::content, serde::json};
 
 use crate::configuration::Format as _;
-use crate::platform::server_wire;
+use crate::platform::heartbeat_answer;
 use crate::{configuration, node, platform, state};
 
 type Node = rocket::State<sync::Arc<node::Control>>;
@@ -29,7 +29,7 @@
     server: String,
     body: rocket::Data<'_>,
     node: &Node,
-) -> Result<json::Json<server_wire::HeartbeatAnswer>, Failure> {
+) -> Result<json::Json<heartbeat_answer::HeartbeatAnswer>, Failure> {
     let body = read_body(body, REPORT_LIMIT).await?;
     let report = match platform::HeartbeatWire::decode(server, &body) {
         Ok(report) => report,
@@ -46,7 +46,7 @@
     server: String,
     body: rocket::Data<'_>,
     node: &Node,
-) -> Result<json::Json<server_wire::HeartbeatAnswer>, Failure> {
+) -> Result<json::Json<heartbeat_answer::HeartbeatAnswer>, Failure> {
     let body = read_body(body, REPORT_LIMIT).await?;
     let born = platform::DepartureWire::decode(&body).born;
     answer(node.depart(server, born).await)
@@ -99,10 +99,12 @@
     }
 }
 
-fn answer(grant: Option<node::Grant>) -> Result<json::Json<server_wire::HeartbeatAnswer>, Failure> {
+fn answer(
+    grant: Option<node::Grant>,
+) -> Result<json::Json<heartbeat_answer::HeartbeatAnswer>, Failure> {
     let grant = grant.ok_or_else(|| unavailable("too few control VMs know of it"))?;
     let address = grant.address;
-    Ok(json::Json(server_wire::HeartbeatAnswer { address }))
+    Ok(json::Json(heartbeat_answer::HeartbeatAnswer { address }))
 }
 
 fn unavailable(text: &str) -> Failure {
--- a/crates/fireflyspool/src/platform/mod.rs
+++ b/crates/fireflyspool/src/platform/mod.rs
@@ -6,6 +6,7 @@
 //! no state. Names of the platform's protocol appear in this folder only; no
 //! other module imports it, apart from the command line.
 
+mod address_answer;
 mod backend_link;
 mod bounds;
 mod caller_service;
@@ -15,13 +16,17 @@
 mod departure_wire;
 mod directory_routes;
 mod headers;
+mod heartbeat_answer;
 mod heartbeat_wire;
+mod limits_wire;
+mod listen_addresses;
 mod platform_error;
 mod process_settings;
 mod ready_routes;
 mod route_wire;
 mod run;
-mod server_wire;
+mod service_wire;
+mod split_wire;
 
 pub use configuration_format::ConfigurationFormat;
 pub use departure_wire::DepartureWire;
--- a/crates/fireflyspool/src/platform/process_settings.rs
+++ b/crates/fireflyspool/src/platform/process_settings.rs
@@ -2,7 +2,7 @@
 
 use std::{env, fs, net, path, time};
 
-use crate::platform::bounds;
+use crate::platform::{bounds, listen_addresses};
 use crate::{fleet, node, platform};
 
 /// Environment variable that names the file.
@@ -32,29 +32,11 @@
     #[serde(rename = "HeartbeatMs", default = "default_heartbeat")]
     heartbeat: u64,
     #[serde(default)]
-    listen_addrs: ListenAddresses,
+    listen_addrs: listen_addresses::ListenAddresses,
     #[serde(default)]
     bounds: bounds::Bounds,
 }
 
-/// Addresses on which a process listens, as far as its role has them.
-#[derive(Clone, Copy, Debug, Default)]
-#[derive(serde::Deserialize)]
-struct ListenAddresses {
-    /// For callers.
-    #[serde(rename = "Frontend")]
-    callers: Option<net::SocketAddr>,
-    /// For the platform's readiness checks.
-    #[serde(rename = "Ready")]
-    readiness: Option<net::SocketAddr>,
-    /// For operators and backend servers.
-    #[serde(rename = "Control")]
-    control: Option<net::SocketAddr>,
-    /// For callers that ask for addresses.
-    #[serde(rename = "directory")]
-    directory: Option<net::SocketAddr>,
-}
-
 /// Heartbeat interval in milliseconds of all known installations.
 fn default_heartbeat() -> u64 {
     1_200
--- a/crates/fireflyspool/src/platform/ready_routes.rs
+++ b/crates/fireflyspool/src/platform/ready_routes.rs
@@ -26,5 +26,5 @@
 
 #[rocket::get("/metrics")]
 fn metrics(node: &rocket::State<sync::Arc<node::Entry>>) -> String {
-    node.metrics().encode()
+    node.metrics()
 }
--- a/crates/fireflyspool/src/platform/route_wire.rs
+++ b/crates/fireflyspool/src/platform/route_wire.rs
@@ -1,7 +1,7 @@
 //! A route on the wire.
 
 use crate::configuration;
-use crate::platform::configuration_wire;
+use crate::platform::{configuration_wire, split_wire};
 
 /// Route of a configuration.
 #[derive(Debug)]
@@ -28,7 +28,7 @@
     #[serde(rename = "Backend", default)]
     service: Option<String>,
     #[serde(rename = "TrafficSplit", default)]
-    split: Option<Vec<SplitWire>>,
+    split: Option<Vec<split_wire::SplitWire>>,
     /// Services that hold one shard each.
     #[serde(rename = "Gather", default)]
     shards: Option<Vec<String>>,
@@ -40,16 +40,6 @@
     coverage: Option<f64>,
 }
 
-/// Part of a split.
-#[derive(Debug)]
-#[derive(serde::Deserialize)]
-struct SplitWire {
-    #[serde(rename = "Backend", alias = "Name", alias = "Service")]
-    service: String,
-    #[serde(rename = "Weight")]
-    weight: f64,
-}
-
 /// Route type whose requests may run more than once.
 const IDEMPOTENT: &str = "idempotent";
 
@@ -62,7 +52,7 @@
                 coverage: self.coverage.unwrap_or(1.0),
             })
         } else if let Some(split) = self.split {
-            let share = |share: SplitWire| configuration::SplitShare {
+            let share = |share: split_wire::SplitWire| configuration::SplitShare {
                 service: share.service,
                 weight: share.weight,
             };
--- a/crates/fireflyspool/src/platform/run.rs
+++ b/crates/fireflyspool/src/platform/run.rs
@@ -47,11 +47,11 @@
 async fn entry(settings: platform::ProcessSettings) -> anyhow::Result<usize> {
     let own = settings.entry()?;
     let callers = own.callers;
-    let (logger, _guard, _) = node::Entry::logger(&own);
+    let (logger, _guard, dropped) = node::Entry::logger(&own);
     let timer = crate::timer::TimerService::start()?;
     let link = backend_link::BackendLink::new(timer.clone());
     let format = sync::Arc::new(platform::ConfigurationFormat);
-    let node = node::Entry::start(own, format, sync::Arc::new(link), logger.clone())?;
+    let node = node::Entry::start(own, format, sync::Arc::new(link), (logger.clone(), dropped))?;
     let (closing, closed) = watch::channel(false);
     let handler = caller_service::CallerService::new(sync::Arc::clone(&node));
     let callers = rim::caller_listener(callers, sync::Arc::new(handler), timer, closed);
@@ -61,7 +61,7 @@
     }
     serve(settings.metrics(), ready_routes::metrics_routes(), &node);
     slog::info!(logger, "started"; "vm" => settings.name(), "role" => "entry");
-    wait_for_stop(callers).await?;
+    wait_for_stop(callers, &logger).await?;
     node.announce_leaving().await;
     // The listener and all connections may have ended already.
     let _ = closing.send(true);
@@ -80,13 +80,16 @@
         serve(address, directory_routes::directory_routes(), &node);
     }
     slog::info!(logger, "started"; "vm" => settings.name(), "role" => "control");
-    wait_for_stop(listener).await?;
+    wait_for_stop(listener, &logger).await?;
     slog::info!(logger, "stopped");
     Ok(())
 }
 
 /// Waits for the signal to stop, or for a listener that ends by itself.
-async fn wait_for_stop<E>(mut listener: task::JoinHandle<Result<(), E>>) -> anyhow::Result<()>
+async fn wait_for_stop<E>(
+    mut listener: task::JoinHandle<Result<(), E>>,
+    logger: &slog::Logger,
+) -> anyhow::Result<()>
 where
     E: std::error::Error + Send + Sync + 'static,
 {
@@ -95,8 +98,8 @@
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
-            // What may change in the file matters only to processes that start.
-            _ = reload.recv() => {}
+            // What may change in the file matters only to a process that starts.
+            _ = reload.recv() => slog::info!(logger, "reload"; "effect" => "at the next start"),
             ended = &mut listener => {
                 ended.context("the listener panicked")??;
                 anyhow::bail!("the listener ended");
--- a/crates/fireflyspool/src/registry/mod.rs
+++ b/crates/fireflyspool/src/registry/mod.rs
@@ -13,8 +13,10 @@
 
 mod absorbed;
 mod change_set;
+mod known;
 mod phase;
 mod record;
+#[allow(clippy::module_inception, reason = "a file is named after its type")]
 mod registry;
 mod report;
 mod sighting;
--- a/crates/fireflyspool/src/registry/registry.rs
+++ b/crates/fireflyspool/src/registry/registry.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, time};
 
+use crate::registry::known;
 use crate::{ids, registry, sorted};
 
 /// Changes that the log keeps; a follower further behind gets all records.
@@ -11,23 +12,12 @@
 /// does not revive it.
 const TOMBSTONE: time::Duration = time::Duration::from_secs(600);
 
-/// Change of the remaining cold time that counts as news; smaller ones come
-/// from delays on the way.
-const COLD_JITTER: time::Duration = time::Duration::from_millis(400);
-
 /// Added to the announced end of a cold start for delays on the way.
 const COLD_MARGIN: time::Duration = time::Duration::from_millis(150);
 
-struct Known {
-    report: registry::Report,
-    heard: time::Instant,
-    cold_until: time::Instant,
-    silent: bool,
-}
-
 /// Backend servers by name.
 pub struct Registry {
-    known: sorted::SortedMap<ids::ServerName, Known>,
+    known: sorted::SortedMap<ids::ServerName, known::Known>,
     log: collections::VecDeque<ids::ServerName>,
     /// Position after the newest entry of the log.
     position: ids::ChangePosition,
@@ -71,7 +61,7 @@
             true => heard,
             false => heard + report.cold_left + COLD_MARGIN,
         };
-        let fresh = Known {
+        let fresh = known::Known {
             heard,
             cold_until,
             silent: now.saturating_duration_since(heard) > self.patience,
@@ -203,7 +193,7 @@
 
     /// Whether the reporter holds its address; ends the former holder.
     fn claim_address(&mut self, report: &registry::Report) -> bool {
-        let rival = |known: &Known| {
+        let rival = |known: &known::Known| {
             known.report.address == report.address
                 && known.report.server != report.server
                 && known.report.phase != registry::Phase::Gone
@@ -229,70 +219,6 @@
     }
 }
 
-impl Known {
-    /// Merges a report of the same life.
-    fn update(&mut self, fresh: Self, now: time::Instant) -> registry::Absorbed {
-        let phase = self.report.phase.max(fresh.report.phase);
-        let advanced = phase != self.report.phase;
-        if fresh.report.sequence <= self.report.sequence {
-            if advanced {
-                self.report.phase = phase;
-                return registry::Absorbed::Changed;
-            }
-            return registry::Absorbed::Stale;
-        }
-        let moved = !same_place(&self.report, &fresh.report);
-        let difference = match fresh.cold_until > self.cold_until {
-            true => fresh.cold_until - self.cold_until,
-            false => self.cold_until - fresh.cold_until,
-        };
-        let cold = self.cold_until > now || fresh.cold_until > now;
-        let back = self.silent && !fresh.silent;
-        *self = Self {
-            report: registry::Report {
-                phase,
-                ..fresh.report
-            },
-            heard: self.heard.max(fresh.heard),
-            ..fresh
-        };
-        if advanced || moved || back || (cold && difference > COLD_JITTER) {
-            registry::Absorbed::Changed
-        } else {
-            registry::Absorbed::Refreshed
-        }
-    }
-
-    fn record(&self, now: time::Instant) -> registry::Record {
-        let report = &self.report;
-        registry::Record {
-            server: report.server.clone(),
-            born: report.born,
-            sequence: report.sequence,
-            service: report.service.clone(),
-            address: report.address,
-            zone: report.zone.clone(),
-            slots: report.slots,
-            phase: report.phase,
-            cold_ms: millis(self.cold_until.saturating_duration_since(now)),
-            age_ms: millis(now.saturating_duration_since(self.heard)),
-            silent: self.silent,
-        }
-    }
-}
-
-/// Whether two reports say that a server is reached in the same way.
-fn same_place(one: &registry::Report, other: &registry::Report) -> bool {
-    one.address == other.address
-        && one.service == other.service
-        && one.zone == other.zone
-        && one.slots == other.slots
-}
-
-fn millis(duration: time::Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// The time that long ago, or `now` where the clock does not reach back so far.
 fn earlier(now: time::Instant, age_ms: u64) -> time::Instant {
     now.checked_sub(time::Duration::from_millis(age_ms))
--- a/crates/fireflyspool/src/rim/caller_listener.rs
+++ b/crates/fireflyspool/src/rim/caller_listener.rs
@@ -5,16 +5,13 @@
 //! listener uses hyper, on which Rocket stands: a closed connection drops the
 //! handler with all its attempts, and the request target stays as it was sent.
 
-use std::{
-    convert, net, pin,
-    sync::{self, atomic},
-    time,
-};
+use std::{convert, net, pin, sync, time};
 
 use hyper::{body, server::conn::http1, service};
 use hyper_util::rt;
 use tokio::sync::watch;
 
+use crate::rim::caller_activity;
 use crate::{rim, timer};
 
 /// Handler of one request.
@@ -36,30 +33,6 @@
 /// Pause after an accept that failed, for example for lack of descriptors.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(20);
 
-/// When a connection was last used.
-struct Activity {
-    start: time::Instant,
-    running: atomic::AtomicUsize,
-    /// Milliseconds since `start`.
-    used: atomic::AtomicU64,
-}
-
-impl Activity {
-    fn touch(&self) {
-        let elapsed = u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX);
-        self.used.store(elapsed, atomic::Ordering::Relaxed);
-    }
-
-    /// When the connection has been idle for that long; `None` while it is in use.
-    fn idle_at(&self, idle: time::Duration) -> time::Instant {
-        let used = time::Duration::from_millis(self.used.load(atomic::Ordering::Relaxed));
-        match self.running.load(atomic::Ordering::Relaxed) {
-            0 => self.start + used + idle,
-            _ => time::Instant::now() + idle,
-        }
-    }
-}
-
 /// Accepts connections until `closing` becomes true, then lets them end.
 ///
 /// # Errors
@@ -96,19 +69,14 @@
     timer: timer::TimerService,
     mut closing: watch::Receiver<bool>,
 ) {
-    let activity = sync::Arc::new(Activity {
-        start: time::Instant::now(),
-        running: atomic::AtomicUsize::new(0),
-        used: atomic::AtomicU64::new(0),
-    });
+    let activity = sync::Arc::new(caller_activity::CallerActivity::default());
     let answer = service::service_fn(|request| {
         let activity = sync::Arc::clone(&activity);
         let handling = handler.handle(request);
         async move {
-            activity.running.fetch_add(1, atomic::Ordering::Relaxed);
+            activity.begin();
             let response = handling.await;
-            activity.running.fetch_sub(1, atomic::Ordering::Relaxed);
-            activity.touch();
+            activity.end();
             Ok::<_, convert::Infallible>(response)
         }
     });
--- a/crates/fireflyspool/src/rim/forward_client.rs
+++ b/crates/fireflyspool/src/rim/forward_client.rs
@@ -10,6 +10,8 @@
 use http_body_util::BodyExt as _;
 use hyper_util::{client::legacy, rt};
 
+use crate::rim;
+
 /// Time for opening a connection.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
@@ -28,20 +30,6 @@
     client: legacy::Client<legacy::connect::HttpConnector, Body>,
 }
 
-/// Why no answer arrived.
-#[derive(Debug, thiserror::Error)]
-pub enum ForwardError {
-    /// No connection could be opened; nothing was sent.
-    #[error("cannot connect")]
-    Connect(#[source] legacy::Error),
-    /// The connection broke after the request may have been sent.
-    #[error("the connection broke")]
-    Broken(#[source] legacy::Error),
-    /// The body of the answer is not complete.
-    #[error("the answer is not complete")]
-    Truncated(#[source] hyper::Error),
-}
-
 impl Default for ForwardClient {
     fn default() -> Self {
         let mut connector = legacy::connect::HttpConnector::new();
@@ -63,15 +51,15 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`ForwardError`] if no answer arrives.
+    /// Returns a [`rim::ForwardError`] if no answer arrives.
     pub async fn send(
         &self,
         request: http::Request<Body>,
-    ) -> Result<http::Response<hyper::body::Incoming>, ForwardError> {
+    ) -> Result<http::Response<hyper::body::Incoming>, rim::ForwardError> {
         let sent = self.client.request(request).await;
         sent.map_err(|error| match error.is_connect() {
-            true => ForwardError::Connect(error),
-            false => ForwardError::Broken(error),
+            true => rim::ForwardError::Connect(error),
+            false => rim::ForwardError::Broken(error),
         })
     }
 
@@ -79,9 +67,9 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`ForwardError`] if the body ends early.
-    pub async fn read(body: hyper::body::Incoming) -> Result<bytes::Bytes, ForwardError> {
+    /// Returns a [`rim::ForwardError`] if the body ends early.
+    pub async fn read(body: hyper::body::Incoming) -> Result<bytes::Bytes, rim::ForwardError> {
         let collected = body.collect().await;
-        Ok(collected.map_err(ForwardError::Truncated)?.to_bytes())
+        Ok(collected.map_err(rim::ForwardError::Truncated)?.to_bytes())
     }
 }
