Log refused attempts too, each with the id of its request

Cause: explain showed a failed request without the reason of its failed attempts. Change: one line for each attempt that failed or was refused, with the request's id.

--- a/crates/fireflyspool/src/node/attempt_guard.rs
+++ b/crates/fireflyspool/src/node/attempt_guard.rs
@@ -8,6 +8,7 @@
 pub(super) struct AttemptGuard {
     forwarding: sync::Arc<node::Forwarding>,
     route: sync::Arc<configuration::Route>,
+    message: sync::Arc<node::Message>,
     send: forward::Send,
     started: time::Instant,
     ended: bool,
@@ -18,11 +19,13 @@
     pub(super) fn new(
         forwarding: sync::Arc<node::Forwarding>,
         route: sync::Arc<configuration::Route>,
+        message: sync::Arc<node::Message>,
         send: forward::Send,
     ) -> Self {
         Self {
             forwarding,
             route,
+            message,
             send,
             started: time::Instant::now(),
             ended: false,
@@ -53,7 +56,10 @@
         );
         if failed {
             self.forwarding.publish_suspended(&self.forwarding.fleet());
+        }
+        if failed || result == fleet::AttemptResult::Rejected {
             slog::info!(self.forwarding.process.logger, "attempt failed";
+                "request" => &self.message.id,
                 "server" => &self.send.server, "service" => &self.send.service,
                 "result" => ?result, "elapsed_us" => node::forwarding::micros(elapsed));
         }
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -117,6 +117,7 @@
         let guard = node::attempt_guard::AttemptGuard::new(
             sync::Arc::clone(&self.forwarding),
             sync::Arc::clone(&self.route),
+            sync::Arc::clone(&self.message),
             send.clone(),
         );
         let sending = self
