--- a/crates/fireflyspool/src/language/mod.rs
+++ b/crates/fireflyspool/src/language/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! One statement is one line of text. [`parse`] turns it into a [`Statement`]
 //! or a [`ParseError`] that names the column and what was expected there. The
-//! grammar stands in `docs/operations.md`. Parsing decides nothing: whether a
+//! grammar stands in `docs/OPERATIONS.md`. Parsing decides nothing: whether a
 //! collection exists or a revision fits is decided where the state is.
 
 mod command_parser;
