--- a/crates/fireflyspool/src/node/control.rs
+++ b/crates/fireflyspool/src/node/control.rs
@@ -7,8 +7,7 @@
 
 use crate::node::numbering;
 use crate::{
-    consensus, control, hub, ids, node, registry, rim, roster, sorted, state, storage, telemetry,
-    timer,
+    consensus, control, hub, ids, node, registry, rim, roster, sorted, state, storage, timer,
 };
 
 /// Time for an order; its sender tries another VM after a second.
@@ -231,20 +230,3 @@
     }
     Ok(voter)
 }
-
-impl Control {
-    /// Starts the logger of a control VM.
-    pub fn logger(
-        settings: &node::ControlSettings,
-    ) -> (
-        slog::Logger,
-        slog_async::AsyncGuard,
-        telemetry::DroppedLines,
-    ) {
-        let number = numbering::number_of(settings.rpc, 0);
-        telemetry::start_logger(number, telemetry::LogLevel::Info, LOG_QUEUE)
-    }
-}
-
-/// Log lines that may wait for the writer.
-const LOG_QUEUE: usize = 4_096;
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -5,7 +5,6 @@
     time,
 };
 
-use crate::node::numbering;
 use crate::{configuration, control, fleet, follow, forward, hub, node, telemetry, timer};
 
 /// Time before the end of the grace in which a leaving process must be gone.
@@ -17,9 +16,6 @@
 /// Pause between two looks whether running requests are over.
 const DRAIN_STEP: time::Duration = time::Duration::from_millis(50);
 
-/// Log lines that may wait for the writer.
-const LOG_QUEUE: usize = 4_096;
-
 /// Handle of an entry VM for its front ends.
 pub struct Entry {
     process: sync::Arc<node::Process>,
@@ -78,18 +74,6 @@
         }))
     }
 
-    /// Starts the logger of an entry VM.
-    pub fn logger(
-        settings: &node::EntrySettings,
-    ) -> (
-        slog::Logger,
-        slog_async::AsyncGuard,
-        telemetry::DroppedLines,
-    ) {
-        let number = numbering::number_of(settings.callers, 0);
-        telemetry::start_logger(number, telemetry::LogLevel::Info, LOG_QUEUE)
-    }
-
     /// What the parts of this process share.
     pub fn process(&self) -> &sync::Arc<node::Process> {
         &self.process
--- a/crates/fireflyspool/src/node/mesh_listener.rs
+++ b/crates/fireflyspool/src/node/mesh_listener.rs
@@ -7,13 +7,6 @@
 
 use crate::{control, hub, ids, node, rim, state};
 
-/// Largest message; a configuration with some thousand routes fits.
-const MAX_MESSAGE: u32 = 16 * 1024 * 1024;
-
-/// Connections from other processes: one from each control VM, and from each
-/// entry VM that follows this one.
-const MAX_CONNECTIONS: u32 = 2_048;
-
 type Module = jsonrpsee::RpcModule<sync::Arc<node::Control>>;
 type Parsed<T> = Result<T, types::ErrorObjectOwned>;
 
@@ -29,19 +22,9 @@
     address: net::SocketAddr,
     node: sync::Arc<node::Control>,
 ) -> Result<server::ServerHandle, rim::RpcError> {
-    let config = server::ServerConfig::builder()
-        .ws_only()
-        .max_request_body_size(MAX_MESSAGE)
-        .max_response_body_size(MAX_MESSAGE)
-        .max_connections(MAX_CONNECTIONS)
-        .set_tcp_no_delay(true)
-        .build();
-    let builder = server::Server::builder().set_config(config);
-    let built = builder.build(address).await;
-    let listener = built.map_err(|source| rim::RpcError::Bind { address, source })?;
     let mut module = Module::new(node);
     register(&mut module)?;
-    Ok(listener.start(module))
+    rim::open_rpc_listener(address, module).await
 }
 
 fn register(module: &mut Module) -> Result<(), rim::RpcError> {
--- a/crates/fireflyspool/src/node/mesh_outlet.rs
+++ b/crates/fireflyspool/src/node/mesh_outlet.rs
@@ -4,14 +4,7 @@
 
 use tokio::sync::mpsc;
 
-use crate::{consensus, control, fleet, hub, ids, node, rim, roster, sorted, state, timer, view};
-
-/// Messages to one replica that may wait; more are dropped and sent again by
-/// the replicated log itself.
-const LINK_CAPACITY: usize = 256;
-
-/// Messages that travel in one call.
-const LINK_BATCH: usize = 64;
+use crate::{consensus, control, fleet, hub, ids, node, rim, roster, sorted, state, view};
 
 /// Time for one call to another control VM; a lost connection is noticed after it.
 const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(700);
@@ -26,7 +19,7 @@
     /// Listener of this process; unused on entry VMs, which have no replica.
     own: net::SocketAddr,
     links: sync::Mutex<sorted::SortedMap<net::SocketAddr, mpsc::Sender<consensus::Envelope>>>,
-    wake: sync::Mutex<Option<timer::TimerToken>>,
+    wake: rim::Wake,
 }
 
 impl MeshOutlet {
@@ -36,12 +29,13 @@
         runtime: tokio::runtime::Handle,
         own: net::SocketAddr,
     ) -> Self {
+        let wake = rim::Wake::new(process.timer.clone(), process.mailbox.clone());
         Self {
             process,
             runtime,
             own,
             links: sync::Mutex::default(),
-            wake: sync::Mutex::default(),
+            wake,
         }
     }
 
@@ -78,10 +72,10 @@
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner);
         let link = links.get_or_insert_with(address, || {
-            let (sender, receiver) = mpsc::channel(LINK_CAPACITY);
+            let from = self.own;
+            let wrap = move |envelopes| node::ReplicaBatch { from, envelopes };
             let peer = self.process.peer(address);
-            self.runtime.spawn(run_link(peer, self.own, receiver));
-            sender
+            rim::replica_link(&self.runtime, peer, CALL_TIMEOUT, wrap)
         });
         // The replicated log repeats what is lost.
         let _ = link.try_send(envelope);
@@ -142,19 +136,7 @@
     }
 
     fn wake_at(&self, at: time::Instant) {
-        let timer = &self.process.timer;
-        let mut wake = self
-            .wake
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        if let Some(token) = wake.take() {
-            timer.cancel(token);
-        }
-        let mailbox = self.process.mailbox.clone();
-        *wake = Some(timer.subscribe(at, move || {
-            // A full queue wakes the control thread by itself.
-            let _ = mailbox.send(control::Event::Timer);
-        }));
+        self.wake.set(at);
     }
 
     fn entropy(&self) -> u64 {
@@ -162,24 +144,6 @@
     }
 
     fn wall_clock(&self) -> u64 {
-        let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
-        let millis = since.unwrap_or_default().as_millis();
-        u64::try_from(millis).unwrap_or(u64::MAX)
-    }
-}
-
-async fn run_link(
-    peer: sync::Arc<rim::Peer>,
-    from: net::SocketAddr,
-    mut receiver: mpsc::Receiver<consensus::Envelope>,
-) {
-    let mut envelopes = Vec::new();
-    while receiver.recv_many(&mut envelopes, LINK_BATCH).await > 0 {
-        let envelopes = std::mem::take(&mut envelopes);
-        let batch = node::ReplicaBatch { from, envelopes };
-        // A lost batch is sent again by the replicated log.
-        let _ = peer
-            .call::<_, ()>(rim::Method::Consensus, &batch, CALL_TIMEOUT)
-            .await;
+        rim::wall_millis()
     }
 }
--- a/crates/fireflyspool/src/platform/run.rs
+++ b/crates/fireflyspool/src/platform/run.rs
@@ -47,7 +47,7 @@
 async fn entry(settings: platform::ProcessSettings) -> anyhow::Result<usize> {
     let own = settings.entry()?;
     let callers = own.callers;
-    let (logger, _guard, dropped) = node::Entry::logger(&own);
+    let (logger, _guard, dropped) = node::start_logger(own.callers);
     let timer = crate::timer::TimerService::start()?;
     let link = backend_link::BackendLink::new(timer.clone());
     let format = sync::Arc::new(platform::ConfigurationFormat);
@@ -73,7 +73,7 @@
 async fn control(settings: platform::ProcessSettings) -> anyhow::Result<()> {
     let own = settings.control()?;
     let address = own.control;
-    let (logger, _guard, _) = node::Control::logger(&own);
+    let (logger, _guard, _) = node::start_logger(own.rpc);
     let node = node::Control::start(own, logger.clone()).await?;
     let listener = serve(address, control_routes::control_routes(), &node);
     if let Some(address) = settings.directory() {
--- a/crates/fireflyspool/src/rim/control_outlet.rs
+++ b/crates/fireflyspool/src/rim/control_outlet.rs
@@ -4,14 +4,7 @@
 
 use tokio::sync::mpsc;
 
-use crate::{consensus, control, dispatch, ids, rim, roster, sorted, timer, traffic, view};
-
-/// Messages to one replica that may wait; more are dropped and sent again by
-/// the replicated log itself.
-const LINK_CAPACITY: usize = 256;
-
-/// Messages that travel in one call.
-const LINK_BATCH: usize = 64;
+use crate::{consensus, control, dispatch, ids, rim, roster, sorted, traffic, view};
 
 /// Time for one call to another control VM.
 const CALL_TIMEOUT: time::Duration = time::Duration::from_secs(1);
@@ -21,7 +14,7 @@
     node: sync::Arc<traffic::EntryNode>,
     runtime: tokio::runtime::Handle,
     links: sync::Mutex<sorted::SortedMap<ids::NodeId, Link>>,
-    wake: sync::Mutex<Option<timer::TimerToken>>,
+    wake: rim::Wake,
 }
 
 struct Link {
@@ -32,18 +25,19 @@
 impl ControlOutlet {
     /// An outlet whose calls run on that runtime.
     pub fn new(node: sync::Arc<traffic::EntryNode>, runtime: tokio::runtime::Handle) -> Self {
+        let shared = node.shared();
+        let wake = rim::Wake::new(shared.timer.clone(), shared.mailbox.clone());
         Self {
             node,
             runtime,
             links: sync::Mutex::default(),
-            wake: sync::Mutex::default(),
+            wake,
         }
     }
 
     fn start_link(&self, node: ids::NodeId, address: net::SocketAddr) -> Link {
-        let (sender, receiver) = mpsc::channel(LINK_CAPACITY);
         let peer = self.node.peers().get(node, address);
-        self.runtime.spawn(run_link(peer, receiver));
+        let sender = rim::replica_link(&self.runtime, peer, CALL_TIMEOUT, |envelopes| envelopes);
         Link { address, sender }
     }
 }
@@ -114,19 +108,7 @@
     }
 
     fn wake_at(&self, at: time::Instant) {
-        let timer = &self.node.shared().timer;
-        let mut wake = self
-            .wake
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        if let Some(token) = wake.take() {
-            timer.cancel(token);
-        }
-        let mailbox = self.node.shared().mailbox.clone();
-        *wake = Some(timer.subscribe(at, move || {
-            // A full queue wakes the control thread by itself.
-            let _ = mailbox.send(control::Event::Timer);
-        }));
+        self.wake.set(at);
     }
 
     fn entropy(&self) -> u64 {
@@ -134,19 +116,6 @@
     }
 
     fn wall_clock(&self) -> u64 {
-        let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
-        let millis = since.unwrap_or_default().as_millis();
-        u64::try_from(millis).unwrap_or(u64::MAX)
-    }
-}
-
-async fn run_link(peer: sync::Arc<rim::Peer>, mut receiver: mpsc::Receiver<consensus::Envelope>) {
-    let mut batch = Vec::new();
-    while receiver.recv_many(&mut batch, LINK_BATCH).await > 0 {
-        // A lost batch is sent again by the replicated log.
-        let _ = peer
-            .call::<_, ()>(rim::Method::Consensus, &batch, CALL_TIMEOUT)
-            .await;
-        batch.clear();
+        rim::wall_millis()
     }
 }
--- a/crates/fireflyspool/src/rim/rpc_listener.rs
+++ b/crates/fireflyspool/src/rim/rpc_listener.rs
@@ -7,14 +7,6 @@
 
 use crate::{consensus, control, dispatch, ids, language, rim, roster, state, traffic};
 
-/// Largest message; bounds the memory that one authenticated peer can take.
-/// A snapshot of the control state travels in parts far below this size.
-const MAX_MESSAGE: u32 = 16 * 1024 * 1024;
-
-/// Connections from other processes; a node has at most one from each other
-/// node of its site, and a site has at most 1,000.
-const MAX_CONNECTIONS: u32 = 2_048;
-
 type Node = sync::Arc<traffic::EntryNode>;
 type Module = jsonrpsee::RpcModule<Node>;
 type Parsed<T> = Result<T, types::ErrorObjectOwned>;
@@ -27,13 +19,7 @@
 pub async fn rpc_listener(node: Node) -> Result<server::ServerHandle, rim::RpcError> {
     let address = node.settings().rpc;
     let middleware = tower::ServiceBuilder::new().layer(rim::KeyLayer::new(node.key().clone()));
-    let config = server::ServerConfig::builder()
-        .ws_only()
-        .max_request_body_size(MAX_MESSAGE)
-        .max_response_body_size(MAX_MESSAGE)
-        .max_connections(MAX_CONNECTIONS)
-        .set_tcp_no_delay(true)
-        .build();
+    let config = rim::rpc_server::rpc_config();
     let built = server::Server::builder()
         .set_config(config)
         .set_http_middleware(middleware)
