--- a/crates/bench/src/cli/arguments.rs
+++ b/crates/bench/src/cli/arguments.rs
@@ -3,7 +3,8 @@
 use crate::cli;
 
 /// Stand-in backend servers and the load tool.
-#[derive(Debug, clap::Parser)]
+#[derive(Debug)]
+#[derive(clap::Parser)]
 #[command(version)]
 pub(crate) enum Arguments {
     /// Runs stand-in backend servers.
--- a/crates/bench/src/cli/commands_arguments.rs
+++ b/crates/bench/src/cli/commands_arguments.rs
@@ -5,7 +5,8 @@
 use fireflyspool_bench::load;
 
 /// Arguments of `commands`.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(crate) struct CommandsArguments {
     /// YAML file with the settings of the load tool.
     #[arg(long)]
--- a/crates/bench/src/cli/compare_arguments.rs
+++ b/crates/bench/src/cli/compare_arguments.rs
@@ -5,7 +5,8 @@
 use fireflyspool_bench::load;
 
 /// Puts two reports side by side.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(crate) struct CompareArguments {
     /// First report.
     first: path::PathBuf,
--- a/crates/bench/src/cli/load_arguments.rs
+++ b/crates/bench/src/cli/load_arguments.rs
@@ -5,7 +5,8 @@
 use fireflyspool_bench::load;
 
 /// Sends load and reports.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(crate) struct LoadArguments {
     /// YAML file with the settings.
     #[arg(long)]
--- a/crates/bench/src/cli/searcher_arguments.rs
+++ b/crates/bench/src/cli/searcher_arguments.rs
@@ -6,7 +6,8 @@
 use fireflyspool_bench::{load, searcher};
 
 /// Flags of one searcher, or a settings file for many.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub(crate) struct SearcherArguments {
     /// YAML file with many searchers; the flags below describe one more if `--name` is given.
     #[arg(long)]
--- a/crates/bench/src/load/address_answer.rs
+++ b/crates/bench/src/load/address_answer.rs
@@ -5,7 +5,8 @@
 use fireflyspool::ids;
 
 /// Addresses that a caller may use for a while.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct AddressAnswer {
     /// Service.
     pub service: ids::ServiceName,
--- a/crates/bench/src/load/event_report.rs
+++ b/crates/bench/src/load/event_report.rs
@@ -1,7 +1,8 @@
 //! Result of one step of a scenario.
 
 /// What became of a step.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct EventReport {
     /// Begin, in milliseconds from the start of the run.
     pub at_ms: u64,
--- a/crates/bench/src/load/fault.rs
+++ b/crates/bench/src/load/fault.rs
@@ -3,7 +3,8 @@
 use fireflyspool::{ids, outcome};
 
 /// Proof that an answer is wrong.
-#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(thiserror::Error)]
 pub enum Fault {
     /// The answer belongs to another request.
     #[error("answer to request {0}")]
--- a/crates/bench/src/load/kind_report.rs
+++ b/crates/bench/src/load/kind_report.rs
@@ -5,7 +5,8 @@
 use crate::load;
 
 /// Counts and latencies of one kind.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct KindReport {
     /// Kind.
     pub kind: outcome::Kind,
--- a/crates/bench/src/load/kind_weights.rs
+++ b/crates/bench/src/load/kind_weights.rs
@@ -3,7 +3,8 @@
 use fireflyspool::outcome;
 
 /// Number for each kind of request.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct KindWeights {
     /// For urgent requests.
--- a/crates/bench/src/load/latency.rs
+++ b/crates/bench/src/load/latency.rs
@@ -3,7 +3,8 @@
 use hdrhistogram::Histogram;
 
 /// Latency in milliseconds, counted from the intended start.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Latency {
     /// Number of values.
     pub count: u64,
--- a/crates/bench/src/load/report.rs
+++ b/crates/bench/src/load/report.rs
@@ -7,7 +7,8 @@
 use crate::load;
 
 /// Everything measured in a run.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Report {
     /// Name of the run.
     pub label: String,
--- a/crates/bench/src/load/score.rs
+++ b/crates/bench/src/load/score.rs
@@ -5,7 +5,8 @@
 use crate::load;
 
 /// Points of a run in the eyes of one user, from 0 to 100.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Score {
     /// User.
     pub user: String,
--- a/crates/bench/src/load/scoring.rs
+++ b/crates/bench/src/load/scoring.rs
@@ -3,7 +3,8 @@
 use crate::load;
 
 /// How one user judges a run.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scoring {
     /// User.
--- a/crates/bench/src/load/searcher_report.rs
+++ b/crates/bench/src/load/searcher_report.rs
@@ -3,7 +3,8 @@
 use fireflyspool::{ids, sorted};
 
 /// Load and limits at the searchers during a run.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct SearcherReport {
     /// Searchers asked.
     pub searchers: usize,
--- a/crates/bench/src/load/selection.rs
+++ b/crates/bench/src/load/selection.rs
@@ -5,7 +5,8 @@
 use crate::searcher;
 
 /// Searchers that match all given fields.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Selection {
     /// Name.
--- a/crates/bench/src/load/settings.rs
+++ b/crates/bench/src/load/settings.rs
@@ -7,7 +7,8 @@
 use crate::{duration_text, load, site};
 
 /// What to send, to whom and how it is judged.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Name of the run in reports.
--- a/crates/bench/src/load/signal.rs
+++ b/crates/bench/src/load/signal.rs
@@ -1,15 +1,8 @@
 //! Signals to processes.
 
 /// Signal to a process given on the command line.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Signal {
     /// Ends it at once.
--- a/crates/bench/src/load/step.rs
+++ b/crates/bench/src/load/step.rs
@@ -5,7 +5,8 @@
 use crate::{duration_text, load};
 
 /// Action at a time of the run.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Step {
     /// Time from the start of the run.
     #[serde(with = "duration_text")]
--- a/crates/bench/src/load/step_action.rs
+++ b/crates/bench/src/load/step_action.rs
@@ -5,7 +5,8 @@
 use crate::{load, searcher};
 
 /// What happens in a step.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "do", rename_all = "snake_case")]
 pub enum StepAction {
     /// Sends a statement as the operator and waits until it is in force.
--- a/crates/bench/src/load/surge.rs
+++ b/crates/bench/src/load/surge.rs
@@ -5,7 +5,8 @@
 use crate::duration_text;
 
 /// Period in which the request rate is multiplied.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Surge {
     /// Begin, from the start of the run.
     #[serde(with = "duration_text")]
--- a/crates/bench/src/load/template.rs
+++ b/crates/bench/src/load/template.rs
@@ -7,7 +7,8 @@
 use crate::duration_text;
 
 /// Requests that differ only in their text.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Template {
     /// Name in reports.
--- a/crates/bench/src/searcher/behaviour.rs
+++ b/crates/bench/src/searcher/behaviour.rs
@@ -7,7 +7,8 @@
 use crate::duration_text;
 
 /// Limits and faults of a searcher.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Behaviour {
     /// Requests that run at once.
--- a/crates/bench/src/searcher/cancel_reply.rs
+++ b/crates/bench/src/searcher/cancel_reply.rs
@@ -3,15 +3,8 @@
 use fireflyspool::{backend, ids};
 
 /// What became of an attempt that was cancelled.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct CancelReply {
     /// Attempt that was to be cancelled.
     pub attempt: ids::AttemptId,
--- a/crates/bench/src/searcher/control.rs
+++ b/crates/bench/src/searcher/control.rs
@@ -5,7 +5,8 @@
 use crate::searcher;
 
 /// Instruction sent by `POST /control`.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "control", rename_all = "snake_case")]
 pub enum Control {
     /// Replaces fields of the behaviour.
--- a/crates/bench/src/searcher/counters.rs
+++ b/crates/bench/src/searcher/counters.rs
@@ -8,15 +8,8 @@
 const KEPT_SECONDS: usize = 86_400;
 
 /// What a searcher counted since its process started; restarts do not reset it.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default)]
 pub struct Counters {
     /// Name of the searcher.
--- a/crates/bench/src/searcher/group.rs
+++ b/crates/bench/src/searcher/group.rs
@@ -5,7 +5,8 @@
 use crate::searcher;
 
 /// Searchers of one service spread over zones and shards.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Group {
     /// Service; searchers are named `<service>-<number>`.
--- a/crates/bench/src/searcher/listing.rs
+++ b/crates/bench/src/searcher/listing.rs
@@ -5,7 +5,8 @@
 use fireflyspool::{backend, ids};
 
 /// Line that tells the load tool where a searcher is.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Listing {
     /// Name.
     pub server: ids::ServerName,
--- a/crates/bench/src/searcher/profile.rs
+++ b/crates/bench/src/searcher/profile.rs
@@ -7,7 +7,8 @@
 use crate::searcher;
 
 /// What one searcher is and hosts.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Profile {
     /// Name.
--- a/crates/bench/src/searcher/settings.rs
+++ b/crates/bench/src/searcher/settings.rs
@@ -5,7 +5,8 @@
 use crate::searcher;
 
 /// Searchers of one process.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Settings {
     /// Entry addresses to announce to.
--- a/crates/bench/src/site/service.rs
+++ b/crates/bench/src/site/service.rs
@@ -5,7 +5,8 @@
 use crate::searcher;
 
 /// Searchers of one service and the collection they hold.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Name.
--- a/crates/bench/src/site/site.rs
+++ b/crates/bench/src/site/site.rs
@@ -10,7 +10,8 @@
 const FIRST_VERSION: ids::IndexVersion = 1;
 
 /// Zones and services of a deployment.
-#[derive(Clone, Debug, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Site {
     /// Share of the searchers that is run. Replicas stay and shards shrink with it, so the rate
--- a/crates/fireflyspool/src/backend/announcement.rs
+++ b/crates/fireflyspool/src/backend/announcement.rs
@@ -8,7 +8,8 @@
 ///
 /// Announcements are ordered by incarnation and sequence; an older one never
 /// replaces a newer one.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Announcement {
     /// Name of the backend server.
     pub server: ids::ServerName,
--- a/crates/fireflyspool/src/backend/hosted_shard.rs
+++ b/crates/fireflyspool/src/backend/hosted_shard.rs
@@ -3,17 +3,8 @@
 use crate::ids;
 
 /// Shard of one index version of one collection.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct HostedShard {
     /// Collection.
     pub collection: ids::CollectionName,
--- a/crates/fireflyspool/src/backend/phase.rs
+++ b/crates/fireflyspool/src/backend/phase.rs
@@ -1,17 +1,8 @@
 //! Phase of a backend server's life.
 
 /// Phase that a backend server announces.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Phase {
     /// Loading its shards; takes no work.
--- a/crates/fireflyspool/src/backend/refused_reply.rs
+++ b/crates/fireflyspool/src/backend/refused_reply.rs
@@ -3,7 +3,8 @@
 use crate::ids;
 
 /// States that an attempt was refused before it ran.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct RefusedReply {
     /// Attempt that was refused.
     pub attempt: ids::AttemptId,
--- a/crates/fireflyspool/src/backend/search_reply.rs
+++ b/crates/fireflyspool/src/backend/search_reply.rs
@@ -3,7 +3,8 @@
 use crate::{backend, ids, outcome};
 
 /// Hits of one shard, with the identity of what produced them.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct SearchReply {
     /// Attempt that this answers.
     pub attempt: ids::AttemptId,
--- a/crates/fireflyspool/src/backend/search_request.rs
+++ b/crates/fireflyspool/src/backend/search_request.rs
@@ -3,7 +3,8 @@
 use crate::ids;
 
 /// Sub-request to one backend server for one shard.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct SearchRequest {
     /// Attempt, returned with the reply.
     pub attempt: ids::AttemptId,
--- a/crates/fireflyspool/src/backend/submit_reply.rs
+++ b/crates/fireflyspool/src/backend/submit_reply.rs
@@ -3,7 +3,8 @@
 use crate::ids;
 
 /// Receipt of a submission that ran.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct SubmitReply {
     /// Attempt that this answers.
     pub attempt: ids::AttemptId,
--- a/crates/fireflyspool/src/backend/submit_request.rs
+++ b/crates/fireflyspool/src/backend/submit_request.rs
@@ -3,7 +3,8 @@
 use crate::ids;
 
 /// Submission that must run at most once.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct SubmitRequest {
     /// Attempt, returned with the reply.
     pub attempt: ids::AttemptId,
--- a/crates/fireflyspool/src/cli/arguments.rs
+++ b/crates/fireflyspool/src/cli/arguments.rs
@@ -5,7 +5,8 @@
 use crate::{cli, telemetry};
 
 /// Query tier over many shards.
-#[derive(Debug, clap::Parser)]
+#[derive(Debug)]
+#[derive(clap::Parser)]
 #[command(name = "fireflyspool", version, about, after_help = EXIT_CODES)]
 pub enum Arguments {
     /// Run an entry VM, a control VM or both, as the settings say
--- a/crates/fireflyspool/src/cli/client_error.rs
+++ b/crates/fireflyspool/src/cli/client_error.rs
@@ -5,7 +5,8 @@
 use crate::settings;
 
 /// Why a client got no outcome.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum ClientError {
     /// The HTTP library cannot be set up.
     #[error("cannot set up the HTTP client")]
--- a/crates/fireflyspool/src/cli/command_arguments.rs
+++ b/crates/fireflyspool/src/cli/command_arguments.rs
@@ -3,7 +3,8 @@
 use std::{net, path};
 
 /// An operator's command.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub struct CommandArguments {
     /// Address of any VM of the tier
     #[arg(long, value_name = "IP:PORT")]
--- a/crates/fireflyspool/src/cli/data_arguments.rs
+++ b/crates/fireflyspool/src/cli/data_arguments.rs
@@ -3,7 +3,8 @@
 use std::path;
 
 /// What to do with the data folder of the settings.
-#[derive(Debug, clap::Subcommand)]
+#[derive(Debug)]
+#[derive(clap::Subcommand)]
 pub enum DataArguments {
     /// Create the data folder that the settings name; once in the life of a VM
     Init {
--- a/crates/fireflyspool/src/cli/platform_arguments.rs
+++ b/crates/fireflyspool/src/cli/platform_arguments.rs
@@ -1,7 +1,8 @@
 //! Arguments of `platform`.
 
 /// Which process to run; its settings file is named by the environment.
-#[derive(Clone, Copy, Debug, clap::Subcommand)]
+#[derive(Clone, Copy, Debug)]
+#[derive(clap::Subcommand)]
 pub enum PlatformArguments {
     /// Run an entry VM, which serves callers
     Entry,
--- a/crates/fireflyspool/src/cli/query_arguments.rs
+++ b/crates/fireflyspool/src/cli/query_arguments.rs
@@ -3,7 +3,8 @@
 use std::net;
 
 /// A caller's request.
-#[derive(Debug, clap::Args)]
+#[derive(Debug)]
+#[derive(clap::Args)]
 pub struct QueryArguments {
     /// Address of any entry VM; the request goes to the address that it names
     #[arg(long, value_name = "IP:PORT")]
--- a/crates/fireflyspool/src/cli/snapshot_arguments.rs
+++ b/crates/fireflyspool/src/cli/snapshot_arguments.rs
@@ -3,7 +3,8 @@
 use std::path;
 
 /// What to do with a data folder.
-#[derive(Debug, clap::Subcommand)]
+#[derive(Debug)]
+#[derive(clap::Subcommand)]
 pub enum SnapshotArguments {
     /// Print identity, vote, snapshot and log range of a data folder
     Inspect {
--- a/crates/fireflyspool/src/configuration/configuration_error.rs
+++ b/crates/fireflyspool/src/configuration/configuration_error.rs
@@ -3,7 +3,8 @@
 use crate::ids;
 
 /// Why a configuration is refused.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum ConfigurationError {
     /// The text cannot be read.
     #[error("the configuration cannot be read: {detail}")]
--- a/crates/fireflyspool/src/consensus/change_refusal.rs
+++ b/crates/fireflyspool/src/consensus/change_refusal.rs
@@ -1,16 +1,8 @@
 //! Reasons to refuse a membership change.
 
 /// Why a leader refused a membership change.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    thiserror::Error,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ChangeRefusal {
     /// The previous change, or the first entry of the term, is not committed.
--- a/crates/fireflyspool/src/consensus/content.rs
+++ b/crates/fireflyspool/src/consensus/content.rs
@@ -3,7 +3,8 @@
 use crate::consensus;
 
 /// What a log entry carries.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Content {
     /// First entry of a leader's term; committing it commits all earlier entries.
--- a/crates/fireflyspool/src/consensus/entry.rs
+++ b/crates/fireflyspool/src/consensus/entry.rs
@@ -3,7 +3,8 @@
 use crate::{consensus, ids};
 
 /// Entry at one position of the log.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Entry {
     /// Position, from 1.
     pub index: ids::LogIndex,
--- a/crates/fireflyspool/src/consensus/envelope.rs
+++ b/crates/fireflyspool/src/consensus/envelope.rs
@@ -3,7 +3,8 @@
 use crate::{consensus, ids};
 
 /// Message between two replicas.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Envelope {
     /// Sender.
     pub from: ids::NodeId,
--- a/crates/fireflyspool/src/consensus/member.rs
+++ b/crates/fireflyspool/src/consensus/member.rs
@@ -3,15 +3,8 @@
 use crate::{consensus, ids};
 
 /// Member with the incarnation of its data folder.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Member {
     /// Number of the VM.
     pub node: ids::NodeId,
--- a/crates/fireflyspool/src/consensus/members.rs
+++ b/crates/fireflyspool/src/consensus/members.rs
@@ -3,15 +3,8 @@
 use crate::{consensus, ids};
 
 /// Members in ascending order of their numbers.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct Members {
     list: Vec<consensus::Member>,
--- a/crates/fireflyspool/src/consensus/membership_change.rs
+++ b/crates/fireflyspool/src/consensus/membership_change.rs
@@ -3,15 +3,8 @@
 use crate::ids;
 
 /// Change of one member.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MembershipChange {
     /// Adds a member that receives the log but does not vote.
--- a/crates/fireflyspool/src/consensus/message.rs
+++ b/crates/fireflyspool/src/consensus/message.rs
@@ -6,7 +6,8 @@
 ///
 /// `sent_us` is the send time in microseconds since the sender became leader.
 /// Replies return it, so a leader knows how old an acknowledgement is.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Message {
     /// Asks whether a vote in `term` would be granted.
--- a/crates/fireflyspool/src/consensus/record.rs
+++ b/crates/fireflyspool/src/consensus/record.rs
@@ -3,7 +3,8 @@
 use crate::consensus;
 
 /// Durable change of a replica's state.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Record {
     /// Replaces the vote.
--- a/crates/fireflyspool/src/consensus/snapshot.rs
+++ b/crates/fireflyspool/src/consensus/snapshot.rs
@@ -3,7 +3,8 @@
 use crate::{consensus, ids};
 
 /// State machine after all entries up to an index.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Snapshot {
     /// Last entry that it covers.
     pub index: ids::LogIndex,
--- a/crates/fireflyspool/src/consensus/vote.rs
+++ b/crates/fireflyspool/src/consensus/vote.rs
@@ -3,16 +3,8 @@
 use crate::ids;
 
 /// Current term and the candidate that got this replica's vote in it.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Vote {
     /// Current term.
     pub term: ids::Term,
--- a/crates/fireflyspool/src/control/control_error.rs
+++ b/crates/fireflyspool/src/control/control_error.rs
@@ -3,7 +3,8 @@
 use crate::{state, storage};
 
 /// Why the control thread ended by itself.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum ControlError {
     /// What must be durable could not be written.
     #[error("the data folder failed; this VM stops taking part in the control group")]
--- a/crates/fireflyspool/src/control/propose_reply.rs
+++ b/crates/fireflyspool/src/control/propose_reply.rs
@@ -3,7 +3,8 @@
 use crate::{ids, state};
 
 /// What a control VM says to a command.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "answer", rename_all = "snake_case")]
 pub enum ProposeReply {
     /// The command is decided.
--- a/crates/fireflyspool/src/control/shown.rs
+++ b/crates/fireflyspool/src/control/shown.rs
@@ -1,15 +1,8 @@
 //! Answer to a `show` statement.
 
 /// Table of one part of the state.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Shown {
     /// Names of the columns.
     pub columns: Vec<String>,
--- a/crates/fireflyspool/src/directory/address_answer.rs
+++ b/crates/fireflyspool/src/directory/address_answer.rs
@@ -5,7 +5,8 @@
 use crate::ids;
 
 /// Addresses in order of preference, with the time for which they may be kept.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct AddressAnswer {
     /// Service that was asked for.
     pub service: ids::ServiceName,
--- a/crates/fireflyspool/src/dispatch/decision.rs
+++ b/crates/fireflyspool/src/dispatch/decision.rs
@@ -5,7 +5,8 @@
 use crate::{dispatch, ids, outcome};
 
 /// Where a sub-request was placed, or why it was not, with the alternatives.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct Decision {
     /// Request of the caller.
     pub request: ids::RequestId,
--- a/crates/fireflyspool/src/dispatch/failure_cause.rs
+++ b/crates/fireflyspool/src/dispatch/failure_cause.rs
@@ -1,17 +1,8 @@
 //! Causes for which a sub-request failed.
 
 /// Why a sub-request that may have run gave no usable answer.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FailureCause {
     /// The connection to the backend server broke.
--- a/crates/fireflyspool/src/dispatch/pass_cause.rs
+++ b/crates/fireflyspool/src/dispatch/pass_cause.rs
@@ -1,7 +1,8 @@
 //! Causes for which a backend server was passed over.
 
 /// Why a backend server was not chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PassCause {
     /// It could have taken the request; another one was preferred.
--- a/crates/fireflyspool/src/dispatch/placement_reason.rs
+++ b/crates/fireflyspool/src/dispatch/placement_reason.rs
@@ -3,7 +3,8 @@
 use crate::dispatch;
 
 /// Why a sub-request was placed now, or not at all.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PlacementReason {
     /// First in the queue order: hedge, kind, deadline.
--- a/crates/fireflyspool/src/dispatch/skip_cause.rs
+++ b/crates/fireflyspool/src/dispatch/skip_cause.rs
@@ -1,17 +1,8 @@
 //! Causes for which a sub-request was not run.
 
 /// Why nothing of a sub-request ran.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum SkipCause {
     /// The deadline cannot be met.
--- a/crates/fireflyspool/src/dispatch/sub_outcome.rs
+++ b/crates/fireflyspool/src/dispatch/sub_outcome.rs
@@ -5,7 +5,8 @@
 use crate::{dispatch, ids, outcome};
 
 /// The one result that an owner gives for a sub-request.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "result", rename_all = "snake_case")]
 pub enum SubOutcome {
     /// The shard was searched in the requested version.
--- a/crates/fireflyspool/src/dispatch/sub_request.rs
+++ b/crates/fireflyspool/src/dispatch/sub_request.rs
@@ -5,7 +5,8 @@
 use crate::{dispatch, ids, outcome};
 
 /// Work for one backend server, chosen by the owner among those it owns.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct SubRequest {
     /// Number of this sub-request at its coordinator.
     pub sub: ids::SubRequestId,
--- a/crates/fireflyspool/src/dispatch/work.rs
+++ b/crates/fireflyspool/src/dispatch/work.rs
@@ -3,7 +3,8 @@
 use crate::{ids, outcome};
 
 /// Content of a sub-request.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "work", rename_all = "snake_case")]
 pub enum Work {
     /// Search of one shard; idempotent.
--- a/crates/fireflyspool/src/gather/decision.rs
+++ b/crates/fireflyspool/src/gather/decision.rs
@@ -3,7 +3,8 @@
 use crate::{gather, ids, outcome};
 
 /// Which owner was chosen for a shard, and why.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct Decision {
     /// Request of the caller.
     pub request: ids::RequestId,
--- a/crates/fireflyspool/src/gather/pass_cause.rs
+++ b/crates/fireflyspool/src/gather/pass_cause.rs
@@ -1,7 +1,8 @@
 //! Reasons against a candidate.
 
 /// Why a candidate owner was not chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PassCause {
     /// It was tried before for this shard.
--- a/crates/fireflyspool/src/gather/passed_over.rs
+++ b/crates/fireflyspool/src/gather/passed_over.rs
@@ -3,7 +3,8 @@
 use crate::{gather, ids};
 
 /// Candidate owner that was not chosen, with the reason.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct PassedOver {
     /// The candidate.
     pub owner: ids::NodeId,
--- a/crates/fireflyspool/src/gather/reason.rs
+++ b/crates/fireflyspool/src/gather/reason.rs
@@ -3,7 +3,8 @@
 use crate::peak;
 
 /// Why a sub-request was sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Reason {
     /// First attempt for the shard.
--- a/crates/fireflyspool/src/outcome/answer.rs
+++ b/crates/fireflyspool/src/outcome/answer.rs
@@ -5,7 +5,8 @@
 use crate::{ids, outcome};
 
 /// Hits of one snapshot, with the shards they come from.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Answer {
     /// Request that this answers.
     pub request: ids::RequestId,
--- a/crates/fireflyspool/src/outcome/coverage.rs
+++ b/crates/fireflyspool/src/outcome/coverage.rs
@@ -3,15 +3,8 @@
 use crate::ids;
 
 /// Exact coverage of an answer, counted against the shard map of the index version.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Coverage {
     /// Shards whose answers are merged, ascending.
     pub covered: Vec<ids::ShardNumber>,
--- a/crates/fireflyspool/src/outcome/hit.rs
+++ b/crates/fireflyspool/src/outcome/hit.rs
@@ -3,7 +3,8 @@
 use crate::ids;
 
 /// Document found, with its score.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Hit {
     /// Document identifier.
     pub id: String,
--- a/crates/fireflyspool/src/outcome/kind.rs
+++ b/crates/fireflyspool/src/outcome/kind.rs
@@ -1,19 +1,8 @@
 //! Kind of a request, which decides its priority.
 
 /// Priority class of a request, the most urgent first.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
     /// Somebody acts on the answer at once; goes first.
--- a/crates/fireflyspool/src/outcome/outcome.rs
+++ b/crates/fireflyspool/src/outcome/outcome.rs
@@ -3,7 +3,8 @@
 use crate::{ids, outcome};
 
 /// End of a request.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "outcome", rename_all = "snake_case")]
 pub enum Outcome {
     /// Every shard of the shard map answered.
--- a/crates/fireflyspool/src/outcome/refusal.rs
+++ b/crates/fireflyspool/src/outcome/refusal.rs
@@ -5,7 +5,8 @@
 use crate::{ids, outcome};
 
 /// States that nothing of a request ran, and what the caller can do.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Refusal {
     /// Request that was refused.
     pub request: ids::RequestId,
--- a/crates/fireflyspool/src/outcome/refusal_reason.rs
+++ b/crates/fireflyspool/src/outcome/refusal_reason.rs
@@ -1,18 +1,8 @@
 //! Causes of a refusal.
 
 /// Why a request was refused before anything of it ran.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalReason {
     /// The statement cannot be parsed or names something unknown.
--- a/crates/fireflyspool/src/outcome/required_coverage.rs
+++ b/crates/fireflyspool/src/outcome/required_coverage.rs
@@ -3,16 +3,8 @@
 use crate::outcome;
 
 /// Least coverage with which an answer is of use to the caller.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RequiredCoverage {
     /// Every shard of the shard map.
--- a/crates/fireflyspool/src/outcome/snapshot.rs
+++ b/crates/fireflyspool/src/outcome/snapshot.rs
@@ -3,16 +3,8 @@
 use crate::ids;
 
 /// Collection and index version.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Snapshot {
     /// Collection that is searched.
     pub collection: ids::CollectionName,
--- a/crates/fireflyspool/src/peak/cause.rs
+++ b/crates/fireflyspool/src/peak/cause.rs
@@ -1,17 +1,8 @@
 //! Causes for which sub-requests are sent.
 
 /// Why a sub-request was sent.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Cause {
     /// First attempt for a shard or submission.
--- a/crates/fireflyspool/src/peak/peak_error.rs
+++ b/crates/fireflyspool/src/peak/peak_error.rs
@@ -1,7 +1,8 @@
 //! Errors of a stored peak record.
 
 /// Why a stored record cannot be used.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum PeakError {
     /// The checksum does not match, so the record is damaged.
     #[error("the peak record is damaged")]
--- a/crates/fireflyspool/src/peak/peak_record.rs
+++ b/crates/fireflyspool/src/peak/peak_record.rs
@@ -3,15 +3,8 @@
 use crate::peak;
 
 /// Counts of the running minute and peaks of this month and the month before.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct PeakRecord {
     /// Running minute, counted from the Unix epoch.
     pub minute: u64,
--- a/crates/fireflyspool/src/plan/plan_error.rs
+++ b/crates/fireflyspool/src/plan/plan_error.rs
@@ -9,7 +9,8 @@
 const ROSTER_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// Why a search cannot be planned; nothing of it was sent anywhere.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum PlanError {
     /// This entry VM holds no valid lease.
     #[error("this entry VM holds no valid lease")]
--- a/crates/fireflyspool/src/platform/platform_error.rs
+++ b/crates/fireflyspool/src/platform/platform_error.rs
@@ -3,7 +3,8 @@
 use std::{io, path};
 
 /// Why a process cannot be set up on the platform, or why a message is refused.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum PlatformError {
     /// The environment does not name a settings file.
     #[error("the environment variable {0} is not set")]
--- a/crates/fireflyspool/src/rim/cancel_call.rs
+++ b/crates/fireflyspool/src/rim/cancel_call.rs
@@ -3,7 +3,8 @@
 use crate::ids;
 
 /// Sub-requests of one service that a coordinator no longer needs.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct CancelCall {
     /// Entry VM that coordinates the request.
     pub coordinator: ids::NodeId,
--- a/crates/fireflyspool/src/rim/command_request.rs
+++ b/crates/fireflyspool/src/rim/command_request.rs
@@ -3,7 +3,8 @@
 use crate::{ids, rim};
 
 /// Command of an operator.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CommandRequest {
     /// Name of the operator.
--- a/crates/fireflyspool/src/rim/forward_error.rs
+++ b/crates/fireflyspool/src/rim/forward_error.rs
@@ -3,7 +3,8 @@
 use hyper_util::client::legacy;
 
 /// Why no answer arrived.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum ForwardError {
     /// No connection could be opened; nothing was sent.
     #[error("cannot connect")]
--- a/crates/fireflyspool/src/rim/peer_error.rs
+++ b/crates/fireflyspool/src/rim/peer_error.rs
@@ -3,7 +3,8 @@
 use std::net;
 
 /// Why a call to another process gave no result.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum PeerError {
     /// The address is not known.
     #[error("no address is known for VM {0}")]
--- a/crates/fireflyspool/src/rim/rpc_error.rs
+++ b/crates/fireflyspool/src/rim/rpc_error.rs
@@ -3,7 +3,8 @@
 use std::{io, net};
 
 /// Why the listener for other processes cannot run.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum RpcError {
     /// The address cannot be bound.
     #[error("cannot listen on {address}")]
--- a/crates/fireflyspool/src/roster/catalog_update.rs
+++ b/crates/fireflyspool/src/roster/catalog_update.rs
@@ -3,7 +3,8 @@
 use crate::{ids, state};
 
 /// Difference between the catalog of a holder and that of the leader.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CatalogUpdate {
     /// Changes that follow the revision of the request, in order.
--- a/crates/fireflyspool/src/roster/crash.rs
+++ b/crates/fireflyspool/src/roster/crash.rs
@@ -3,16 +3,8 @@
 use crate::ids;
 
 /// States that a backend server died while it ran a request.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Crash {
     /// Hash of the content of the request.
     pub fingerprint: ids::Fingerprint,
--- a/crates/fireflyspool/src/roster/grant.rs
+++ b/crates/fireflyspool/src/roster/grant.rs
@@ -5,7 +5,8 @@
 use crate::{ids, roster};
 
 /// Reply of the leader to a renewal.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Grant {
     /// Incarnation that asked.
     pub incarnation: ids::Incarnation,
--- a/crates/fireflyspool/src/roster/member_change.rs
+++ b/crates/fireflyspool/src/roster/member_change.rs
@@ -3,7 +3,8 @@
 use crate::{ids, view};
 
 /// New content of a member record.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct MemberChange {
     /// Number of this change.
     pub sequence: u64,
--- a/crates/fireflyspool/src/roster/news.rs
+++ b/crates/fireflyspool/src/roster/news.rs
@@ -3,7 +3,8 @@
 use crate::backend;
 
 /// Announcement that differs from what the roster holds.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct News {
     /// The announcement.
     pub announcement: backend::Announcement,
--- a/crates/fireflyspool/src/roster/renew_reply.rs
+++ b/crates/fireflyspool/src/roster/renew_reply.rs
@@ -3,7 +3,8 @@
 use crate::{ids, roster};
 
 /// What a control VM answers to a [`roster::RenewRequest`].
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 #[expect(
     clippy::large_enum_variant,
--- a/crates/fireflyspool/src/roster/renew_request.rs
+++ b/crates/fireflyspool/src/roster/renew_request.rs
@@ -3,7 +3,8 @@
 use crate::{ids, roster, view};
 
 /// What an entry VM sends to the leader about once a second.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct RenewRequest {
     /// The entry VM.
     pub member: view::Member,
--- a/crates/fireflyspool/src/roster/server_change.rs
+++ b/crates/fireflyspool/src/roster/server_change.rs
@@ -3,7 +3,8 @@
 use crate::{ids, view};
 
 /// New content of a backend server record.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ServerChange {
     /// Number of this change.
     pub sequence: u64,
--- a/crates/fireflyspool/src/roster/sighting.rs
+++ b/crates/fireflyspool/src/roster/sighting.rs
@@ -3,7 +3,8 @@
 use crate::ids;
 
 /// Shows that a backend server still announces what the roster holds.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Sighting {
     /// Name of the backend server.
     pub server: ids::ServerName,
--- a/crates/fireflyspool/src/roster/suspect_change.rs
+++ b/crates/fireflyspool/src/roster/suspect_change.rs
@@ -3,15 +3,8 @@
 use crate::ids;
 
 /// New number of deaths under a fingerprint.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct SuspectChange {
     /// Number of this change.
     pub sequence: u64,
--- a/crates/fireflyspool/src/roster/update.rs
+++ b/crates/fireflyspool/src/roster/update.rs
@@ -3,15 +3,8 @@
 use crate::roster;
 
 /// Records that changed after the version of the request.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Update {
     /// Version that the update leads to.
     pub version: roster::Version,
--- a/crates/fireflyspool/src/roster/version.rs
+++ b/crates/fireflyspool/src/roster/version.rs
@@ -6,18 +6,8 @@
 ///
 /// Sequences of different terms are not comparable: every leader builds its
 /// roster anew.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Version {
     /// Term of the leader.
     pub term: ids::Term,
--- a/crates/fireflyspool/src/settings/control_peer.rs
+++ b/crates/fireflyspool/src/settings/control_peer.rs
@@ -5,7 +5,8 @@
 use crate::ids;
 
 /// Control VM with the address of its listener for other processes of the tier.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct ControlPeer {
     /// Number of the VM.
     pub node: ids::NodeId,
--- a/crates/fireflyspool/src/settings/settings.rs
+++ b/crates/fireflyspool/src/settings/settings.rs
@@ -16,7 +16,8 @@
 const MAX_CONTROL: usize = 7;
 
 /// Everything a process learns from its file.
-#[derive(Clone, Debug, serde::Serialize)]
+#[derive(Clone, Debug)]
+#[derive(serde::Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Settings {
     /// Name of the site; processes of different sites never work together.
--- a/crates/fireflyspool/src/settings/settings_error.rs
+++ b/crates/fireflyspool/src/settings/settings_error.rs
@@ -5,7 +5,8 @@
 use crate::settings;
 
 /// Why settings cannot be used.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum SettingsError {
     /// The file cannot be read.
     #[error("cannot read {}", path.display())]
--- a/crates/fireflyspool/src/sorted/sorted_map.rs
+++ b/crates/fireflyspool/src/sorted/sorted_map.rs
@@ -13,7 +13,8 @@
 /// assert_eq!(map.get("a"), Some(&1));
 /// assert_eq!(map.keys().collect::<Vec<_>>(), ["a", "b"]);
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct SortedMap<K, V> {
     entries: Vec<(K, V)>,
--- a/crates/fireflyspool/src/state/applied.rs
+++ b/crates/fireflyspool/src/state/applied.rs
@@ -3,7 +3,8 @@
 use crate::state;
 
 /// What the proposer of an entry is told once it is applied.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Applied {
     /// Receipt of the command.
--- a/crates/fireflyspool/src/state/catalog.rs
+++ b/crates/fireflyspool/src/state/catalog.rs
@@ -14,15 +14,8 @@
 const MAX_LIMIT: u32 = 100_000;
 
 /// Collections, services, what is taken out, and configuration values.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Catalog {
     /// Number of accepted changes.
     pub revision: ids::Revision,
--- a/crates/fireflyspool/src/state/change.rs
+++ b/crates/fireflyspool/src/state/change.rs
@@ -5,7 +5,8 @@
 use crate::ids;
 
 /// One change of the catalog that an operator can ask for.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "change", rename_all = "snake_case")]
 pub enum Change {
     /// Creates a collection with its first index version.
--- a/crates/fireflyspool/src/state/change_error.rs
+++ b/crates/fireflyspool/src/state/change_error.rs
@@ -1,15 +1,8 @@
 //! Reasons for which a change is refused.
 
 /// Why the catalog refuses a change; a refused change alters nothing.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize,
-    thiserror::Error
-)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize, thiserror::Error)]
 #[serde(tag = "error", content = "detail", rename_all = "snake_case")]
 pub enum ChangeError {
     /// The name is taken.
--- a/crates/fireflyspool/src/state/claim.rs
+++ b/crates/fireflyspool/src/state/claim.rs
@@ -3,7 +3,8 @@
 use crate::ids;
 
 /// Exclusive right to send a non-idempotent request once.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Claim {
     /// Id of the request, `<unix-ms>-<text>`.
     pub request: ids::RequestId,
--- a/crates/fireflyspool/src/state/claim_book.rs
+++ b/crates/fireflyspool/src/state/claim_book.rs
@@ -21,7 +21,8 @@
 /// Age beyond the retained period at which claims are dropped, for the same reason.
 const DROP_SLACK_MS: u64 = 60_000;
 
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Record {
     claimant: u64,
     digest: ids::Fingerprint,
@@ -33,15 +34,8 @@
 /// `floor` only rises, and an id issued at or below it is refused before any
 /// look-up. Only claims at or below it are dropped, so a dropped id never runs
 /// again.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ClaimBook {
     clock: u64,
     floor: u64,
--- a/crates/fireflyspool/src/state/claim_end.rs
+++ b/crates/fireflyspool/src/state/claim_end.rs
@@ -1,7 +1,8 @@
 //! End of a claimed request.
 
 /// How a claimed request ended.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ClaimEnd {
     /// It ran.
--- a/crates/fireflyspool/src/state/claim_outcome.rs
+++ b/crates/fireflyspool/src/state/claim_outcome.rs
@@ -3,7 +3,8 @@
 use crate::{ids, state};
 
 /// States how a claimed request ended.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ClaimOutcome {
     /// Id of the request.
     pub request: ids::RequestId,
--- a/crates/fireflyspool/src/state/claim_reply.rs
+++ b/crates/fireflyspool/src/state/claim_reply.rs
@@ -1,7 +1,8 @@
 //! Reply to a claim.
 
 /// What the entry VM that asked for a claim may do.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "claim", rename_all = "snake_case")]
 pub enum ClaimReply {
     /// The request may be sent once, by the receiver of this reply.
--- a/crates/fireflyspool/src/state/collection.rs
+++ b/crates/fireflyspool/src/state/collection.rs
@@ -3,15 +3,8 @@
 use crate::{ids, sorted};
 
 /// Shard maps and readers of a collection.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Collection {
     /// Number of shards of each index version in use.
     pub versions: sorted::SortedMap<ids::IndexVersion, u32>,
--- a/crates/fireflyspool/src/state/command.rs
+++ b/crates/fireflyspool/src/state/command.rs
@@ -6,7 +6,8 @@
 ///
 /// Operator and number identify it. A resend carries the same content and gets
 /// the recorded receipt.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Command {
     /// Operator who asks.
     pub operator: ids::OperatorName,
--- a/crates/fireflyspool/src/state/control_group.rs
+++ b/crates/fireflyspool/src/state/control_group.rs
@@ -10,15 +10,8 @@
 /// step at a time, and a new leader goes on where the former one stopped. The
 /// number of a removed VM is never used again: a VM whose disk was lost comes
 /// back under a new number, so that nothing it forgot can count as its vote.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ControlGroup {
     /// VMs that were added and not removed.
     pub added: sorted::SortedMap<ids::NodeId, state::ControlRecord>,
--- a/crates/fireflyspool/src/state/control_record.rs
+++ b/crates/fireflyspool/src/state/control_record.rs
@@ -5,15 +5,8 @@
 use crate::ids;
 
 /// Identity and address of a control VM.
-#[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ControlRecord {
     /// Incarnation of its data folder.
     pub incarnation: ids::Incarnation,
--- a/crates/fireflyspool/src/state/control_state.rs
+++ b/crates/fireflyspool/src/state/control_state.rs
@@ -6,15 +6,8 @@
 ///
 /// Equal sequences of entries lead to equal states, and a state restored with
 /// [`Self::decode`] gives the same results as the one that was encoded.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ControlState {
     /// What entry VMs hold.
     pub catalog: state::Catalog,
--- a/crates/fireflyspool/src/state/directive.rs
+++ b/crates/fireflyspool/src/state/directive.rs
@@ -5,7 +5,8 @@
 use crate::{ids, state};
 
 /// What a command asks for.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Directive {
     /// Change of the catalog.
--- a/crates/fireflyspool/src/state/entry.rs
+++ b/crates/fireflyspool/src/state/entry.rs
@@ -3,7 +3,8 @@
 use crate::state;
 
 /// One entry of the replicated log as the control state applies it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Entry {
     /// Command of an operator.
--- a/crates/fireflyspool/src/state/history.rs
+++ b/crates/fireflyspool/src/state/history.rs
@@ -8,15 +8,8 @@
 pub const HISTORY_LIMIT: usize = 2_048;
 
 /// The last accepted changes without gaps.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(transparent)]
 pub struct History {
     records: collections::VecDeque<state::RevisionRecord>,
--- a/crates/fireflyspool/src/state/receipt.rs
+++ b/crates/fireflyspool/src/state/receipt.rs
@@ -6,7 +6,8 @@
 ///
 /// [`Self::Accepted`], [`Self::Refused`] and [`Self::LostRace`] are recorded
 /// and returned again to every resend.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "receipt", rename_all = "snake_case")]
 pub enum Receipt {
     /// The command was applied.
--- a/crates/fireflyspool/src/state/receipt_book.rs
+++ b/crates/fireflyspool/src/state/receipt_book.rs
@@ -8,7 +8,8 @@
 /// Most operators with receipts, which bounds memory; operators are not forgotten.
 const MAX_OPERATORS: usize = 1_024;
 
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 struct Record {
     command: state::Command,
     receipt: state::Receipt,
@@ -18,15 +19,8 @@
 ///
 /// A full window drops its smallest number for each greater one, and a number
 /// below a full window is refused. A dropped number is therefore never run again.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    serde::Serialize,
-    serde::Deserialize
-)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ReceiptBook {
     operators: sorted::SortedMap<ids::OperatorName, sorted::SortedMap<ids::CommandNumber, Record>>,
 }
--- a/crates/fireflyspool/src/state/revision_record.rs
+++ b/crates/fireflyspool/src/state/revision_record.rs
@@ -3,7 +3,8 @@
 use crate::{ids, state};
 
 /// Accepted change with the operator who asked for it.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct RevisionRecord {
     /// Revision that the change led to.
     pub revision: ids::Revision,
--- a/crates/fireflyspool/src/state/service.rs
+++ b/crates/fireflyspool/src/state/service.rs
@@ -5,7 +5,8 @@
 /// Limits of the backend servers of one service.
 ///
 /// The lower of these and what a backend server announces applies.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Service {
     /// Concurrent requests that one backend server bears.
     pub slots: u32,
--- a/crates/fireflyspool/src/storage/identity.rs
+++ b/crates/fireflyspool/src/storage/identity.rs
@@ -3,7 +3,8 @@
 use crate::ids;
 
 /// Replica that a data folder belongs to.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Identity {
     /// Name of the site.
     pub site: String,
--- a/crates/fireflyspool/src/storage/storage_error.rs
+++ b/crates/fireflyspool/src/storage/storage_error.rs
@@ -5,7 +5,8 @@
 use crate::{ids, storage};
 
 /// Why a data folder cannot be used.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum StorageError {
     /// The operating system reported an error.
     #[error("cannot {operation} {file}")]
--- a/crates/fireflyspool/src/storage/summary.rs
+++ b/crates/fireflyspool/src/storage/summary.rs
@@ -3,7 +3,8 @@
 use crate::{consensus, ids, storage};
 
 /// Content of a data folder for operators.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize)]
 pub struct Summary {
     /// Identity.
     pub identity: storage::Identity,
--- a/crates/fireflyspool/src/telemetry/log_level.rs
+++ b/crates/fireflyspool/src/telemetry/log_level.rs
@@ -1,7 +1,8 @@
 //! Level of logging.
 
 /// Least severity that is written.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(clap::ValueEnum)]
 pub enum LogLevel {
     /// Only what needs attention.
     Warning,
--- a/crates/fireflyspool/src/traffic/command_outcome.rs
+++ b/crates/fireflyspool/src/traffic/command_outcome.rs
@@ -3,7 +3,8 @@
 use crate::{control, state};
 
 /// End of a command.
-#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 #[serde(tag = "result", rename_all = "snake_case")]
 pub enum CommandOutcome {
     /// The command is decided; the receipt says how.
--- a/crates/fireflyspool/src/view/member.rs
+++ b/crates/fireflyspool/src/view/member.rs
@@ -5,7 +5,8 @@
 use crate::ids;
 
 /// Live entry VM.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Member {
     /// Number of the VM.
     pub node: ids::NodeId,
--- a/crates/fireflyspool/src/view/server_record.rs
+++ b/crates/fireflyspool/src/view/server_record.rs
@@ -3,7 +3,8 @@
 use crate::{backend, ids};
 
 /// Announced backend server with its owner.
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
 pub struct ServerRecord {
     /// Latest announcement.
     pub announcement: backend::Announcement,
