--- a/crates/fireflyspool/src/admission/admission.rs
+++ b/crates/fireflyspool/src/admission/admission.rs
@@ -59,7 +59,7 @@
                 deadline,
                 cost,
             } => {
-                let waiting = admission::queue::Waiting {
+                let waiting = admission::waiting::Waiting {
                     ticket,
                     deadline,
                     cost: cost.max(1),
--- a/crates/fireflyspool/src/admission/arriving.rs
+++ b/crates/fireflyspool/src/admission/arriving.rs
@@ -8,7 +8,7 @@
     pub(super) fn arrive(
         &mut self,
         kind: outcome::Kind,
-        waiting: admission::queue::Waiting,
+        waiting: admission::waiting::Waiting,
         limits: &admission::Limits,
         now: time::Instant,
         actions: &mut Vec<admission::Action>,
@@ -32,7 +32,7 @@
     fn expected_wait(
         &self,
         kind: outcome::Kind,
-        waiting: &admission::queue::Waiting,
+        waiting: &admission::waiting::Waiting,
         limits: &admission::Limits,
     ) -> time::Duration {
         let cost = u64::from(waiting.cost);
--- a/crates/fireflyspool/src/admission/mod.rs
+++ b/crates/fireflyspool/src/admission/mod.rs
@@ -30,6 +30,7 @@
 mod read_key;
 mod reader;
 mod release;
+mod waiting;
 
 pub(crate) use admission::MIN_RETRY;
 
--- a/crates/fireflyspool/src/admission/queue.rs
+++ b/crates/fireflyspool/src/admission/queue.rs
@@ -2,22 +2,13 @@
 
 use std::time;
 
+use crate::admission::waiting;
 use crate::{ids, outcome};
 
-/// A request that waits.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Waiting {
-    pub(super) ticket: ids::Ticket,
-    pub(super) deadline: time::Instant,
-    pub(super) cost: u32,
-    /// Whether it was held back near the peak.
-    pub(super) held: bool,
-}
-
 /// One list per kind, each ascending by deadline and ticket.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
-    kinds: [Vec<Waiting>; outcome::Kind::ALL.len()],
+    kinds: [Vec<waiting::Waiting>; outcome::Kind::ALL.len()],
 }
 
 impl Queue {
@@ -29,28 +20,28 @@
         self.kinds[kind.index()].len()
     }
 
-    pub(super) fn push(&mut self, kind: outcome::Kind, waiting: Waiting) {
+    pub(super) fn push(&mut self, kind: outcome::Kind, waiting: waiting::Waiting) {
         let list = &mut self.kinds[kind.index()];
         let key = (waiting.deadline, waiting.ticket);
         let position = list.partition_point(|other| (other.deadline, other.ticket) < key);
         list.insert(position, waiting);
     }
 
-    pub(super) fn first(&self, kind: outcome::Kind) -> Option<&Waiting> {
+    pub(super) fn first(&self, kind: outcome::Kind) -> Option<&waiting::Waiting> {
         self.kinds[kind.index()].first()
     }
 
-    pub(super) fn first_mut(&mut self, kind: outcome::Kind) -> Option<&mut Waiting> {
+    pub(super) fn first_mut(&mut self, kind: outcome::Kind) -> Option<&mut waiting::Waiting> {
         self.kinds[kind.index()].first_mut()
     }
 
-    pub(super) fn pop_first(&mut self, kind: outcome::Kind) -> Option<Waiting> {
+    pub(super) fn pop_first(&mut self, kind: outcome::Kind) -> Option<waiting::Waiting> {
         let list = &mut self.kinds[kind.index()];
         (!list.is_empty()).then(|| list.remove(0))
     }
 
     /// Removes the one with the latest deadline.
-    pub(super) fn pop_last(&mut self, kind: outcome::Kind) -> Option<Waiting> {
+    pub(super) fn pop_last(&mut self, kind: outcome::Kind) -> Option<waiting::Waiting> {
         self.kinds[kind.index()].pop()
     }
 
@@ -63,7 +54,7 @@
     /// Cost of what is started before a request of this kind and deadline:
     /// everything of more urgent kinds, and what is earlier in its own kind.
     pub(super) fn cost_ahead(&self, kind: outcome::Kind, deadline: time::Instant) -> (u64, u64) {
-        let cost = |waiting: &Waiting| u64::from(waiting.cost);
+        let cost = |waiting: &waiting::Waiting| u64::from(waiting.cost);
         let urgent = self.kinds[..kind.index()].iter().flatten().map(cost).sum();
         let own = self.kinds[kind.index()].iter();
         let own = own.take_while(|waiting| waiting.deadline <= deadline);
--- /dev/null
+++ b/crates/fireflyspool/src/admission/waiting.rs
@@ -0,0 +1,15 @@
+//! A request that waits.
+
+use std::time;
+
+use crate::ids;
+
+/// Request in the queue.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Waiting {
+    pub(super) ticket: ids::Ticket,
+    pub(super) deadline: time::Instant,
+    pub(super) cost: u32,
+    /// Whether it was held back near the peak.
+    pub(super) held: bool,
+}
--- a/crates/fireflyspool/src/gather/ending.rs
+++ b/crates/fireflyspool/src/gather/ending.rs
@@ -75,9 +75,9 @@
         let mut coverage = outcome::Coverage::default();
         for (shard, progress) in (0..).zip(&self.shards) {
             let covered = match progress.stage {
-                gather::progress::Stage::Covered(_) => true,
-                gather::progress::Stage::Open => count_open,
-                gather::progress::Stage::Missing => false,
+                gather::stage::Stage::Covered(_) => true,
+                gather::stage::Stage::Open => count_open,
+                gather::stage::Stage::Missing => false,
             };
             if covered {
                 coverage.covered.push(shard);
@@ -98,8 +98,8 @@
         }
         let shards = self.shards.drain(..);
         let hits = shards.filter_map(|progress| match progress.stage {
-            gather::progress::Stage::Covered(hits) => Some(hits),
-            gather::progress::Stage::Open | gather::progress::Stage::Missing => None,
+            gather::stage::Stage::Covered(hits) => Some(hits),
+            gather::stage::Stage::Open | gather::stage::Stage::Missing => None,
         });
         let hits = gather::merge::merge(hits.collect(), self.search.limit);
         let complete = coverage.is_complete();
--- a/crates/fireflyspool/src/gather/mod.rs
+++ b/crates/fireflyspool/src/gather/mod.rs
@@ -55,6 +55,7 @@
 mod scene;
 mod sending;
 mod service_traffic;
+mod stage;
 mod submission;
 mod suspicion;
 mod token_bucket;
--- a/crates/fireflyspool/src/gather/progress.rs
+++ b/crates/fireflyspool/src/gather/progress.rs
@@ -2,23 +2,12 @@
 
 use std::time;
 
-use crate::{gather, ids, outcome};
-
-/// State of one shard of a running query.
-#[derive(Clone, Debug)]
-pub(super) enum Stage {
-    /// An attempt is under way or will be made.
-    Open,
-    /// It answered.
-    Covered(Vec<outcome::Hit>),
-    /// It will not answer in this query.
-    Missing,
-}
+use crate::{gather, ids};
 
 /// Attempts and result of one shard.
 #[derive(Clone, Debug)]
 pub(super) struct Progress {
-    pub(super) stage: Stage,
+    pub(super) stage: gather::stage::Stage,
     /// At most two: an attempt and its hedge.
     pub(super) attempts: Vec<gather::attempt::Attempt>,
     /// Whether a hedge was sent.
@@ -44,7 +33,7 @@
 impl Progress {
     pub(super) fn new() -> Self {
         Self {
-            stage: Stage::Open,
+            stage: gather::stage::Stage::Open,
             attempts: Vec::new(),
             hedged: false,
             hedge_at: None,
@@ -59,7 +48,7 @@
     }
 
     pub(super) fn is_open(&self) -> bool {
-        matches!(self.stage, Stage::Open)
+        matches!(self.stage, gather::stage::Stage::Open)
     }
 
     /// Removes the attempt with this number if it is under way at this owner.
--- a/crates/fireflyspool/src/gather/replies.rs
+++ b/crates/fireflyspool/src/gather/replies.rs
@@ -89,7 +89,7 @@
             hit.shard = shard;
         }
         self.cancel_attempts(shard, scene, batch);
-        self.shards[shard as usize].stage = gather::progress::Stage::Covered(hits);
+        self.shards[shard as usize].stage = gather::stage::Stage::Covered(hits);
         self.open -= 1;
         if self.suspicion.is_probe(sub) {
             self.suspicion = gather::suspicion::Suspicion::Cleared;
--- a/crates/fireflyspool/src/gather/sending.rs
+++ b/crates/fireflyspool/src/gather/sending.rs
@@ -179,7 +179,7 @@
     pub(super) fn give_up(&mut self, shard: ids::ShardNumber) {
         let progress = &mut self.shards[shard as usize];
         if progress.is_open() {
-            progress.stage = gather::progress::Stage::Missing;
+            progress.stage = gather::stage::Stage::Missing;
             progress.parked = false;
             self.open -= 1;
             self.missing += 1;
--- a/crates/fireflyspool/src/roster/lease_table.rs
+++ b/crates/fireflyspool/src/roster/lease_table.rs
@@ -2,23 +2,13 @@
 
 use std::time;
 
-use super::holder_key;
+use super::{holder_key, lease};
 use crate::{ids, roster, sorted};
 
-/// Lease of one holder as the leader counts it.
-#[derive(Clone, Debug)]
-pub(super) struct Lease {
-    until: time::Instant,
-    revision: ids::Revision,
-    number: u64,
-    /// Backend servers that it holds or has claimed to hold, ascending.
-    pub(super) servers: Vec<ids::ServerName>,
-}
-
 /// Outstanding leases by holder.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LeaseTable {
-    leases: sorted::SortedMap<holder_key::HolderKey, Lease>,
+    leases: sorted::SortedMap<holder_key::HolderKey, lease::Lease>,
 }
 
 impl LeaseTable {
@@ -29,7 +19,7 @@
         request: &roster::RenewRequest,
         until: time::Instant,
     ) -> bool {
-        let lease = self.leases.get_or_insert_with(key, || Lease {
+        let lease = self.leases.get_or_insert_with(key, || lease::Lease {
             until,
             revision: request.revision,
             number: 0,
@@ -70,7 +60,7 @@
     pub(super) fn take_expired(
         &mut self,
         now: time::Instant,
-    ) -> Vec<(holder_key::HolderKey, Lease)> {
+    ) -> Vec<(holder_key::HolderKey, lease::Lease)> {
         let mut expired = Vec::new();
         self.leases.retain(|key, lease| {
             let valid = now < lease.until;
--- a/crates/fireflyspool/src/roster/mod.rs
+++ b/crates/fireflyspool/src/roster/mod.rs
@@ -39,6 +39,7 @@
 //! further death is dropped after [`Config::suspect_memory`]. A holder reports
 //! the suspects it knows to a new leader.
 
+mod candidate;
 mod catalog_update;
 mod change_log;
 mod config;
@@ -49,6 +50,7 @@
 mod holder_key;
 mod in_force;
 mod incarnations;
+mod lease;
 mod lease_table;
 mod member_change;
 mod member_table;
--- a/crates/fireflyspool/src/roster/ownership.rs
+++ b/crates/fireflyspool/src/roster/ownership.rs
@@ -1,6 +1,6 @@
 //! Which entry VM shall own which backend server.
 
-use super::{member_table, placement, seat, server_table};
+use super::{candidate, member_table, placement, seat, server_table};
 use crate::ids;
 
 /// Moves of ownership at one time that only improve balance: one in this many backend servers.
@@ -16,7 +16,7 @@
 ) -> Vec<(ids::ServerName, Option<ids::NodeId>)> {
     let is_out = |zone: &str| zones_out.iter().any(|out| out == zone);
     let usable = members.iter().filter(|member| !member.leaving);
-    let candidates = usable.map(|member| placement::Candidate {
+    let candidates = usable.map(|member| candidate::Candidate {
         node: member.node,
         zone: &member.zone,
         zone_out: is_out(&member.zone),
--- a/crates/fireflyspool/src/roster/placement.rs
+++ b/crates/fireflyspool/src/roster/placement.rs
@@ -1,15 +1,7 @@
 //! Choice of owners.
 
-use super::{rank, seat};
-use crate::{backend, ids};
-
-/// One entry VM that can own backend servers.
-#[derive(Clone, Debug)]
-pub(super) struct Candidate<'a> {
-    pub(super) node: ids::NodeId,
-    pub(super) zone: &'a str,
-    pub(super) zone_out: bool,
-}
+use super::{candidate, rank, seat};
+use crate::backend;
 
 /// Assignment of backend servers to entry VMs.
 ///
@@ -19,7 +11,7 @@
 /// two candidates differ by two or more, one backend server moves. A join
 /// therefore moves about one share, and a departure only what its owner had.
 pub(super) struct Placement<'a> {
-    candidates: Vec<Candidate<'a>>,
+    candidates: Vec<candidate::Candidate<'a>>,
     seats: Vec<seat::Seat<'a>>,
     owned: Vec<Vec<usize>>,
     budget: usize,
@@ -30,7 +22,7 @@
     ///
     /// `candidates` are ascending by node and exclude leaving entry VMs.
     pub(super) fn run(
-        candidates: Vec<Candidate<'a>>,
+        candidates: Vec<candidate::Candidate<'a>>,
         seats: Vec<seat::Seat<'a>>,
         budget: usize,
     ) -> Vec<seat::Seat<'a>> {
@@ -61,7 +53,7 @@
 
     /// Candidates for the backend servers of a zone, as indexes.
     fn pool(&self, zone: &str) -> Vec<usize> {
-        let select = |admit: &dyn Fn(&Candidate<'a>) -> bool| -> Vec<usize> {
+        let select = |admit: &dyn Fn(&candidate::Candidate<'a>) -> bool| -> Vec<usize> {
             let indexes = 0..self.candidates.len();
             indexes
                 .filter(|index| admit(&self.candidates[*index]))
