--- a/crates/fireflyspool/src/cli/mod.rs
+++ b/crates/fireflyspool/src/cli/mod.rs
@@ -6,10 +6,12 @@
 //! listed in [`ExitCode`].
 
 mod arguments;
+mod asking;
 mod client;
 mod client_error;
 mod command_arguments;
 mod data_arguments;
+mod data_folder;
 mod exit_code;
 mod explain;
 mod platform_arguments;
--- a/crates/fireflyspool/src/dispatch/mod.rs
+++ b/crates/fireflyspool/src/dispatch/mod.rs
@@ -40,6 +40,7 @@
 mod decision;
 mod dispatcher;
 mod ejection;
+mod ends;
 mod event;
 mod failure_cause;
 mod fleet;
--- a/crates/fireflyspool/src/forward/mod.rs
+++ b/crates/fireflyspool/src/forward/mod.rs
@@ -28,6 +28,7 @@
 mod attempt_end;
 mod exchange;
 mod exchange_ends;
+mod exchange_overload;
 mod exchange_sends;
 mod filled;
 mod likelihood;
--- a/crates/fireflyspool/src/settings/mod.rs
+++ b/crates/fireflyspool/src/settings/mod.rs
@@ -6,8 +6,10 @@
 //! runs is not a setting but a configuration value under a revision, see
 //! [`crate::state::Value`].
 
+mod checks;
 mod control_peer;
 mod fault;
+mod fields;
 mod reader;
 mod role;
 #[expect(
--- a/crates/fireflyspool/src/state/mod.rs
+++ b/crates/fireflyspool/src/state/mod.rs
@@ -22,6 +22,8 @@
 
 mod applied;
 mod catalog;
+mod catalog_changes;
+mod catalog_limits;
 mod change;
 mod change_error;
 mod claim;
--- a/crates/fireflyspool/src/storage/data_folder.rs
+++ b/crates/fireflyspool/src/storage/data_folder.rs
@@ -5,9 +5,6 @@
 use crate::storage::{output, replay};
 use crate::{consensus, ids, storage};
 
-/// Entries that a summary shows.
-const SHOWN_ENTRIES: usize = 10;
-
 /// Open data folder, locked by this process.
 pub struct DataFolder {
     disk: Box<dyn storage::Disk>,
@@ -53,54 +50,6 @@
         output::replace(disk, replay::IDENTITY, &owner)
     }
 
-    /// Whether a folder holds an identity.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the identity exists and cannot be read.
-    pub fn is_initialized(folder: &path::Path) -> Result<bool, storage::StorageError> {
-        let disk = storage::FolderDisk::unlocked(folder);
-        let found = storage::Disk::read(&disk, replay::IDENTITY);
-        let found = found.map_err(|error| output::io_error("read", replay::IDENTITY, error))?;
-        Ok(found.is_some())
-    }
-
-    /// Identity of a folder that is not open.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the folder is not initialized or its identity cannot be read.
-    pub fn identity_of(folder: &path::Path) -> Result<storage::Identity, storage::StorageError> {
-        replay::read_identity(&storage::FolderDisk::unlocked(folder))
-    }
-
-    /// Removes everything from a folder, the identity first.
-    ///
-    /// A folder whose initialization was interrupted holds nothing of value,
-    /// and neither does one whose node number was retired.
-    ///
-    /// # Errors
-    ///
-    /// Fails if a file cannot be removed.
-    pub fn clear(folder: &path::Path) -> Result<(), storage::StorageError> {
-        let failed = |error| output::io_error("remove", "the data folder's files", error);
-        fs::create_dir_all(folder).map_err(failed)?;
-        let mut names = vec![replay::IDENTITY.to_owned()];
-        let disk = storage::FolderDisk::unlocked(folder);
-        names.extend(storage::Disk::list(&disk).map_err(failed)?);
-        for name in names {
-            match fs::remove_file(folder.join(name)) {
-                Err(error) if error.kind() != std::io::ErrorKind::NotFound => {
-                    return Err(failed(error));
-                }
-                _ => {}
-            }
-        }
-        fs::File::open(folder)
-            .and_then(|folder| folder.sync_all())
-            .map_err(failed)
-    }
-
     /// Opens the data folder of a node and reads what it holds.
     ///
     /// # Errors
@@ -153,28 +102,6 @@
         Ok((folder, read.recovered))
     }
 
-    /// Summarizes a data folder without locking or changing it.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the folder is not initialized, is damaged or cannot be read.
-    pub fn inspect(folder: &path::Path) -> Result<storage::Summary, storage::StorageError> {
-        let read = replay::read(&storage::FolderDisk::unlocked(folder))?;
-        let entries = &read.recovered.entries;
-        let shown = entries.len().saturating_sub(SHOWN_ENTRIES);
-        Ok(storage::Summary {
-            identity: read.identity,
-            vote: read.recovered.vote,
-            snapshot_index: read.recovered.snapshot.as_ref().map(|s| s.index),
-            snapshot_bytes: read.snapshot_bytes,
-            first_index: entries.first().map(|entry| entry.index),
-            last_index: entries.last().map(|entry| entry.index),
-            log_bytes: read.log_bytes,
-            torn_bytes: read.torn_bytes,
-            last_entries: entries[shown..].to_vec(),
-        })
-    }
-
     /// Identity of the folder.
     pub fn identity(&self) -> &storage::Identity {
         &self.identity
--- a/crates/fireflyspool/src/storage/mod.rs
+++ b/crates/fireflyspool/src/storage/mod.rs
@@ -20,6 +20,7 @@
 //! and the folder is refused: a replica that goes on with fewer entries or an
 //! older vote than it acknowledged could break the log.
 
+mod closed_folder;
 mod data_folder;
 mod disk;
 mod folder_disk;
