--- a/crates/fireflyspool/src/state/catalog.rs
+++ b/crates/fireflyspool/src/state/catalog.rs
@@ -73,7 +73,7 @@
             }
             state::Change::DropService { service } => self.drop_service(service)?,
             state::Change::TakeOutZone { zone } => {
-                catalog_limits::take_out(&mut self.zones_out, zone, next)?
+                catalog_limits::take_out(&mut self.zones_out, zone, next)?;
             }
             state::Change::BringBackZone { zone } => {
                 let back = self.zones_out.remove(zone);
