Count votes and pre-votes in one place

Candidate and pre-candidate repeated the counting, the founding list and the loop over the electorate; proposals and membership changes repeated the same refusal. The consensus tests pass unchanged (8 tests, fuzz included).

--- a/crates/fireflyspool/src/consensus/ballot.rs
+++ b/crates/fireflyspool/src/consensus/ballot.rs
@@ -5,6 +5,32 @@
 use crate::{consensus, ids};
 
 impl consensus::core::Core {
+    /// Founding members, which a message names during formation only.
+    pub(super) fn founding(&self) -> Vec<ids::NodeId> {
+        match self.is_forming() {
+            true => self.config.founding.clone(),
+            false => Vec::new(),
+        }
+    }
+
+    /// Sends a message to every other node that takes part in elections.
+    pub(super) fn ask_electorate(&mut self, message: &consensus::Message) {
+        for node in self.electorate() {
+            if node != self.config.node {
+                self.send(node, message.clone());
+            }
+        }
+    }
+
+    /// Nodes that take part in elections.
+    pub(super) fn electorate(&self) -> Vec<ids::NodeId> {
+        if self.is_forming() {
+            self.config.founding.clone()
+        } else {
+            self.log.members().voters().collect()
+        }
+    }
+
     /// Whether a leader was heard so recently that votes for others are refused.
     pub(super) fn is_promised(&self, now: time::Instant) -> bool {
         now < self.heard + self.config.election_min
--- a/crates/fireflyspool/src/consensus/candidate.rs
+++ b/crates/fireflyspool/src/consensus/candidate.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{consensus, ids};
+use crate::consensus;
 
 /// State of a participant that stands for election.
 #[derive(Debug, Default)]
@@ -16,22 +16,13 @@
         let node = core.config.node;
         core.set_vote(core.vote.term + 1, Some(node));
         core.await_leader(now);
-        let founding = if core.is_forming() {
-            core.config.founding.clone()
-        } else {
-            Vec::new()
-        };
         let message = consensus::Message::Vote {
             term: core.vote.term,
             last_index: core.log.last_index(),
             last_term: core.log.last_term(),
-            founding,
+            founding: core.founding(),
         };
-        for voter in core.electorate() {
-            if voter != node {
-                core.send(voter, message.clone());
-            }
-        }
+        core.ask_electorate(&message);
         Self::default()
     }
 }
@@ -59,31 +50,23 @@
         leader.open_term(first, now);
         leader
     }
+}
 
-    /// Counts this replica's own vote.
-    pub(super) fn count_self(self, now: time::Instant) -> consensus::standing::Standing {
-        let (node, incarnation) = (self.core.config.node, self.core.config.incarnation);
-        self.count(node, incarnation, now)
+impl consensus::electing::Electing for Candidate {
+    fn tally(&mut self) -> &mut consensus::tally::Tally {
+        &mut self.tally
     }
 
-    /// Counts a vote.
-    pub(super) fn count(
-        mut self,
-        node: ids::NodeId,
-        incarnation: ids::Incarnation,
+    fn win(
+        participant: consensus::participant::Participant<Self>,
         now: time::Instant,
     ) -> consensus::standing::Standing {
-        self.state.tally.count(node, incarnation);
-        if self.state.tally.wins(&self.core) {
-            consensus::standing::Standing::Leader(self.lead(now))
-        } else {
-            consensus::standing::Standing::Candidate(self)
-        }
+        consensus::standing::Standing::Leader(participant.lead(now))
     }
 
-    /// Asks again after the election timeout, without raising the term further.
-    pub(super) fn time_out(self, now: time::Instant) -> consensus::standing::Standing {
-        let term = self.core.vote.term;
-        self.follow(term, None, now).time_out(now)
+    fn wait(
+        participant: consensus::participant::Participant<Self>,
+    ) -> consensus::standing::Standing {
+        consensus::standing::Standing::Candidate(participant)
     }
 }
--- a/crates/fireflyspool/src/consensus/core.rs
+++ b/crates/fireflyspool/src/consensus/core.rs
@@ -79,15 +79,6 @@
             || (self.commit < changed && votes(log.members_at(changed - 1)))
     }
 
-    /// Nodes that take part in elections.
-    pub(super) fn electorate(&self) -> Vec<ids::NodeId> {
-        if self.is_forming() {
-            self.config.founding.clone()
-        } else {
-            self.log.members().voters().collect()
-        }
-    }
-
     /// Moves the election deadline to a random time after now.
     pub(super) fn await_leader(&mut self, now: time::Instant) {
         let spread = self.config.election_max - self.config.election_min;
--- a/crates/fireflyspool/src/consensus/mod.rs
+++ b/crates/fireflyspool/src/consensus/mod.rs
@@ -37,6 +37,7 @@
 mod config;
 mod content;
 mod core;
+mod electing;
 mod entry;
 mod envelope;
 mod event;
--- a/crates/fireflyspool/src/consensus/pre_candidate.rs
+++ b/crates/fireflyspool/src/consensus/pre_candidate.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{consensus, ids};
+use crate::consensus;
 
 /// State of a participant that asks whether it could win, without raising its term.
 ///
@@ -17,23 +17,13 @@
     /// Opens a round of pre-votes.
     pub(super) fn open(core: &mut consensus::core::Core, now: time::Instant) -> Self {
         core.await_leader(now);
-        let forming = core.is_forming();
-        let founding = if forming {
-            core.config.founding.clone()
-        } else {
-            Vec::new()
-        };
         let message = consensus::Message::PreVote {
             term: core.vote.term + 1,
             last_index: core.log.last_index(),
             last_term: core.log.last_term(),
-            founding,
+            founding: core.founding(),
         };
-        for node in core.electorate() {
-            if node != core.config.node {
-                core.send(node, message.clone());
-            }
-        }
+        core.ask_electorate(&message);
         Self::default()
     }
 }
@@ -50,31 +40,23 @@
             state,
         }
     }
+}
 
-    /// Counts this replica's own pre-vote.
-    pub(super) fn count_self(self, now: time::Instant) -> consensus::standing::Standing {
-        let (node, incarnation) = (self.core.config.node, self.core.config.incarnation);
-        self.count(node, incarnation, now)
+impl consensus::electing::Electing for PreCandidate {
+    fn tally(&mut self) -> &mut consensus::tally::Tally {
+        &mut self.tally
     }
 
-    /// Counts a pre-vote.
-    pub(super) fn count(
-        mut self,
-        node: ids::NodeId,
-        incarnation: ids::Incarnation,
+    fn win(
+        participant: consensus::participant::Participant<Self>,
         now: time::Instant,
     ) -> consensus::standing::Standing {
-        self.state.tally.count(node, incarnation);
-        if self.state.tally.wins(&self.core) {
-            self.stand(now).count_self(now)
-        } else {
-            consensus::standing::Standing::PreCandidate(self)
-        }
+        participant.stand(now).count_self(now)
     }
 
-    /// Starts another round after the election timeout.
-    pub(super) fn time_out(self, now: time::Instant) -> consensus::standing::Standing {
-        let term = self.core.vote.term;
-        self.follow(term, None, now).time_out(now)
+    fn wait(
+        participant: consensus::participant::Participant<Self>,
+    ) -> consensus::standing::Standing {
+        consensus::standing::Standing::PreCandidate(participant)
     }
 }
--- a/crates/fireflyspool/src/consensus/standing.rs
+++ b/crates/fireflyspool/src/consensus/standing.rs
@@ -2,8 +2,8 @@
 
 use std::time;
 
-use crate::consensus;
 use crate::consensus::participant;
+use crate::{consensus, ids};
 
 /// Participant in any state.
 #[derive(Debug)]
@@ -54,30 +54,37 @@
                     self
                 }
             }
-            consensus::Event::Propose { ticket, payload } => match self {
-                Self::Leader(mut leader) => {
-                    leader.propose(ticket, payload, now);
-                    leader.settle(now)
-                }
-                _ => {
-                    self.core_mut().refuse(ticket);
-                    self
-                }
-            },
+            consensus::Event::Propose { ticket, payload } => {
+                self.lead(ticket, now, |leader| leader.propose(ticket, payload, now))
+            }
             consensus::Event::Compact { index, snapshot } => {
                 self.core_mut().compact(index, snapshot);
                 self
             }
-            consensus::Event::ChangeMembers { ticket, change } => match self {
-                Self::Leader(mut leader) => {
+            consensus::Event::ChangeMembers { ticket, change } => {
+                self.lead(ticket, now, |leader| {
                     leader.change_members(ticket, change, now);
-                    leader.settle(now)
-                }
-                _ => {
-                    self.core_mut().refuse(ticket);
-                    self
-                }
-            },
+                })
+            }
+        }
+    }
+
+    /// Lets the leader act; any other participant refuses the ticket.
+    fn lead(
+        self,
+        ticket: ids::Ticket,
+        now: time::Instant,
+        act: impl FnOnce(&mut participant::Participant<consensus::leader::Leader>),
+    ) -> Self {
+        match self {
+            Self::Leader(mut leader) => {
+                act(&mut leader);
+                leader.settle(now)
+            }
+            mut other => {
+                other.core_mut().refuse(ticket);
+                other
+            }
         }
     }
 
@@ -87,8 +94,8 @@
         }
         match self {
             Self::Follower(follower) => follower.time_out(now),
-            Self::PreCandidate(candidate) => candidate.time_out(now),
-            Self::Candidate(candidate) => candidate.time_out(now),
+            Self::PreCandidate(candidate) => candidate.ask_again(now),
+            Self::Candidate(candidate) => candidate.ask_again(now),
             Self::Leader(leader) => leader.time_out(now),
         }
     }
