--- a/crates/bench/src/load/address_book.rs
+++ b/crates/bench/src/load/address_book.rs
@@ -2,9 +2,7 @@
 
 use std::{net, time};
 
-use fireflyspool::{ids, sorted};
-
-use crate::load;
+use fireflyspool::{directory, ids, sorted};
 
 /// Time for which an address that refused a connection is put last.
 const AVOID_TIME: time::Duration = time::Duration::from_secs(1);
@@ -18,7 +16,7 @@
 
 impl AddressBook {
     /// Keeps a response for its lifetime.
-    pub fn store(&mut self, answer: load::AddressAnswer, now: time::Instant) {
+    pub fn store(&mut self, answer: directory::AddressAnswer, now: time::Instant) {
         let until = now + time::Duration::from_millis(answer.lifetime_ms);
         self.services
             .insert(answer.service, (answer.addresses, until));
--- a/crates/bench/src/load/caller.rs
+++ b/crates/bench/src/load/caller.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, time};
 
-use fireflyspool::outcome;
+use fireflyspool::{directory, outcome};
 
 use crate::load;
 
@@ -172,7 +172,7 @@
                 .send()
                 .await;
             let Ok(response) = response else { continue };
-            if let Ok(answer) = response.json::<load::AddressAnswer>().await
+            if let Ok(answer) = response.json::<directory::AddressAnswer>().await
                 && !answer.addresses.is_empty()
             {
                 self.lock().store(answer, time::Instant::now());
--- a/crates/bench/src/load/mod.rs
+++ b/crates/bench/src/load/mod.rs
@@ -8,7 +8,6 @@
 //! counters of the searchers and [`Report`] holds the results. [`run()`] joins
 //! these parts; all others take times and random numbers as arguments.
 
-mod address_answer;
 mod address_book;
 mod arrivals;
 mod caller;
@@ -43,7 +42,6 @@
 mod template;
 mod verifier;
 
-pub use address_answer::AddressAnswer;
 pub use address_book::AddressBook;
 pub use arrivals::Arrivals;
 pub use caller::Caller;
--- a/crates/fireflyspool/src/timer/mod.rs
+++ b/crates/fireflyspool/src/timer/mod.rs
@@ -8,10 +8,12 @@
 //! Decision code never sees this module: it returns the time at which it wants
 //! to be called again, and its driver subscribes here.
 
+mod alarm;
 mod sleep;
 mod timer_service;
 mod timer_token;
 
+pub use alarm::Alarm;
 pub use sleep::Sleep;
 pub use timer_service::TimerService;
 pub use timer_token::TimerToken;
--- a/crates/fireflyspool/src/traffic/admission_task.rs
+++ b/crates/fireflyspool/src/traffic/admission_task.rs
@@ -24,7 +24,7 @@
     admission: admission::Admission,
     waiting: sorted::SortedMap<ids::Ticket, oneshot::Sender<admission::Action>>,
     sender: mpsc::WeakSender<traffic::AdmissionMessage>,
-    wake: Option<(time::Instant, timer::TimerToken)>,
+    wake: timer::Alarm,
     reported: u32,
 }
 
@@ -32,12 +32,13 @@
     /// Starts the task.
     pub fn start(shared: sync::Arc<traffic::Shared>) -> AdmissionSender {
         let (sender, receiver) = mpsc::channel(CAPACITY);
+        let wake = timer::Alarm::new(shared.timer.clone());
         let task = Self {
             shared,
             admission: admission::Admission::new(),
             waiting: sorted::SortedMap::new(),
             sender: sender.downgrade(),
-            wake: None,
+            wake,
             reported: 0,
         };
         tokio::spawn(task.run(receiver));
@@ -95,20 +96,12 @@
 
     fn arm_timer(&mut self) {
         let next = self.admission.next_wake();
-        if self.wake.map(|(at, _)| at) == next {
-            return;
-        }
-        if let Some((_, token)) = self.wake.take() {
-            self.shared.timer.cancel(token);
-        }
-        let Some(at) = next else { return };
         let sender = self.sender.clone();
-        let token = self.shared.timer.subscribe(at, move || {
+        self.wake.set(next, move || {
             if let Some(sender) = sender.upgrade() {
                 // A full queue calls admission soon enough by itself.
                 let _ = sender.try_send(traffic::AdmissionMessage::Timer);
             }
         });
-        self.wake = Some((at, token));
     }
 }
--- a/crates/fireflyspool/src/traffic/query_task.rs
+++ b/crates/fireflyspool/src/traffic/query_task.rs
@@ -22,7 +22,7 @@
     received: time::Instant,
     calls: task::JoinSet<gather::Event>,
     wake: sync::Arc<Notify>,
-    armed: Option<(time::Instant, timer::TimerToken)>,
+    armed: timer::Alarm,
     finished: Option<outcome::Outcome>,
 }
 
@@ -33,13 +33,14 @@
         search: plan::Search,
         received: time::Instant,
     ) -> Self {
+        let armed = timer::Alarm::new(node.shared().timer.clone());
         Self {
             node,
             search,
             received,
             calls: task::JoinSet::new(),
             wake: sync::Arc::default(),
-            armed: None,
+            armed,
             finished: None,
         }
     }
@@ -153,7 +154,7 @@
             let actions = self.step(&mut coordinator, event);
             self.execute(actions);
         }
-        self.disarm();
+        self.armed.clear();
         self.finished
             .take()
             .unwrap_or_else(|| outcome::Outcome::Unknown {
@@ -228,23 +229,7 @@
     }
 
     fn arm_timer(&mut self, next: Option<time::Instant>) {
-        if self.armed.map(|(at, _)| at) == next {
-            return;
-        }
-        self.disarm();
-        let Some(at) = next else { return };
         let wake = sync::Arc::clone(&self.wake);
-        let token = self
-            .node
-            .shared()
-            .timer
-            .subscribe(at, move || wake.notify_one());
-        self.armed = Some((at, token));
-    }
-
-    fn disarm(&mut self) {
-        if let Some((_, token)) = self.armed.take() {
-            self.node.shared().timer.cancel(token);
-        }
+        self.armed.set(next, move || wake.notify_one());
     }
 }
--- a/crates/fireflyspool/src/traffic/service_task.rs
+++ b/crates/fireflyspool/src/traffic/service_task.rs
@@ -22,7 +22,7 @@
     pub(super) sender: mpsc::WeakSender<traffic::ServiceMessage>,
     pub(super) clients: sorted::SortedMap<ids::ServerName, rim::BackendClient>,
     pub(super) replies: sorted::SortedMap<ReplyKey, oneshot::Sender<dispatch::SubOutcome>>,
-    pub(super) wake: Option<(time::Instant, timer::TimerToken)>,
+    pub(super) wake: timer::Alarm,
 }
 
 impl ServiceTask {
@@ -32,13 +32,14 @@
         let config = dispatch::Config::default();
         let dispatcher =
             dispatch::Dispatcher::new(shared.node, shared.incarnation, service, config);
+        let wake = timer::Alarm::new(shared.timer.clone());
         let task = Self {
             shared,
             dispatcher,
             sender: sender.downgrade(),
             clients: sorted::SortedMap::new(),
             replies: sorted::SortedMap::new(),
-            wake: None,
+            wake,
         };
         tokio::spawn(task.run(receiver));
         sender
@@ -151,20 +152,12 @@
     /// Subscribes to the time at which the dispatcher wants to be called again.
     pub(super) fn arm_timer(&mut self) {
         let next = self.dispatcher.next_wake();
-        if self.wake.map(|(at, _)| at) == next {
-            return;
-        }
-        if let Some((_, token)) = self.wake.take() {
-            self.shared.timer.cancel(token);
-        }
-        let Some(at) = next else { return };
         let sender = self.sender.clone();
-        let token = self.shared.timer.subscribe(at, move || {
+        self.wake.set(next, move || {
             if let Some(sender) = sender.upgrade() {
                 // A full queue calls the dispatcher soon enough by itself.
                 let _ = sender.try_send(traffic::ServiceMessage::Event(dispatch::Event::Timer));
             }
         });
-        self.wake = Some((at, token));
     }
 }
