Report what was swallowed: garbled departures, bounds, listeners, accepts

A garbled departure, a bound that is no duration, a listener that cannot be bound and a connection that cannot be accepted passed without a word; a request that cannot be encoded suspended a sound server. Control VMs log which others they reach. Test: platform_wire::a_departure_tells_its_start_or_its_fault.

--- a/crates/fireflyspool/src/consensus/mod.rs
+++ b/crates/fireflyspool/src/consensus/mod.rs
@@ -62,6 +62,7 @@
 mod role;
 mod snapshot;
 mod standing;
+mod standing_votes;
 mod status;
 mod tally;
 mod transfer;
--- a/crates/fireflyspool/src/control/hub_side.rs
+++ b/crates/fireflyspool/src/control/hub_side.rs
@@ -4,14 +4,10 @@
 
 use tokio::sync::oneshot;
 
-use crate::{control, hub, ids, registry, sorted, state};
+use crate::{control, hub, ids, registry, sorted};
 
-/// Pause between two requests to join the control group, or to retire a member.
-const JOIN_PAUSE: time::Duration = time::Duration::from_secs(1);
-
-/// Silence after which a member of the control group gives way to one that
-/// joined later. Shorter cuts are borne by the majority.
-const REPLACE_AFTER: time::Duration = time::Duration::from_secs(8);
+/// Longest time without a look at what is due.
+const IDLE_WAKE: time::Duration = time::Duration::from_secs(1);
 
 struct PendingReport {
     zone: ids::ZoneName,
@@ -20,22 +16,24 @@
 
 /// Drives the hub and keeps this VM in the control group.
 pub struct HubSide {
-    hub: hub::Hub,
-    own: hub::Origin,
-    next_ticket: ids::Ticket,
+    pub(super) hub: hub::Hub,
+    pub(super) own: hub::Origin,
+    pub(super) next_ticket: ids::Ticket,
     reports: sorted::SortedMap<ids::Ticket, PendingReport>,
-    polls: sorted::SortedMap<ids::Ticket, oneshot::Sender<hub::FollowReply>>,
-    contacts: Vec<net::SocketAddr>,
-    join_due: time::Instant,
-    join_target: usize,
-    replace_due: time::Instant,
+    pub(super) polls: sorted::SortedMap<ids::Ticket, oneshot::Sender<hub::FollowReply>>,
+    pub(super) contacts: Vec<net::SocketAddr>,
+    pub(super) join_due: time::Instant,
+    pub(super) join_target: usize,
+    pub(super) replace_due: time::Instant,
     /// When each member of the control group was first listed.
-    listed: sorted::SortedMap<net::SocketAddr, time::Instant>,
-    version: ids::ConfigVersion,
+    pub(super) listed: sorted::SortedMap<net::SocketAddr, time::Instant>,
+    pub(super) version: ids::ConfigVersion,
     /// Members of the control group that were published last.
-    group: Vec<(ids::NodeId, net::SocketAddr)>,
-    retired: bool,
-    logger: slog::Logger,
+    pub(super) group: Vec<(ids::NodeId, net::SocketAddr)>,
+    /// Other control VMs that were in reach at the last look.
+    pub(super) reached: Vec<net::SocketAddr>,
+    pub(super) retired: bool,
+    pub(super) logger: slog::Logger,
 }
 
 impl HubSide {
@@ -60,6 +58,7 @@
             listed: sorted::SortedMap::new(),
             version: 0,
             group: Vec::new(),
+            reached: Vec::new(),
             retired: false,
             logger,
         }
@@ -67,7 +66,7 @@
 
     /// When this side must be called again.
     pub fn next_wake(&self, now: time::Instant) -> time::Instant {
-        self.hub.next_deadline(now).min(now + JOIN_PAUSE)
+        self.hub.next_deadline(now).min(now + IDLE_WAKE)
     }
 
     /// Whether the number of this VM was retired, so that it must take a new one.
@@ -132,25 +131,15 @@
         for action in self.hub.advance(now) {
             self.execute(action, outlet, now);
         }
+        self.log_reach(now);
     }
 
-    /// Member of the control group that a later one replaces.
-    pub fn replaced(&mut self, voter: &control::Voter, now: time::Instant) -> Option<ids::NodeId> {
-        if now < self.replace_due {
-            return None;
+    fn log_reach(&mut self, now: time::Instant) {
+        let reached = self.hub.reached(now);
+        if reached != self.reached {
+            slog::info!(self.logger, "control VMs in reach"; "listeners" => ?reached);
+            self.reached = reached;
         }
-        self.replace_due = now + JOIN_PAUSE;
-        let newest = self.listed.values().max().copied()?;
-        let is_replaced = |listener: &net::SocketAddr| {
-            let heard = self.hub.last_heard(*listener);
-            *listener != self.own.rpc
-                && heard.is_some_and(|heard| {
-                    heard < newest && now.saturating_duration_since(heard) > REPLACE_AFTER
-                })
-        };
-        let group = voter.addresses();
-        let found = group.iter().find(|(_, listener)| is_replaced(listener));
-        found.map(|(node, _)| *node)
     }
 
     fn follow_log(
@@ -183,41 +172,6 @@
         self.hub.set_group(group);
     }
 
-    /// Asks to be listed in the control group until the log lists this VM.
-    fn join(&mut self, voter: &control::Voter, outlet: &dyn control::Outlet, now: time::Instant) {
-        let identity = voter.folder.identity();
-        let listed = voter.state.group.added.get(&identity.node);
-        if now < self.join_due
-            || listed.is_some_and(|record| record.incarnation == identity.incarnation)
-        {
-            return;
-        }
-        self.join_due = now + JOIN_PAUSE;
-        let order = state::Order::Join {
-            node: identity.node,
-            incarnation: identity.incarnation,
-            rpc: self.own.rpc,
-        };
-        let mut targets = self.contacts.clone();
-        if !targets.contains(&self.own.rpc) {
-            targets.push(self.own.rpc);
-        }
-        self.join_target = (self.join_target + 1) % targets.len();
-        outlet.order(targets[self.join_target], order);
-    }
-
-    fn joined(&mut self, reply: Option<control::OrderReply>) {
-        match reply {
-            Some(control::OrderReply::Done {
-                outcome: state::OrderOutcome::Retired,
-            }) => {
-                slog::warn!(self.logger, "this VM was replaced and must join anew");
-                self.retired = true;
-            }
-            other => slog::info!(self.logger, "asked to join"; "answer" => ?other),
-        }
-    }
-
     fn execute(&mut self, action: hub::Action, outlet: &dyn control::Outlet, now: time::Instant) {
         match action {
             hub::Action::Exchange { peer, batch } => outlet.exchange(peer, *batch),
--- a/crates/fireflyspool/src/control/mod.rs
+++ b/crates/fireflyspool/src/control/mod.rs
@@ -19,6 +19,7 @@
 mod event;
 mod follow_side;
 mod hub_event;
+mod hub_membership;
 mod hub_side;
 mod mailbox;
 mod mailbox_closed;
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -155,6 +155,16 @@
         self.peers.get(&listener)?.heard
     }
 
+    /// Listeners of the other hubs in reach, ascending.
+    pub fn reached(&self, now: time::Instant) -> Vec<net::SocketAddr> {
+        let patience = self.config.peer_patience;
+        let reached = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.is_reached(patience, now));
+        reached.map(|(listener, _)| *listener).collect()
+    }
+
     /// Version of the configuration, 0 without one.
     pub(super) fn version(&self) -> ids::ConfigVersion {
         self.document
--- a/crates/fireflyspool/src/platform/backend_link.rs
+++ b/crates/fireflyspool/src/platform/backend_link.rs
@@ -27,7 +27,8 @@
         let sleep = self.timer.sleep_until(send.deadline);
         Box::pin(async move {
             let Some(request) = encode(&send, &message) else {
-                return (forward::AttemptEnd::Unreachable, None);
+                // Nothing was sent, and the server is not to blame.
+                return (forward::AttemptEnd::Rejected, None);
             };
             tokio::select! {
                 ended = exchange(&client, request, &message.id) => ended,
--- a/crates/fireflyspool/src/platform/control_routes.rs
+++ b/crates/fireflyspool/src/platform/control_routes.rs
@@ -48,8 +48,13 @@
     node: &Node,
 ) -> Result<json::Json<heartbeat_answer::HeartbeatAnswer>, Failure> {
     let body = read_body(body, REPORT_LIMIT).await?;
-    let born = platform::DepartureWire::decode(&body).born;
-    answer(node.depart(server, born).await)
+    let departure = platform::DepartureWire::decode(&body).unwrap_or_else(|error| {
+        // The path names the server; a departure must not be lost for its body.
+        slog::warn!(node.process().logger, "departure without a start";
+            "server" => &server, "error" => %error);
+        platform::DepartureWire::default()
+    });
+    answer(node.depart(server, departure.born).await)
 }
 
 #[rocket::post("/fireflyspool/Config.Replace", data = "<body>")]
--- a/crates/fireflyspool/src/platform/departure_wire.rs
+++ b/crates/fireflyspool/src/platform/departure_wire.rs
@@ -1,6 +1,6 @@
 //! Departure of a backend server on the wire.
 
-use crate::ids;
+use crate::{ids, platform};
 
 /// Body of a departure; it may be empty.
 #[derive(Clone, Debug, Default)]
@@ -12,8 +12,15 @@
 }
 
 impl DepartureWire {
-    /// Decodes a body; one that cannot be read tells no start.
-    pub fn decode(body: &[u8]) -> Self {
-        serde_json::from_slice(body).unwrap_or_default()
+    /// Decodes a body; an empty one tells no start.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`platform::PlatformError`] if the body cannot be read.
+    pub fn decode(body: &[u8]) -> Result<Self, platform::PlatformError> {
+        match body.is_empty() {
+            true => Ok(Self::default()),
+            false => Ok(serde_json::from_slice(body)?),
+        }
     }
 }
--- a/crates/fireflyspool/src/platform/process_settings.rs
+++ b/crates/fireflyspool/src/platform/process_settings.rs
@@ -75,7 +75,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`platform::PlatformError`] if the address for callers is missing.
+    /// Returns a [`platform::PlatformError`] if the address for callers is
+    /// missing or a bound is no duration.
     pub fn entry(&self) -> Result<node::EntrySettings, platform::PlatformError> {
         let callers = required("ListenAddrs.Frontend", self.listen_addrs.callers)?;
         Ok(node::EntrySettings {
@@ -86,9 +87,9 @@
             limits: fleet::Limits {
                 repeat_ratio: self.bounds.repeat_ratio,
                 repeat_slack: self.bounds.repeat_slack,
-                repeat_window: seconds(self.bounds.repeat_window),
+                repeat_window: seconds("Bounds.RetryWindowS", self.bounds.repeat_window)?,
             },
-            grace: seconds(self.bounds.grace),
+            grace: seconds("Bounds.GraceS", self.bounds.grace)?,
         })
     }
 
@@ -151,7 +152,9 @@
     })
 }
 
-/// A duration from seconds; 0 for what is no duration.
-fn seconds(seconds: f64) -> time::Duration {
-    time::Duration::try_from_secs_f64(seconds).unwrap_or_default()
+fn seconds(name: &'static str, seconds: f64) -> Result<time::Duration, platform::PlatformError> {
+    time::Duration::try_from_secs_f64(seconds).map_err(|error| platform::PlatformError::Setting {
+        name,
+        detail: error.to_string(),
+    })
 }
--- a/crates/fireflyspool/src/platform/run.rs
+++ b/crates/fireflyspool/src/platform/run.rs
@@ -54,12 +54,19 @@
     let node = node::Entry::start(own, format, sync::Arc::new(link), (logger.clone(), dropped))?;
     let (closing, closed) = watch::channel(false);
     let handler = caller_service::CallerService::new(sync::Arc::clone(&node));
-    let callers = rim::caller_listener(callers, sync::Arc::new(handler), timer, closed);
+    let callers = rim::caller_listener(
+        callers,
+        sync::Arc::new(handler),
+        (timer, logger.clone()),
+        closed,
+    );
     let callers = tokio::spawn(callers);
     if let Some(address) = settings.readiness() {
-        serve(address, ready_routes::ready_routes(), &node);
+        let routes = ready_routes::ready_routes();
+        watch_listener(serve(address, routes, &node), "readiness", &logger);
     }
-    serve(settings.metrics(), ready_routes::metrics_routes(), &node);
+    let metrics = serve(settings.metrics(), ready_routes::metrics_routes(), &node);
+    watch_listener(metrics, "metrics", &logger);
     slog::info!(logger, "started"; "vm" => settings.name(), "role" => "entry");
     wait_for_stop(callers, &logger).await?;
     node.announce_leaving().await;
@@ -77,7 +84,8 @@
     let node = node::Control::start(own, logger.clone()).await?;
     let listener = serve(address, control_routes::control_routes(), &node);
     if let Some(address) = settings.directory() {
-        serve(address, directory_routes::directory_routes(), &node);
+        let routes = directory_routes::directory_routes();
+        watch_listener(serve(address, routes, &node), "addresses", &logger);
     }
     slog::info!(logger, "started"; "vm" => settings.name(), "role" => "control");
     wait_for_stop(listener, &logger).await?;
@@ -108,6 +116,20 @@
     }
 }
 
+/// Logs the end of a listener that the process can do without for a while.
+fn watch_listener(
+    listener: task::JoinHandle<Result<(), rocket::Error>>,
+    purpose: &'static str,
+    logger: &slog::Logger,
+) {
+    let logger = logger.clone();
+    tokio::spawn(async move {
+        if let Ok(Err(error)) = listener.await {
+            slog::error!(logger, "a listener ended"; "purpose" => purpose, "error" => %error);
+        }
+    });
+}
+
 /// Starts a Rocket listener.
 fn serve<T: Send + Sync + 'static>(
     address: net::SocketAddr,
--- a/crates/fireflyspool/src/rim/caller_listener.rs
+++ b/crates/fireflyspool/src/rim/caller_listener.rs
@@ -41,7 +41,7 @@
 pub async fn caller_listener(
     address: net::SocketAddr,
     handler: sync::Arc<dyn CallerHandler>,
-    timer: timer::TimerService,
+    (timer, logger): (timer::TimerService, slog::Logger),
     mut closing: watch::Receiver<bool>,
 ) -> Result<(), rim::RpcError> {
     let bound = tokio::net::TcpListener::bind(address).await;
@@ -58,7 +58,10 @@
                 let handler = sync::Arc::clone(&handler);
                 tokio::spawn(serve(stream, handler, timer.clone(), closing.clone()));
             }
-            Err(_) => timer.sleep(ACCEPT_PAUSE).await,
+            Err(error) => {
+                slog::warn!(logger, "a connection could not be accepted"; "error" => %error);
+                timer.sleep(ACCEPT_PAUSE).await;
+            }
         }
     }
 }
--- a/crates/fireflyspool/tests/platform_wire.rs
+++ b/crates/fireflyspool/tests/platform_wire.rs
@@ -162,3 +162,16 @@
     assert!(error.contains("ListenAddrs.Control"), "{error}");
     std::fs::remove_dir_all(&folder).expect("the folder is removed");
 }
+
+/// Guards against a departure that is taken for one of another life because its
+/// body was garbled.
+#[test]
+fn a_departure_tells_its_start_or_its_fault() {
+    let born = |body: &[u8]| platform::DepartureWire::decode(body).map(|wire| wire.born);
+    assert_eq!(born(br#"{"born":17,"Novelty":1}"#).ok(), Some(Some(17)));
+    assert_eq!(born(b"{}").ok(), Some(None));
+    assert_eq!(born(b"").ok(), Some(None));
+    for garbled in [b"{".as_slice(), br#"{"born":"x"}"#, &[0xff]] {
+        assert!(born(garbled).is_err());
+    }
+}
