Use the field's terms for incarnations, heartbeats and acknowledgements

Comments spoke of lives, signs of life and words of servers, and a module head named a constant that does not exist. No code changes but the name of node::Acknowledgement.

--- a/crates/fireflyspool/src/consensus/action.rs
+++ b/crates/fireflyspool/src/consensus/action.rs
@@ -21,7 +21,7 @@
         term: ids::Term,
         /// Command.
         payload: Vec<u8>,
-        /// Ticket, if it was proposed here in this life and is not yet answered.
+        /// Ticket, if it was proposed by this process and is not yet answered.
         ticket: Option<ids::Ticket>,
     },
     /// A membership change is committed.
@@ -30,7 +30,7 @@
         index: ids::LogIndex,
         /// Members from now on.
         members: consensus::Members,
-        /// Ticket, if it was proposed here in this life and is not yet answered.
+        /// Ticket, if it was proposed by this process and is not yet answered.
         ticket: Option<ids::Ticket>,
     },
     /// A proposal has no effect: this is not the leader, or the entry was overwritten.
--- a/crates/fireflyspool/src/consensus/core.rs
+++ b/crates/fireflyspool/src/consensus/core.rs
@@ -13,7 +13,7 @@
     /// Last committed entry; everything up to here is handed out to apply.
     pub(super) commit: ids::LogIndex,
     pub(super) leader: Option<ids::NodeId>,
-    /// When a leader was last heard. Starting counts, because an earlier life may have heard one.
+    /// When a leader was last heard. Starting counts, because the process may have heard one before it restarted.
     pub(super) heard: time::Instant,
     pub(super) deadline: time::Instant,
     /// Random number of the current event.
--- a/crates/fireflyspool/src/consensus/recovered.rs
+++ b/crates/fireflyspool/src/consensus/recovered.rs
@@ -2,7 +2,7 @@
 
 use crate::consensus;
 
-/// What a replica made durable in earlier lives.
+/// What a replica made durable before a restart.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Recovered {
     /// Vote.
--- a/crates/fireflyspool/src/control/follow_side.rs
+++ b/crates/fireflyspool/src/control/follow_side.rs
@@ -15,7 +15,7 @@
 }
 
 impl FollowSide {
-    /// A side that has heard nothing yet.
+    /// A side before its first poll.
     pub fn new(follower: follow::Follower, logger: slog::Logger) -> Self {
         Self {
             follower,
--- a/crates/fireflyspool/src/control/hub_event.rs
+++ b/crates/fireflyspool/src/control/hub_event.rs
@@ -12,18 +12,18 @@
     Report {
         /// The report.
         report: Box<registry::Report>,
-        /// Told the address for later reports once the report is safe; dropped
-        /// if it is not.
+        /// Told the address for later reports; dropped if too few hubs hold the
+        /// report.
         reply: oneshot::Sender<net::SocketAddr>,
     },
     /// A backend server says that it ended.
     Depart {
         /// Backend server.
         server: ids::ServerName,
-        /// Start of its life, if it told.
+        /// Start time of its incarnation, if it told.
         born: Option<ids::BornMillis>,
-        /// Told the address for reports once the departure is safe; dropped if
-        /// it is not.
+        /// Told the address for reports; dropped if too few hubs hold the
+        /// departure.
         reply: oneshot::Sender<net::SocketAddr>,
     },
     /// Batch of another hub.
--- a/crates/fireflyspool/src/control/hub_membership.rs
+++ b/crates/fireflyspool/src/control/hub_membership.rs
@@ -8,7 +8,7 @@
 const JOIN_PAUSE: time::Duration = time::Duration::from_secs(1);
 
 /// Silence after which a member of the control group gives way to one that
-/// joined later. Shorter cuts are borne by the majority.
+/// joined later. A majority outlasts shorter partitions.
 const REPLACE_AFTER: time::Duration = time::Duration::from_secs(8);
 
 impl control::HubSide {
--- a/crates/fireflyspool/src/forward/exchange_sends.rs
+++ b/crates/fireflyspool/src/forward/exchange_sends.rs
@@ -13,7 +13,7 @@
 const STARVATION_STEP: time::Duration = time::Duration::from_millis(10);
 
 impl forward::Exchange {
-    /// Sends the first attempt of a part, or notes that no server is free.
+    /// Sends the first attempt of a part, or waits for a free server.
     pub(super) fn send_first(
         &mut self,
         part: usize,
--- a/crates/fireflyspool/src/hub/ack.rs
+++ b/crates/fireflyspool/src/hub/ack.rs
@@ -6,6 +6,6 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Ack {
-    /// Life of the receiving hub; a new one needs all records.
+    /// Incarnation of the receiving hub; a new one needs all records.
     pub incarnation: ids::Incarnation,
 }
--- a/crates/fireflyspool/src/hub/action.rs
+++ b/crates/fireflyspool/src/hub/action.rs
@@ -25,7 +25,7 @@
     Acknowledge {
         /// Ticket of the report.
         ticket: ids::Ticket,
-        /// Whether the report is safe; otherwise its sender tries another VM.
+        /// Whether enough hubs hold the report; otherwise its sender tries another VM.
         accepted: bool,
     },
     /// Publish the addresses for callers.
--- a/crates/fireflyspool/src/hub/confirmation.rs
+++ b/crates/fireflyspool/src/hub/confirmation.rs
@@ -1,14 +1,14 @@
-//! Sign of life for a suspended backend server.
+//! Latest heartbeat of a suspended backend server.
 
 use crate::{ids, registry};
 
-/// Latest sign of life of a backend server that an entry VM does not trust.
+/// Age of the latest heartbeat of a backend server that an entry VM has suspended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Confirmation {
     /// Backend server.
     pub server: ids::ServerName,
-    /// Start of the life that was heard.
+    /// Start time of the incarnation that was heard.
     pub born: ids::BornMillis,
     /// Age of its last report in milliseconds.
     pub age_ms: u64,
--- a/crates/fireflyspool/src/hub/follow_reply.rs
+++ b/crates/fireflyspool/src/hub/follow_reply.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct FollowReply {
-    /// Life of the hub that answers.
+    /// Incarnation of the hub that answers.
     pub incarnation: ids::Incarnation,
     /// Whether the hub reaches a majority of the control VMs and is up to date.
     pub current: bool,
@@ -18,7 +18,7 @@
     pub zones: Option<hub::ZonesOut>,
     /// Changed backend servers.
     pub changes: registry::ChangeSet,
-    /// Signs of life of the suspended servers that the poll names.
+    /// Latest heartbeats of the suspended servers that the poll names.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub confirmations: Vec<hub::Confirmation>,
     /// Revision of the list of slow backend servers.
--- a/crates/fireflyspool/src/hub/follow_request.rs
+++ b/crates/fireflyspool/src/hub/follow_request.rs
@@ -8,7 +8,7 @@
 pub struct FollowRequest {
     /// The entry VM.
     pub member: hub::Member,
-    /// Life of the hub to which `position` belongs.
+    /// Incarnation of the hub to which `position` belongs.
     pub incarnation: ids::Incarnation,
     /// Position in the change log of that hub.
     pub position: ids::ChangePosition,
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -96,7 +96,7 @@
         }
     }
 
-    /// Takes the word of a backend server that it ended.
+    /// Takes the departure of a backend server.
     pub fn depart(
         &mut self,
         ticket: ids::Ticket,
--- a/crates/fireflyspool/src/hub/hub_peers.rs
+++ b/crates/fireflyspool/src/hub/hub_peers.rs
@@ -59,7 +59,10 @@
         };
         peer.paused = None;
         peer.heard = Some(now);
-        if peer.incarnation.is_some_and(|life| life == ack.incarnation) {
+        if peer
+            .incarnation
+            .is_some_and(|known| known == ack.incarnation)
+        {
             peer.acked = peer.acked.max(covered.unwrap_or(0));
         } else if peer.incarnation.is_none() && peer.acked == 0 {
             peer.incarnation = Some(ack.incarnation);
--- a/crates/fireflyspool/src/hub/mod.rs
+++ b/crates/fireflyspool/src/hub/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Every control VM has a [`Hub`]. Backend servers report to any of them, and
 //! hubs push changes to each other in a [`Batch`], at once when something
-//! changes and at least every `EXCHANGE_INTERVAL`, so a batch also tells that
-//! its sender lives. An entry VM follows one hub with a long poll
+//! changes and at least every [`Config::exchange`], so a batch is a heartbeat of its
+//! sender too. An entry VM follows one hub with a long poll
 //! ([`FollowRequest`], [`FollowReply`]): the poll is its own heartbeat, and the
 //! reply carries the configuration, the zones taken out and the changes of
 //! backend servers that it lacks.
--- a/crates/fireflyspool/src/hub/peer.rs
+++ b/crates/fireflyspool/src/hub/peer.rs
@@ -15,7 +15,7 @@
     pub(super) revision: ids::Revision,
     /// Revision of the list of slow servers that was sent last.
     pub(super) slow: u64,
-    /// Life of the peer that acknowledged `acked`.
+    /// Incarnation of the peer that acknowledged `acked`.
     pub(super) incarnation: Option<ids::Incarnation>,
     /// Changes up to here are acknowledged.
     pub(super) acked: ids::ChangePosition,
--- a/crates/fireflyspool/src/ids.rs
+++ b/crates/fireflyspool/src/ids.rs
@@ -7,7 +7,7 @@
 /// Number of a VM of the tier, unique in a site and given by its settings.
 pub type NodeId = u64;
 
-/// Random number drawn once by a process or data folder; a new one means a new life.
+/// Random number drawn once by a process or data folder; a new one means a new start.
 pub type Incarnation = u64;
 
 /// Name of a backend server.
@@ -64,5 +64,5 @@
 /// Position in the change log of a registry.
 pub type ChangePosition = u64;
 
-/// Start time of a backend server in milliseconds since the Unix epoch; grows with each life.
+/// Start time of a backend server in milliseconds since the Unix epoch; grows with each incarnation.
 pub type BornMillis = u64;
--- a/crates/fireflyspool/src/node/grant.rs
+++ b/crates/fireflyspool/src/node/acknowledgement.rs
@@ -1,10 +1,10 @@
-//! Answer to a report.
+//! Answer to the report of a backend server.
 
 use std::net;
 
 /// Acknowledgement of a report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Grant {
+pub struct Acknowledgement {
     /// Address for later reports.
     pub address: net::SocketAddr,
 }
--- a/crates/fireflyspool/src/node/control.rs
+++ b/crates/fireflyspool/src/node/control.rs
@@ -86,19 +86,19 @@
         &self.process
     }
 
-    /// Takes the report of a backend server; `None` if it is not safe here.
-    pub async fn report(&self, report: registry::Report) -> Option<node::Grant> {
+    /// Takes the report of a backend server; `None` if too few control VMs hold it.
+    pub async fn report(&self, report: registry::Report) -> Option<node::Acknowledgement> {
         let report = Box::new(report);
         let make = |reply| control::HubEvent::Report { report, reply };
         self.ask(make).await
     }
 
-    /// Takes the word of a backend server that it ended; `None` if it is not safe here.
+    /// Takes the departure of a backend server; `None` if too few control VMs hold it.
     pub async fn depart(
         &self,
         server: ids::ServerName,
         born: Option<ids::BornMillis>,
-    ) -> Option<node::Grant> {
+    ) -> Option<node::Acknowledgement> {
         let make = |reply| control::HubEvent::Depart {
             server,
             born,
@@ -166,11 +166,11 @@
     async fn ask(
         &self,
         make: impl FnOnce(oneshot::Sender<net::SocketAddr>) -> control::HubEvent,
-    ) -> Option<node::Grant> {
+    ) -> Option<node::Acknowledgement> {
         let (sender, receiver) = oneshot::channel();
         self.process.tell(control::Event::Hub(make(sender)));
         let address = receiver.await.ok()?;
-        Some(node::Grant { address })
+        Some(node::Acknowledgement { address })
     }
 }
 
--- a/crates/fireflyspool/src/node/mod.rs
+++ b/crates/fireflyspool/src/node/mod.rs
@@ -6,6 +6,7 @@
 //! what it publishes. Front ends translate to and from the typed messages here
 //! and hold no state of their own.
 
+mod acknowledgement;
 mod attempt_guard;
 mod control;
 mod control_settings;
@@ -13,7 +14,6 @@
 mod entry_settings;
 mod forward_task;
 mod forwarding;
-mod grant;
 mod link;
 mod logger;
 mod mesh_listener;
@@ -25,12 +25,12 @@
 mod replica_batch;
 mod running;
 
+pub use acknowledgement::Acknowledgement;
 pub use control::Control;
 pub use control_settings::ControlSettings;
 pub use entry::Entry;
 pub use entry_settings::EntrySettings;
 pub use forwarding::Forwarding;
-pub use grant::Grant;
 pub use link::{Link, Sending};
 pub use logger::start_logger;
 pub use mesh_listener::mesh_listener;
--- a/crates/fireflyspool/src/node/process.rs
+++ b/crates/fireflyspool/src/node/process.rs
@@ -28,7 +28,7 @@
 }
 
 impl Process {
-    /// Shared state of a process that has heard nothing yet.
+    /// Shared state of a process that starts.
     pub fn new(
         logger: slog::Logger,
         timer: timer::TimerService,
--- a/crates/fireflyspool/src/platform/configuration_wire.rs
+++ b/crates/fireflyspool/src/platform/configuration_wire.rs
@@ -59,7 +59,7 @@
     }
 }
 
-/// A duration from milliseconds on the wire.
+/// Duration of a number of milliseconds on the wire.
 pub(super) fn millis(
     name: &str,
     millis: f64,
--- a/crates/fireflyspool/src/platform/control_routes.rs
+++ b/crates/fireflyspool/src/platform/control_routes.rs
@@ -105,10 +105,11 @@
 }
 
 fn answer(
-    grant: Option<node::Grant>,
+    acknowledgement: Option<node::Acknowledgement>,
 ) -> Result<json::Json<heartbeat_answer::HeartbeatAnswer>, Failure> {
-    let grant = grant.ok_or_else(|| unavailable("too few control VMs know of it"))?;
-    let address = grant.address;
+    let acknowledgement =
+        acknowledgement.ok_or_else(|| unavailable("too few control VMs know of it"))?;
+    let address = acknowledgement.address;
     Ok(json::Json(heartbeat_answer::HeartbeatAnswer { address }))
 }
 
--- a/crates/fireflyspool/src/platform/departure_wire.rs
+++ b/crates/fireflyspool/src/platform/departure_wire.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Debug, Default)]
 #[derive(serde::Deserialize)]
 pub struct DepartureWire {
-    /// Start of the life that ends.
+    /// Start time of the incarnation that ends.
     #[serde(default)]
     pub born: Option<ids::BornMillis>,
 }
--- a/crates/fireflyspool/src/platform/heartbeat_wire.rs
+++ b/crates/fireflyspool/src/platform/heartbeat_wire.rs
@@ -22,7 +22,7 @@
     #[serde(rename = "WarmupLeftMs", default)]
     cold_left: f64,
     sequence: u64,
-    /// Start of this life; the wire gives it in lower case.
+    /// Start time of this incarnation; the wire gives it in lower case.
     #[serde(rename = "born", default)]
     born: ids::BornMillis,
 }
--- a/crates/fireflyspool/src/registry/absorbed.rs
+++ b/crates/fireflyspool/src/registry/absorbed.rs
@@ -5,7 +5,7 @@
 pub enum Absorbed {
     /// Older than what is known; without effect.
     Stale,
-    /// A sign of life without other news.
+    /// A heartbeat without other news.
     Refreshed,
     /// Written to the change log.
     Changed,
--- a/crates/fireflyspool/src/registry/known.rs
+++ b/crates/fireflyspool/src/registry/known.rs
@@ -17,7 +17,7 @@
 }
 
 impl Known {
-    /// Merges a report of the same life.
+    /// Merges a report of the same incarnation.
     pub(super) fn update(&mut self, fresh: Self, now: time::Instant) -> registry::Absorbed {
         let phase = self.report.phase.max(fresh.report.phase);
         let advanced = phase != self.report.phase;
--- a/crates/fireflyspool/src/registry/mod.rs
+++ b/crates/fireflyspool/src/registry/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A backend server sends a [`Report`] with each heartbeat and when it leaves.
 //! A [`Registry`] merges reports that arrive late, twice or in another order:
-//! the later life of a server wins, within one life the higher sequence number
+//! the later incarnation of a server wins, within one the higher sequence number
 //! wins, and a server that started to leave never becomes [`Phase::Serving`]
 //! again. An address belongs to the server that was born last.
 //!
--- a/crates/fireflyspool/src/registry/phase.rs
+++ b/crates/fireflyspool/src/registry/phase.rs
@@ -1,6 +1,6 @@
 //! Phases of a backend server.
 
-/// Phase in one life of a backend server; a later phase never reverts.
+/// Phase in one incarnation of a backend server; a later phase never reverts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/fireflyspool/src/registry/record.rs
+++ b/crates/fireflyspool/src/registry/record.rs
@@ -11,7 +11,7 @@
     /// Backend server.
     #[serde(rename = "n")]
     pub server: ids::ServerName,
-    /// Start of this life.
+    /// Start time of this incarnation.
     #[serde(rename = "b")]
     pub born: ids::BornMillis,
     /// Sequence number of the report.
--- a/crates/fireflyspool/src/registry/registry.rs
+++ b/crates/fireflyspool/src/registry/registry.rs
@@ -105,7 +105,7 @@
         self.absorb(report, heard, now)
     }
 
-    /// Takes a sign of life that another VM heard; returns whether it was news.
+    /// Takes a heartbeat that another VM received; returns whether it was news.
     pub fn sight(&mut self, sighting: &registry::Sighting, now: time::Instant) -> bool {
         let heard = earlier(now, sighting.age_ms);
         let Some(known) = self.known.get_mut(&sighting.server) else {
--- a/crates/fireflyspool/src/registry/report.rs
+++ b/crates/fireflyspool/src/registry/report.rs
@@ -9,9 +9,9 @@
 pub struct Report {
     /// Backend server.
     pub server: ids::ServerName,
-    /// Start of this life.
+    /// Start time of this incarnation.
     pub born: ids::BornMillis,
-    /// Grows with each report of one life.
+    /// Grows with each report of one incarnation.
     pub sequence: u64,
     /// Service that it belongs to.
     pub service: ids::ServiceName,
--- a/crates/fireflyspool/src/registry/sighting.rs
+++ b/crates/fireflyspool/src/registry/sighting.rs
@@ -1,15 +1,15 @@
-//! Sign of life of a backend server.
+//! Heartbeat without news.
 
 use crate::{ids, registry};
 
-/// Report without news, reduced to what liveness needs.
+/// Report that changes nothing, reduced to what liveness needs.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Sighting {
     /// Backend server.
     #[serde(rename = "n")]
     pub server: ids::ServerName,
-    /// Start of this life.
+    /// Start time of this incarnation.
     #[serde(rename = "b")]
     pub born: ids::BornMillis,
     /// Sequence number of the report.
--- a/crates/fireflyspool/src/roster/suspect.rs
+++ b/crates/fireflyspool/src/roster/suspect.rs
@@ -40,7 +40,7 @@
         let known = self
             .reported
             .iter()
-            .any(|(name, life)| name == server && *life == incarnation);
+            .any(|(name, known)| name == server && *known == incarnation);
         if known || self.reported.len() >= MAX_DEATHS {
             return false;
         }
--- a/crates/fireflyspool/src/settings/checks.rs
+++ b/crates/fireflyspool/src/settings/checks.rs
@@ -34,7 +34,7 @@
                 .any(|other| other.node == peer.node);
             if twin {
                 let path = format!("control[{position}].node");
-                faults.push(reader::fault(&path, "stands twice"));
+                faults.push(reader::fault(&path, "is listed twice"));
             }
         }
     }
