Warn all members of a content that crashes servers before its query is answered

The log of a failed run shows: query 1 loses its four first attempts to crashes and is answered after 1.4 ms; the caller's next query at another entry VM, 5 ms later, kills two more, because that VM and the owners of its zone learn of the deaths with their next lease renewal.

Change: the coordinator sends the deaths to all members and answers once they act on them, or after 100 ms. Only queries under which two servers reset and no probe was answered wait.

--- a/crates/fireflyspool/examples/hedge_effect/main.rs
+++ b/crates/fireflyspool/examples/hedge_effect/main.rs
@@ -132,7 +132,7 @@
                     let complete = matches!(outcome, outcome::Outcome::Complete(_));
                     self.incomplete += usize::from(!complete);
                 }
-                gather::Action::Log(_) => {}
+                gather::Action::Warn { .. } | gather::Action::Log(_) => {}
             }
         }
         if let Some(wake) = self.queries[query].0.next_wake() {
--- a/crates/fireflyspool/src/control/entry_side.rs
+++ b/crates/fireflyspool/src/control/entry_side.rs
@@ -64,6 +64,11 @@
             }
             control::Event::Announce(announcement) => self.announce(&announcement, outlet, now),
             control::Event::Crash(report) => self.crash(report, now),
+            control::Event::Warned { crashes, reply } => {
+                self.warned(crashes, outlet, now);
+                // The coordinator may have stopped waiting.
+                let _ = reply.send(());
+            }
             control::Event::Released(server) => self.released(&server, now),
             control::Event::Load(load) => self.set_load(load),
             other => return Some(other),
@@ -123,6 +128,22 @@
         self.due = now;
     }
 
+    /// Takes the word of a coordinator that backend servers died under a content.
+    pub fn warned(
+        &mut self,
+        crashes: Vec<roster::Crash>,
+        outlet: &dyn control::Outlet,
+        now: time::Instant,
+    ) {
+        let mut changed = false;
+        for crash in crashes {
+            changed |= self.holder.warn(crash, now);
+        }
+        if changed {
+            outlet.publish(self.holder.view());
+        }
+    }
+
     /// Takes the word that no connection to a backend server is left.
     pub fn released(&mut self, server: &str, now: time::Instant) {
         self.holder.released(server);
--- a/crates/fireflyspool/src/control/event.rs
+++ b/crates/fireflyspool/src/control/event.rs
@@ -78,6 +78,13 @@
     Announce(Box<backend::Announcement>),
     /// A backend server died while it ran a request.
     Crash(roster::Crash),
+    /// A coordinator tells of backend servers that died under its query.
+    Warned {
+        /// The deaths.
+        crashes: Vec<roster::Crash>,
+        /// Told once they are in the published view.
+        reply: oneshot::Sender<()>,
+    },
     /// The traffic side has closed all connections to a backend server.
     Released(ids::ServerName),
     /// Share of this VM's capacity in use, in permille.
--- a/crates/fireflyspool/src/gather/action.rs
+++ b/crates/fireflyspool/src/gather/action.rs
@@ -19,6 +19,14 @@
         /// Numbers of the sub-requests.
         subs: Vec<ids::SubRequestId>,
     },
+    /// Tell all members that backend servers died under the content, and wait for
+    /// that before the outcome is reported: its caller may send it again elsewhere.
+    Warn {
+        /// Hash of the content.
+        fingerprint: ids::Fingerprint,
+        /// The backend servers.
+        servers: Vec<ids::ServerName>,
+    },
     /// Report the outcome; the last action of a query, and the only one of its kind.
     Finish(outcome::Outcome),
     /// Log a routing decision.
--- a/crates/fireflyspool/src/gather/ending.rs
+++ b/crates/fireflyspool/src/gather/ending.rs
@@ -18,6 +18,7 @@
             self.state.cancel_attempts(shard, scene, &mut batch);
         }
         let mut actions = batch.into_actions();
+        actions.extend(self.state.warning());
         let outcome = self.state.into_outcome(scene.now);
         let finished = gather::Query::finished(&outcome);
         actions.push(gather::Action::Finish(outcome));
@@ -71,6 +72,16 @@
         !self.search.coverage.is_met_by(&self.coverage(true))
     }
 
+    /// Warning for the other members, if the content seems to crash what runs it.
+    fn warning(&self) -> Option<gather::Action> {
+        let cleared = self.suspicion == gather::suspicion::Suspicion::Cleared;
+        let crashed = self.resets.len() >= gather::replies::MAX_RESETS as usize;
+        (crashed && !cleared).then(|| gather::Action::Warn {
+            fingerprint: self.fingerprint,
+            servers: self.resets.clone(),
+        })
+    }
+
     fn coverage(&self, count_open: bool) -> outcome::Coverage {
         let mut coverage = outcome::Coverage::default();
         for (shard, progress) in (0..).zip(&self.shards) {
--- a/crates/fireflyspool/src/gather/replies.rs
+++ b/crates/fireflyspool/src/gather/replies.rs
@@ -6,7 +6,7 @@
 
 /// Resets of one shard's attempts after which the content is not sent again; owners
 /// refuse a request under which this many servers crashed.
-const MAX_RESETS: u32 = 2;
+pub(super) const MAX_RESETS: u32 = 2;
 
 impl gather::Running {
     /// Takes the end of a sub-request; anything that is not under way at this
@@ -169,8 +169,11 @@
         let progress = &mut self.shards[shard as usize];
         progress.failures += 1;
         progress.named = server.is_some();
-        progress.excluded.extend(server);
         let reset = cause == dispatch::FailureCause::Reset;
+        if reset {
+            self.resets.extend(server.clone());
+        }
+        progress.excluded.extend(server);
         progress.resets += u32::from(reset);
         // Two servers that reset under one shard are no coincidence, even if
         // another shard's attempt was answered.
--- a/crates/fireflyspool/src/gather/running.rs
+++ b/crates/fireflyspool/src/gather/running.rs
@@ -39,6 +39,8 @@
     /// Whether anything may have run, on any version.
     pub(super) may_have_run: bool,
     pub(super) suspicion: gather::suspicion::Suspicion,
+    /// Backend servers that reset an attempt.
+    pub(super) resets: Vec<ids::ServerName>,
     /// Refusals of owners, for the reason of a refusal of the whole.
     pub(super) skips: Vec<dispatch::SkipCause>,
     pub(super) retry_after: Option<time::Duration>,
@@ -81,6 +83,7 @@
             missing: 0,
             may_have_run: false,
             suspicion,
+            resets: Vec::new(),
             skips: Vec::new(),
             retry_after: None,
             vanished: Vec::new(),
--- a/crates/fireflyspool/src/lease/holder.rs
+++ b/crates/fireflyspool/src/lease/holder.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use super::{catalog_copy, hearing, holds, replica, reports};
+use super::{catalog_copy, hearing, holds, replica, reports, warnings};
 use crate::{backend, ids, lease, roster, view};
 
 /// Lease, catalog and roster of one process of an entry VM.
@@ -22,6 +22,7 @@
     holds: holds::Holds,
     hearing: hearing::Hearing,
     reports: reports::Reports,
+    warnings: warnings::Warnings,
 }
 
 impl Holder {
@@ -37,6 +38,7 @@
             holds: holds::Holds::default(),
             hearing: hearing::Hearing::new(&config),
             reports: reports::Reports::new(config.crash_limit),
+            warnings: warnings::Warnings::new(config.crash_limit),
         }
     }
 
@@ -60,6 +62,7 @@
     /// Next renewal. What it confirms must have been published before.
     pub fn request(&mut self, now: time::Instant) -> roster::RenewRequest {
         self.end_lapsed(now);
+        self.warnings.expire(now);
         self.number += 1;
         let mut request = roster::RenewRequest {
             member: self.member.clone(),
@@ -134,7 +137,7 @@
             catalog: sync::Arc::clone(&self.copy.catalog),
             members: sync::Arc::clone(&self.replica.members),
             servers: sync::Arc::clone(&self.replica.servers),
-            suspects: sync::Arc::clone(&self.replica.suspects),
+            suspects: self.warnings.merge(&self.replica.suspects),
         }
     }
 
@@ -162,6 +165,14 @@
         });
     }
 
+    /// Takes the word that a backend server died; returns whether the view changes.
+    ///
+    /// A content is suspect in the view at once, before the leader has
+    /// published the death.
+    pub fn warn(&mut self, crash: roster::Crash, now: time::Instant) -> bool {
+        self.warnings.add(crash, now)
+    }
+
     /// Backend servers whose connections are to be closed, ascending.
     pub fn to_release(&self) -> Vec<ids::ServerName> {
         self.holds.to_release()
--- a/crates/fireflyspool/src/lease/mod.rs
+++ b/crates/fireflyspool/src/lease/mod.rs
@@ -34,6 +34,8 @@
 mod holds;
 mod replica;
 mod reports;
+mod warned;
+mod warnings;
 
 pub use config::Config;
 pub use effect::Effect;
--- a/crates/fireflyspool/src/rim/method.rs
+++ b/crates/fireflyspool/src/rim/method.rs
@@ -7,6 +7,8 @@
     Consensus,
     /// Renewal of a lease.
     Renew,
+    /// Deaths of backend servers under a query, for other members.
+    Warn,
     /// Command for the leader.
     Propose,
     /// Waits until a revision is in force everywhere.
@@ -37,6 +39,7 @@
         match self {
             Self::Consensus => "consensus.messages",
             Self::Renew => "lease.renew",
+            Self::Warn => "lease.warn",
             Self::Propose => "command.propose",
             Self::AwaitInForce => "command.await",
             Self::OpenClaim => "claim.open",
--- a/crates/fireflyspool/src/rim/rpc_listener.rs
+++ b/crates/fireflyspool/src/rim/rpc_listener.rs
@@ -51,6 +51,11 @@
             Parsed::Ok(ask(&node, make).await.unwrap_or(lost))
         },
     )?;
+    module.register_async_method(rim::Method::Warn.name(), |parameters, node, _| async move {
+        let crashes: Vec<roster::Crash> = parameters.one()?;
+        let make = |reply| control::Event::Warned { crashes, reply };
+        Parsed::Ok(ask(&node, make).await.is_some())
+    })?;
     Ok(())
 }
 
--- /dev/null
+++ b/crates/fireflyspool/src/traffic/crash_warning.rs
@@ -0,0 +1,53 @@
+//! Warnings of contents that crash backend servers.
+
+use std::{sync, time};
+
+use tokio::task;
+
+use crate::{control, ids, rim, roster, traffic};
+
+/// Longest wait for the members that were warned; one that is frozen or cut off
+/// learns of the deaths with its next renewal.
+const WARNING_WAIT: time::Duration = time::Duration::from_millis(100);
+
+impl traffic::EntryNode {
+    /// Tells all members that backend servers died under a content.
+    ///
+    /// Returns once they all act on it, or after [`WARNING_WAIT`].
+    pub async fn warn(&self, fingerprint: ids::Fingerprint, servers: &[ids::ServerName]) {
+        let view = self.shared.view.load_full();
+        let crash = |server: &ids::ServerName| {
+            let record = view.servers.get(server)?;
+            Some(roster::Crash {
+                fingerprint,
+                server: server.clone(),
+                incarnation: record.announcement.incarnation,
+            })
+        };
+        let crashes: sync::Arc<Vec<_>> = sync::Arc::new(servers.iter().filter_map(crash).collect());
+        let mut calls = task::JoinSet::new();
+        for (member, record) in view.members.iter() {
+            if *member == self.shared.node {
+                continue;
+            }
+            let peer = self.peers.get(*member, record.rpc);
+            let crashes = sync::Arc::clone(&crashes);
+            calls.spawn(async move {
+                peer.call::<_, bool>(rim::Method::Warn, crashes.as_ref(), WARNING_WAIT)
+                    .await
+                    .is_ok_and(|told| told)
+            });
+        }
+        let (reply, told) = tokio::sync::oneshot::channel();
+        let crashes = crashes.as_ref().clone();
+        self.shared
+            .tell_control(control::Event::Warned { crashes, reply });
+        let mut heard = usize::from(told.await.is_ok());
+        for told in calls.join_all().await {
+            heard += usize::from(told);
+        }
+        slog::warn!(self.shared.logger, "content suspected of crashing backend servers";
+            "fingerprint" => fingerprint, "servers" => ?servers,
+            "members" => view.members.len(), "warned" => heard);
+    }
+}
--- a/crates/fireflyspool/src/traffic/mod.rs
+++ b/crates/fireflyspool/src/traffic/mod.rs
@@ -10,6 +10,7 @@
 mod caller_requests;
 mod command_outcome;
 mod control_client;
+mod crash_warning;
 mod entry_node;
 mod node_metrics;
 mod operator_requests;
--- a/crates/fireflyspool/src/traffic/query_task.rs
+++ b/crates/fireflyspool/src/traffic/query_task.rs
@@ -23,6 +23,7 @@
     calls: task::JoinSet<gather::Event>,
     wake: sync::Arc<Notify>,
     armed: timer::Alarm,
+    warning: Option<(ids::Fingerprint, Vec<ids::ServerName>)>,
     finished: Option<outcome::Outcome>,
 }
 
@@ -41,6 +42,7 @@
             calls: task::JoinSet::new(),
             wake: sync::Arc::default(),
             armed,
+            warning: None,
             finished: None,
         }
     }
@@ -155,6 +157,9 @@
             self.execute(actions);
         }
         self.armed.clear();
+        if let Some((fingerprint, servers)) = self.warning.take() {
+            self.node.warn(fingerprint, &servers).await;
+        }
         self.finished
             .take()
             .unwrap_or_else(|| outcome::Outcome::Unknown {
@@ -199,6 +204,10 @@
                 gather::Action::Cancel { owner, subs } => {
                     self.node.send_cancel(owner, &self.search.service, subs);
                 }
+                gather::Action::Warn {
+                    fingerprint,
+                    servers,
+                } => self.warning = Some((fingerprint, servers)),
                 gather::Action::Finish(outcome) => self.finished = Some(outcome),
                 gather::Action::Log(decision) => self.node.shared().log_routing(&decision),
             }
--- /dev/null
+++ b/crates/fireflyspool/tests/common/view_outlet.rs
@@ -0,0 +1,42 @@
+//! Outlet that records the published view.
+
+use std::{net, sync, time};
+
+use fireflyspool::{consensus, control, ids, roster, view};
+
+/// Records what it is asked to do.
+#[derive(Default)]
+pub(crate) struct ViewOutlet {
+    view: sync::Mutex<Option<view::View>>,
+}
+
+impl ViewOutlet {
+    pub(crate) fn view(&self) -> view::View {
+        let view = self.view.lock().expect("no panic while held").clone();
+        view.expect("a published view")
+    }
+}
+
+impl control::Outlet for ViewOutlet {
+    fn send(&self, _: net::SocketAddr, _: consensus::Envelope) {}
+
+    fn renew(&self, _: ids::NodeId, _: net::SocketAddr, _: roster::RenewRequest) {}
+
+    fn publish(&self, view: view::View) {
+        *self.view.lock().expect("no panic while held") = Some(view);
+    }
+
+    fn give_up(&self, _: Vec<ids::ServerName>) {}
+
+    fn publish_control(&self, _: Vec<(ids::NodeId, net::SocketAddr)>) {}
+
+    fn wake_at(&self, _: time::Instant) {}
+
+    fn entropy(&self) -> u64 {
+        0
+    }
+
+    fn wall_clock(&self) -> u64 {
+        0
+    }
+}
--- a/crates/fireflyspool/tests/query_failures.rs
+++ b/crates/fireflyspool/tests/query_failures.rs
@@ -24,6 +24,7 @@
     assert_eq!(run.sent[8].1.excluded, ["dead"]);
     run.reply(8, query_run::failed(dispatch::FailureCause::Reset));
     assert_eq!(run.sent.len(), 9);
+    assert_eq!(run.warned.len(), 9, "the other members are warned first");
     run.partial();
 }
 
@@ -40,6 +41,7 @@
     for position in 9..16 {
         run.answer(position);
     }
+    assert!(run.warned.is_empty(), "the content is harmless");
     run.complete();
 }
 
--- a/crates/fireflyspool/tests/query_oracle/mod.rs
+++ b/crates/fireflyspool/tests/query_oracle/mod.rs
@@ -137,6 +137,7 @@
                     }
                 }
                 gather::Action::Finish(outcome) => self.finish(outcome, now),
+                gather::Action::Warn { servers, .. } => assert!(servers.len() > 1, "a coincidence"),
                 gather::Action::Log(_) => {}
             }
         }
--- a/crates/fireflyspool/tests/query_run/mod.rs
+++ b/crates/fireflyspool/tests/query_run/mod.rs
@@ -15,6 +15,7 @@
     pub(crate) coordinator: gather::Coordinator,
     pub(crate) sent: Vec<(ids::NodeId, dispatch::SubRequest)>,
     pub(crate) cancelled: Vec<ids::SubRequestId>,
+    pub(crate) warned: Vec<ids::ServerName>,
     pub(crate) outcome: Option<outcome::Outcome>,
 }
 
@@ -31,6 +32,7 @@
             coordinator,
             sent: Vec::new(),
             cancelled: Vec::new(),
+            warned: Vec::new(),
             outcome: None,
         };
         run.take(actions);
@@ -61,8 +63,10 @@
     pub(crate) fn take(&mut self, actions: Vec<gather::Action>) {
         self.sent.extend(coordination::dispatched(&actions));
         for action in &actions {
-            if let gather::Action::Cancel { subs, .. } = action {
-                self.cancelled.extend(subs);
+            match action {
+                gather::Action::Cancel { subs, .. } => self.cancelled.extend(subs),
+                gather::Action::Warn { servers, .. } => self.warned.clone_from(servers),
+                _ => {}
             }
         }
         let finished = coordination::finished(&actions);
