Play the real programs under random faults

A soak of five control VMs, four entry VMs and twelve stand-in backend servers on loopback. Its script follows from a seed: kills, freezes, stops and reloads by signals, lost disks, loss of power of all VMs, relays that delay, reset or cut one way, servers that are replaced and come back cold, a zone taken out; an operator, callers with kept connections and heartbeats go on throughout. Checked: own and whole answers, nothing run twice, true refusals, acknowledged configurations in every read, departures and zones in force in time, cold servers spared, requests held or cut, stops within the grace time, memory and descriptors, recovery within 12 s.

--- /dev/null
+++ b/crates/fireflyspool/tests/fault_soak.rs
@@ -0,0 +1,45 @@
+//! The real programs under random faults from outside.
+//!
+//! `FIREFLYSPOOL_SEED=n` plays one seed, `FIREFLYSPOOL_SEEDS=n` that many new
+//! ones, `FIREFLYSPOOL_SECONDS=n` sets the length of a run and
+//! `FIREFLYSPOOL_ENTRIES=n` the number of entry VMs.
+
+mod platform_site;
+mod soak;
+
+use std::time;
+
+/// Seeds that failed once, each with its cause.
+const REGRESSIONS: [u64; 0] = [];
+
+/// Seeds that are played when nothing else is asked for.
+const SEEDS: [u64; 2] = [1, 2];
+
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// Guards against promises that hold only without faults, or with one at a time:
+/// own and whole answers, nothing run twice, true refusals, acknowledged
+/// configurations, departures and zones, requests and stops in time, recovery.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn promises_hold_under_random_faults() {
+    let plan = soak::Plan {
+        length: time::Duration::from_secs(number("FIREFLYSPOOL_SECONDS").unwrap_or(12)),
+        entries: u8::try_from(number("FIREFLYSPOOL_ENTRIES").unwrap_or(4)).expect("few"),
+    };
+    if let Some(seed) = number("FIREFLYSPOOL_SEED") {
+        return soak::run(seed, plan).await;
+    }
+    if let Some(count) = number("FIREFLYSPOOL_SEEDS") {
+        let now = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+        let first = now.map_or(0, |now| now.as_secs());
+        for seed in first..first + count {
+            soak::run(seed, plan).await;
+        }
+        return;
+    }
+    for seed in REGRESSIONS.into_iter().chain(SEEDS) {
+        soak::run(seed, plan).await;
+    }
+}
--- a/crates/fireflyspool/tests/platform_site/mod.rs
+++ b/crates/fireflyspool/tests/platform_site/mod.rs
@@ -1,6 +1,8 @@
 //! A small site on loopback: real processes, stand-in backend servers, an
 //! operator and a caller that checks what it gets.
 
+#![allow(dead_code, reason = "each test binary uses a part")]
+
 mod caller;
 mod process;
 mod searcher;
--- a/crates/fireflyspool/tests/platform_site/process.rs
+++ b/crates/fireflyspool/tests/platform_site/process.rs
@@ -32,9 +32,22 @@
     }
 
     pub(crate) fn terminate(&self) {
+        self.signal(signals::Signal::TERM);
+    }
+
+    pub(crate) fn signal(&self, signal: signals::Signal) {
         let id = i32::try_from(self.child.id()).expect("a process id");
         let id = signals::Pid::from_raw(id).expect("a process id");
-        signals::kill_process(id, signals::Signal::TERM).expect("it runs");
+        signals::kill_process(id, signal).expect("it runs or was not waited for");
+    }
+
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub(crate) fn is_running(&mut self) -> bool {
+        let ended = self.child.try_wait().expect("it can be asked");
+        ended.is_none()
     }
 
     /// Waits for the end; returns the exit code.
--- a/crates/fireflyspool/tests/platform_site/searcher.rs
+++ b/crates/fireflyspool/tests/platform_site/searcher.rs
@@ -22,12 +22,14 @@
     trouble: bool,
     count: atomic::AtomicUsize,
     ran: sync::Mutex<collections::BTreeMap<String, usize>>,
+    last_run: sync::Mutex<Option<time::Instant>>,
 }
 
 /// Backend server of one service.
 pub(crate) struct Searcher {
     shared: sync::Arc<Shared>,
-    address: net::SocketAddr,
+    /// Address that heartbeats name.
+    pub(crate) address: net::SocketAddr,
     zone: String,
     sequence: u64,
 }
@@ -57,6 +59,7 @@
             trouble,
             count: atomic::AtomicUsize::new(number),
             ran: sync::Mutex::default(),
+            last_run: sync::Mutex::default(),
         });
         let serving = sync::Arc::clone(&shared);
         tokio::spawn(async move {
@@ -89,30 +92,56 @@
         self.ran().values().sum()
     }
 
+    /// When the last request began to run.
+    pub(crate) fn last_run(&self) -> Option<time::Instant> {
+        *self.shared.last_run.lock().expect("no panic under it")
+    }
+
     /// Sends a heartbeat to the control VMs in turn until one acknowledges it.
     pub(crate) async fn beat(&mut self, site: &Site, controls: &[u8], state: &str) {
         self.sequence += 1;
-        let body = format!(
-            r#"{{"Backend":"{}","Address":"{}","Zone":"{}","Version":"v1","Concurrency":2,
-            "State":"{state}","WarmupLeftMs":0,"Sequence":{},"born":5}}"#,
-            self.shared.service, self.address, self.zone, self.sequence
-        );
-        let path = format!("/fireflyspool/Instances.Heartbeat/{}", self.shared.server);
         let start = time::Instant::now();
         let mut turn = self.sequence as usize;
         while start.elapsed() < PATIENCE {
             let control = site.control(controls[turn % controls.len()]);
             turn += 1;
-            let sent = site.http.post(format!("http://{control}{path}"));
-            if let Ok(answer) = sent.body(body.clone()).send().await
-                && answer.status().is_success()
-            {
+            if self.send_beat(&site.http, control, state, 0).await {
                 return;
             }
             tokio::time::sleep(time::Duration::from_millis(30)).await;
         }
         panic!("no control VM acknowledged a heartbeat");
     }
+
+    /// Sends a new heartbeat once; returns whether it was acknowledged.
+    pub(crate) async fn beat_once(
+        &mut self,
+        http: &reqwest::Client,
+        control: net::SocketAddr,
+        state: &str,
+        cold_ms: u128,
+    ) -> bool {
+        self.sequence += 1;
+        self.send_beat(http, control, state, cold_ms).await
+    }
+
+    async fn send_beat(
+        &self,
+        http: &reqwest::Client,
+        control: net::SocketAddr,
+        state: &str,
+        cold_ms: u128,
+    ) -> bool {
+        let body = format!(
+            r#"{{"Backend":"{}","Address":"{}","Zone":"{}","Version":"v1","Concurrency":2,
+            "State":"{state}","WarmupLeftMs":{cold_ms},"Sequence":{},"born":5}}"#,
+            self.shared.service, self.address, self.zone, self.sequence
+        );
+        let path = format!("/fireflyspool/Instances.Heartbeat/{}", self.shared.server);
+        let sent = http.post(format!("http://{control}{path}")).body(body);
+        let answer = sent.send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
 }
 
 async fn serve(mut stream: tokio::net::TcpStream, shared: sync::Arc<Shared>) {
@@ -170,6 +199,7 @@
         .expect("no panic under it")
         .entry(id.to_owned())
         .or_default() += 1;
+    *shared.last_run.lock().expect("no panic under it") = Some(time::Instant::now());
     if turn(RESET_EACH) {
         return false;
     }
--- /dev/null
+++ b/crates/fireflyspool/tests/soak/backends.rs
@@ -0,0 +1,142 @@
+//! Backend servers that report, leave and come back cold.
+
+use std::{net, sync, time};
+
+use tokio::sync::Mutex;
+
+use super::{fault::Fault, random::Random, relay::Relay, stage::Stage};
+use crate::platform_site::Searcher;
+
+/// Time between heartbeats.
+const BEAT: time::Duration = time::Duration::from_millis(200);
+
+/// Time in which a leaving server is out of use everywhere; `DrainMs` of the
+/// users' sites.
+const DRAIN: time::Duration = time::Duration::from_secs(3);
+
+/// Time for which a new process is cold.
+const COLD: time::Duration = time::Duration::from_millis(1_200);
+
+/// Requests that a cold server may get within a second.
+const COLD_LIMIT: usize = 5;
+
+/// One place for a backend server, with the relay before it.
+pub(crate) struct Backend {
+    service: String,
+    zone: &'static str,
+    number: usize,
+    relay: Relay,
+    searcher: Searcher,
+    former: Vec<Searcher>,
+}
+
+/// Backend server that its own task and the fault task share.
+pub(crate) type SharedBackend = sync::Arc<Mutex<Backend>>;
+
+impl Backend {
+    pub(crate) async fn start(service: &str, zone: &'static str, number: usize) -> Self {
+        let mut searcher = Searcher::start(service, number, zone, true).await;
+        let relay = Relay::start(searcher.address).await;
+        searcher.address = relay.address();
+        Self {
+            service: service.to_owned(),
+            zone,
+            number,
+            relay,
+            searcher,
+            former: Vec::new(),
+        }
+    }
+
+    pub(crate) fn set(&self, fault: Fault) {
+        self.relay.set(fault);
+    }
+
+    pub(crate) fn name(&self) -> String {
+        format!("{}-{} of zone {}", self.service, self.number, self.zone)
+    }
+
+    pub(crate) fn zone(&self) -> &'static str {
+        self.zone
+    }
+
+    pub(crate) fn last_run(&self) -> Option<time::Instant> {
+        self.searcher.last_run()
+    }
+
+    /// Requests that all processes of this place ran, each with how often.
+    pub(crate) fn ran(&self) -> Vec<(String, usize)> {
+        let all = self.former.iter().chain([&self.searcher]);
+        all.flat_map(Searcher::ran).collect()
+    }
+
+    /// Leaves, and comes back as another process that is cold for a while.
+    pub(crate) async fn replace(&mut self, stage: &Stage, random: &mut Random) {
+        let http = Stage::client();
+        let mut acknowledged = false;
+        for _ in 0..10 {
+            let control = any_control(stage, random);
+            if self.searcher.beat_once(&http, control, "draining", 0).await {
+                acknowledged = true;
+                break;
+            }
+        }
+        if !acknowledged {
+            stage.ledger.tell(format!("{} leaves unheard", self.name()));
+            return;
+        }
+        let since = time::Instant::now();
+        stage.ledger.tell(format!("{} leaves", self.name()));
+        tokio::time::sleep(DRAIN + random.millis(500, 1_500)).await;
+        if self
+            .searcher
+            .last_run()
+            .is_some_and(|last| last > since + DRAIN)
+        {
+            let line = format!("{} ran a request after it had left", self.name());
+            stage.ledger.violate(line);
+        }
+        self.number += 10;
+        let mut fresh = Searcher::start(&self.service, self.number, self.zone, true).await;
+        self.relay = Relay::start(fresh.address).await;
+        fresh.address = self.relay.address();
+        self.former
+            .push(std::mem::replace(&mut self.searcher, fresh));
+        let back = time::Instant::now();
+        stage.ledger.tell(format!("{} starts cold", self.name()));
+        while back.elapsed() < COLD {
+            let left = COLD.saturating_sub(back.elapsed());
+            let control = any_control(stage, random);
+            // A heartbeat that is lost is followed by another one.
+            self.searcher
+                .beat_once(&http, control, "ready", left.as_millis())
+                .await;
+            tokio::time::sleep(BEAT / 2).await;
+        }
+        let cold = self.searcher.total();
+        if cold > COLD_LIMIT {
+            let line = format!("{} got {cold} requests while it was cold", self.name());
+            stage.ledger.violate(line);
+        }
+    }
+}
+
+/// Sends heartbeats until the run is stopped.
+pub(crate) async fn report(stage: sync::Arc<Stage>, backend: SharedBackend, mut random: Random) {
+    let http = Stage::client();
+    while !stage.is_stopped() {
+        let control = any_control(&stage, &mut random);
+        // A heartbeat that is lost is followed by another one.
+        backend
+            .lock()
+            .await
+            .searcher
+            .beat_once(&http, control, "ready", 0)
+            .await;
+        tokio::time::sleep(BEAT).await;
+    }
+}
+
+fn any_control(stage: &Stage, random: &mut Random) -> net::SocketAddr {
+    stage.controls[random.index(stage.controls.len())].address()
+}
