Take signals while a process starts

Cause: the handlers were installed after the listeners were up. A SIGHUP in that time killed the process too, although a changed settings file must not.

Change: the handlers are installed before the settings are read in full. The test sends both signals as soon as the data folder exists: before, the process ends by the signal; after, with code 0.

--- a/crates/fireflyspool/src/platform/mod.rs
+++ b/crates/fireflyspool/src/platform/mod.rs
@@ -26,6 +26,7 @@
 mod route_wire;
 mod run;
 mod service_wire;
+mod signals;
 mod split_wire;
 
 pub use configuration_format::ConfigurationFormat;
--- a/crates/fireflyspool/src/platform/run.rs
+++ b/crates/fireflyspool/src/platform/run.rs
@@ -4,10 +4,10 @@
 
 use anyhow::Context as _;
 use rocket::config;
-use tokio::{signal::unix, sync::watch, task};
+use tokio::{sync::watch, task};
 
 use crate::platform::{
-    backend_link, caller_service, control_routes, directory_routes, ready_routes,
+    backend_link, caller_service, control_routes, directory_routes, ready_routes, signals,
 };
 use crate::{node, platform, rim};
 
@@ -45,6 +45,7 @@
 }
 
 async fn entry(settings: platform::ProcessSettings) -> anyhow::Result<usize> {
+    let signals = signals::Signals::install()?;
     let own = settings.entry()?;
     let callers = own.callers;
     let (logger, _guard, dropped) = node::start_logger(own.callers);
@@ -68,7 +69,7 @@
     let metrics = serve(settings.metrics(), ready_routes::metrics_routes(), &node);
     watch_listener(metrics, "metrics", &logger);
     slog::info!(logger, "started"; "vm" => settings.name(), "role" => "entry");
-    wait_for_stop(callers, &logger).await?;
+    wait_for_stop(signals, callers, &logger).await?;
     node.announce_leaving().await;
     // The listener and all connections may have ended already.
     let _ = closing.send(true);
@@ -78,6 +79,7 @@
 }
 
 async fn control(settings: platform::ProcessSettings) -> anyhow::Result<()> {
+    let signals = signals::Signals::install()?;
     let own = settings.control()?;
     let address = own.control;
     let (logger, _guard, _) = node::start_logger(own.rpc);
@@ -88,26 +90,25 @@
         watch_listener(serve(address, routes, &node), "addresses", &logger);
     }
     slog::info!(logger, "started"; "vm" => settings.name(), "role" => "control");
-    wait_for_stop(listener, &logger).await?;
+    wait_for_stop(signals, listener, &logger).await?;
     slog::info!(logger, "stopped");
     Ok(())
 }
 
 /// Waits for the signal to stop, or for a listener that ends by itself.
 async fn wait_for_stop<E>(
+    mut signals: signals::Signals,
     mut listener: task::JoinHandle<Result<(), E>>,
     logger: &slog::Logger,
 ) -> anyhow::Result<()>
 where
     E: std::error::Error + Send + Sync + 'static,
 {
-    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
-    let mut reload = unix::signal(unix::SignalKind::hangup())?;
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(()),
+            _ = signals.terminate.recv() => return Ok(()),
             // What may change in the file matters only to a process that starts.
-            _ = reload.recv() => slog::info!(logger, "reload"; "effect" => "at the next start"),
+            _ = signals.reload.recv() => slog::info!(logger, "reload"; "effect" => "at the next start"),
             ended = &mut listener => {
                 ended.context("the listener panicked")??;
                 anyhow::bail!("the listener ended");
--- a/crates/fireflyspool/tests/platform_processes.rs
+++ b/crates/fireflyspool/tests/platform_processes.rs
@@ -5,6 +5,7 @@
 use std::{sync, time};
 
 use platform_site::{Caller, DESK, Process, SHARDS, Searcher, Site};
+use rustix::process::Signal;
 use tokio::sync::Mutex;
 
 type Searchers = sync::Arc<Mutex<Vec<Searcher>>>;
@@ -189,3 +190,21 @@
     let code = stopping.wait(time::Duration::from_secs(8)).await;
     assert_eq!(code, Some(0), "no request was cut");
 }
+
+/// Guards against a process that is killed by the signals of the platform because
+/// it is still starting; a changed settings file would end it too.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_process_that_is_starting_takes_signals() {
+    let site = Site::new(4);
+    let control = site.start(1, "control", "a", true);
+    let start = time::Instant::now();
+    // The folder is made before anything that takes time.
+    while !site.data(1).exists() {
+        assert!(start.elapsed() < platform_site::PATIENCE, "no data folder");
+        std::thread::sleep(time::Duration::from_micros(200));
+    }
+    control.signal(Signal::HUP);
+    control.terminate();
+    let code = control.wait(time::Duration::from_secs(8)).await;
+    assert_eq!(code, Some(0));
+}
--- a/crates/fireflyspool/tests/soak/vm.rs
+++ b/crates/fireflyspool/tests/soak/vm.rs
@@ -11,6 +11,9 @@
 /// busy machine.
 const GRACE: time::Duration = time::Duration::from_millis(5_500);
 
+/// Time from the start of a process until it can take signals.
+const START: time::Duration = time::Duration::from_millis(100);
+
 /// Time after its return in which callers of an entry VM may still notice.
 const SETTLE: time::Duration = time::Duration::from_secs(2);
 
@@ -140,6 +143,7 @@
     async fn restart(&mut self, stage: &Stage, since: time::Instant) {
         let process = stage.site.start(self.number, self.role, self.zone, false);
         self.process = Some(process);
+        tokio::time::sleep(START).await;
         self.disturbed(stage, since);
     }
 
