Keep each entry VM's hedges of a shard to one of the other zones

Cause: on the grown sites servers accept fewer connections (103) than there are entry VMs (105).

Change: a server of another zone gets a penalty between 0 and one typical latency that follows from the names of server and process, so each entry VM keeps to one of them while it answers, and the entry VMs spread evenly.

--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -8,6 +8,7 @@
 #[derive(Debug)]
 pub struct Fleet {
     zone: ids::ZoneName,
+    incarnation: ids::Incarnation,
     limits: fleet::Limits,
     generation: u64,
     members: usize,
@@ -21,9 +22,10 @@
 
 impl Fleet {
     /// A fleet without servers, for an entry VM of a zone.
-    pub fn new(zone: ids::ZoneName, limits: fleet::Limits) -> Self {
+    pub fn new(zone: ids::ZoneName, incarnation: ids::Incarnation, limits: fleet::Limits) -> Self {
         Self {
             zone,
+            incarnation,
             limits,
             generation: 0,
             members: 0,
@@ -68,7 +70,7 @@
         now: time::Instant,
     ) {
         let record = &server.record;
-        let local = record.zone == self.zone;
+        let place = (self.zone.as_str(), self.incarnation);
         let pool = self
             .pools
             .get_or_insert_with(record.service.clone(), fleet::pool::Pool::default);
@@ -76,7 +78,7 @@
             target.born != record.born || target.address != record.address
         };
         if pool.targets.get(name).is_none_or(reborn) {
-            let fresh = fleet::target::Target::new(server, local, now);
+            let fresh = fleet::target::Target::new(server, place, now);
             pool.targets.insert(name.clone(), fresh);
         }
         if let Some(target) = pool.targets.get_mut(name) {
--- a/crates/fireflyspool/src/fleet/target.rs
+++ b/crates/fireflyspool/src/fleet/target.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::{backend, fleet, ids, registry};
+use crate::{backend, fleet, hashing, ids, registry};
 
 /// Weight of a new latency sample.
 const LATENCY_WEIGHT: f64 = 0.3;
@@ -27,6 +27,13 @@
 /// back, and the price of traffic between zones.
 const ZONE_PENALTY: f64 = 4.0;
 
+/// Most by which an entry VM prefers one server of another zone to another one,
+/// in units of a typical latency; above what one running request makes.
+///
+/// Servers accept fewer connections than there are entry VMs, so each entry VM
+/// keeps to one of the other zones while it can.
+const PREFERENCE: f64 = 1.0;
+
 /// Least slowness of a server that entry VMs together find slow; above what
 /// leaving the zone costs.
 const LISTED_SLOWNESS: f64 = 6.5;
@@ -39,6 +46,8 @@
 pub(super) struct Target {
     pub(super) address: net::SocketAddr,
     pub(super) local: bool,
+    /// Penalty of a server of another zone; the same for this entry VM at all times.
+    aversion: f64,
     pub(super) born: ids::BornMillis,
     slots: f64,
     serving: bool,
@@ -61,11 +70,18 @@
 }
 
 impl Target {
-    pub(super) fn new(server: &fleet::KnownServer, local: bool, now: time::Instant) -> Self {
+    pub(super) fn new(
+        server: &fleet::KnownServer,
+        (zone, incarnation): (&str, ids::Incarnation),
+        now: time::Instant,
+    ) -> Self {
         let record = &server.record;
+        let hasher = hashing::StableHasher::new().number(incarnation);
+        let hash = hasher.text(&record.server).finish();
         Self {
             address: record.address,
-            local,
+            local: record.zone == zone,
+            aversion: PREFERENCE * (hash >> 40) as f64 / f64::from(1 << 24),
             born: record.born,
             slots: f64::from(record.slots.max(1)),
             serving: false,
@@ -135,7 +151,10 @@
             false => 0.0,
         };
         let busy = told.max(self.running as f64) / self.slots;
-        let zone = if self.local { 0.0 } else { ZONE_PENALTY };
+        let zone = match self.local {
+            true => 0.0,
+            false => ZONE_PENALTY + self.aversion,
+        };
         slowness * (1.0 + busy)
             + OVERDUE_PENALTY * self.overdue.len() as f64
             + FAILURE_PENALTY * failures
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -63,7 +63,7 @@
                     slog::error!(failed, "the control thread failed"; "error" => ?error);
                 }
             })?;
-        let fleet = fleet::Fleet::new(settings.zone, settings.limits);
+        let fleet = fleet::Fleet::new(settings.zone, incarnation, settings.limits);
         let forwarding = node::Forwarding::new(sync::Arc::clone(&process), fleet, link);
         Ok(sync::Arc::new(Self {
             process,
--- a/crates/fireflyspool/tests/fleet.rs
+++ b/crates/fireflyspool/tests/fleet.rs
@@ -49,8 +49,13 @@
 
 impl Site {
     fn new(records: Vec<registry::Record>) -> Self {
+        Self::of(1, records)
+    }
+
+    /// What the process of this incarnation knows.
+    fn of(incarnation: u64, records: Vec<registry::Record>) -> Self {
         let mut site = Self {
-            fleet: fleet::Fleet::new("a".to_owned(), LIMITS),
+            fleet: fleet::Fleet::new("a".to_owned(), incarnation, LIMITS),
             view: fleet::View::default(),
             now: time::Instant::now(),
         };
@@ -268,3 +273,48 @@
     let ones = chosen.iter().filter(|service| *service == "one").count();
     assert_eq!((chosen.len(), ones), (400, 100));
 }
+
+/// Guards against connections of all entry VMs to every server, which accepts
+/// fewer than there are entry VMs: each one keeps to one of the other zones as
+/// long as that server answers, and the entry VMs spread over them.
+#[test]
+fn an_entry_vm_keeps_to_one_server_of_the_other_zones() {
+    let mut in_b = 0;
+    for incarnation in 1..=200 {
+        let servers = vec![record("b-1", "b"), record("c-1", "c")];
+        let mut site = Site::of(incarnation, servers);
+        let picks: Vec<_> = (0..20)
+            .filter_map(|entropy: u64| {
+                let mixed = entropy.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+                site.run(mixed, FAST)
+            })
+            .collect();
+        let to_b = picks.iter().filter(|server| *server == "b-1").count();
+        in_b += usize::from(to_b > 10);
+        let failed = site.run(0, fleet::AttemptResult::Failed);
+        let other = site.pick(0).map(|picked| picked.server);
+        assert_ne!(other, failed, "a failure outweighs the preference");
+    }
+    assert!(
+        (60..=140).contains(&in_b),
+        "{in_b} of 200 prefer one server"
+    );
+}
+
+/// Guards against the same when preferences are close: three picks of four stay.
+#[test]
+fn most_hedges_of_an_entry_vm_go_to_the_same_server() {
+    let (mut same, mut all) = (0, 0);
+    for incarnation in 1..=200 {
+        let servers = vec![record("b-1", "b"), record("c-1", "c")];
+        let mut site = Site::of(incarnation, servers);
+        let picks = (0..20).filter_map(|entropy: u64| {
+            let mixed = entropy.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            site.run(mixed, FAST)
+        });
+        let to_b = picks.filter(|server| server == "b-1").count();
+        same += to_b.max(20 - to_b);
+        all += 20;
+    }
+    assert!(same * 4 > all * 3, "{same} of {all} picks stay");
+}
--- a/crates/fireflyspool/tests/forward.rs
+++ b/crates/fireflyspool/tests/forward.rs
@@ -43,7 +43,7 @@
             repeat_slack: 1_000.0,
             repeat_window: time::Duration::from_secs(10),
         };
-        let mut fleet = fleet::Fleet::new("a".to_owned(), limits);
+        let mut fleet = fleet::Fleet::new("a".to_owned(), 1, limits);
         let mut view = fleet::View {
             generation: 1,
             ..fleet::View::default()
