Elect after 250 to 500 ms on the platform

Ruled out: votes right after a start (a replica does not know when it last heard a leader, so grants of that leader could overlap).

Change: 250 to 500 ms in place of 400 to 750 ms, still two heartbeats and a half. The leader's lease now follows from the timeout in one place; with 300 ms fixed it would have exceeded it. A test guards that.

--- a/crates/fireflyspool/src/consensus/config.rs
+++ b/crates/fireflyspool/src/consensus/config.rs
@@ -4,6 +4,12 @@
 
 use crate::ids;
 
+/// Shortest and longest election timeout, several heartbeats.
+const ELECTION: (time::Duration, time::Duration) = (
+    time::Duration::from_millis(400),
+    time::Duration::from_millis(800),
+);
+
 /// Settings of a replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Config {
@@ -42,15 +48,15 @@
     ) -> Self {
         founding.sort_unstable();
         founding.dedup();
+        let (election_min, election_max) = ELECTION;
         Self {
             node,
             incarnation,
             founding,
             heartbeat: time::Duration::from_millis(100),
-            election_min: time::Duration::from_millis(400),
-            election_max: time::Duration::from_millis(800),
-            // A quarter below the shortest election timeout covers clocks of different speed.
-            leader_lease: time::Duration::from_millis(300),
+            election_min,
+            election_max,
+            leader_lease: leader_lease(election_min),
             batch_entries: 256,
             batch_bytes: 256 * 1024,
             window_entries: 4096,
@@ -58,4 +64,20 @@
             kept_entries: 256,
         }
     }
+
+    /// The same with other election timeouts, and a leader lease that fits them.
+    #[must_use]
+    pub fn with_elections(self, shortest: time::Duration, longest: time::Duration) -> Self {
+        Self {
+            election_min: shortest,
+            election_max: longest,
+            leader_lease: leader_lease(shortest),
+            ..self
+        }
+    }
+}
+
+/// A quarter below the shortest election timeout covers clocks of different speed.
+fn leader_lease(election_min: time::Duration) -> time::Duration {
+    election_min * 3 / 4
 }
--- a/crates/fireflyspool/src/node/control.rs
+++ b/crates/fireflyspool/src/node/control.rs
@@ -22,8 +22,8 @@
 /// Shortest and longest election timeout; several heartbeats, and far below
 /// the time in which an order must be acknowledged.
 const ELECTION: (time::Duration, time::Duration) = (
-    time::Duration::from_millis(400),
-    time::Duration::from_millis(750),
+    time::Duration::from_millis(250),
+    time::Duration::from_millis(500),
 );
 
 /// Handle of a control VM for its front ends.
@@ -218,9 +218,8 @@
     let members = founding.keys().copied().collect();
     let config = consensus::Config {
         heartbeat: LEADER_HEARTBEAT,
-        election_min: ELECTION.0,
-        election_max: ELECTION.1,
         ..consensus::Config::new(identity.node, identity.incarnation, members)
+            .with_elections(ELECTION.0, ELECTION.1)
     };
     let lease = roster::Config::default();
     let mut voter =
--- a/crates/fireflyspool/tests/consensus_leader.rs
+++ b/crates/fireflyspool/tests/consensus_leader.rs
@@ -2,6 +2,8 @@
 
 mod simulation;
 
+use std::time;
+
 use fireflyspool::consensus;
 
 /// Seeds 1 to this number are run.
@@ -118,3 +120,15 @@
     cluster.drive(leader, vec![consensus::Event::Received(forged)]);
     assert_eq!(term(&cluster, leader), before.term);
 }
+
+/// Guards against a leader that grants after another one may have been elected,
+/// when election timeouts are set without the lease that follows from them.
+#[test]
+fn a_leader_lease_ends_before_the_shortest_election_timeout() {
+    let config = consensus::Config::new(1, 1, vec![1]);
+    assert!(config.leader_lease < config.election_min);
+    let shorter = time::Duration::from_millis(200);
+    let config = config.with_elections(shorter, shorter * 2);
+    assert_eq!(config.election_min, shorter);
+    assert!(config.leader_lease < shorter);
+}
