End all calls that wait for a connection to a stopped process together

Cause: calls to one process wait for one another while a connection is opened, up to 0.5 s each and one after the other.

Change: calls that waited for an attempt which failed fail with it.

--- a/crates/fireflyspool/src/rim/peer.rs
+++ b/crates/fireflyspool/src/rim/peer.rs
@@ -23,6 +23,8 @@
     client: async_sync::RwLock<Option<Client>>,
     /// When the last answer arrived.
     answered: sync::Mutex<Option<time::Instant>>,
+    /// When a connection could last not be opened.
+    failed: sync::Mutex<Option<time::Instant>>,
 }
 
 impl Peer {
@@ -33,6 +35,7 @@
             key,
             client: async_sync::RwLock::new(None),
             answered: sync::Mutex::default(),
+            failed: sync::Mutex::default(),
         }
     }
 
@@ -100,17 +103,35 @@
         {
             return Ok(sync::Arc::clone(client));
         }
+        let asked = time::Instant::now();
         let mut slot = self.client.write().await;
         if let Some(client) = slot.as_ref()
             && client.is_connected()
         {
             return Ok(sync::Arc::clone(client));
         }
-        let client = sync::Arc::new(self.connect().await?);
+        // Calls that waited for the same attempt share its end: one after the
+        // other they would wait for a stopped process for many times the limit.
+        if self.last_failure().is_some_and(|failed| failed >= asked) {
+            return Err(rim::PeerError::Unanswered {
+                address: self.address,
+            });
+        }
+        let opened = self.connect().await;
+        if opened.is_err() {
+            *self.last_failure() = Some(time::Instant::now());
+        }
+        let client = sync::Arc::new(opened?);
         *slot = Some(sync::Arc::clone(&client));
         Ok(client)
     }
 
+    fn last_failure(&self) -> sync::MutexGuard<'_, Option<time::Instant>> {
+        self.failed
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     async fn connect(&self) -> Result<ws_client::WsClient, rim::PeerError> {
         let mut headers = ws_client::HeaderMap::new();
         if let Some(key) = &self.key
--- a/crates/fireflyspool/tests/peers.rs
+++ b/crates/fireflyspool/tests/peers.rs
@@ -18,3 +18,27 @@
     let error = ended.expect("the call ends").expect_err("nobody answers");
     assert!(!error.may_have_arrived(), "{error}");
 }
+
+/// Guards against calls to a stopped process that wait for one another: reports
+/// of slow servers kept the poll of an entry VM waiting for 6 s, and with it a
+/// configuration.
+#[tokio::test]
+async fn many_calls_to_a_stopped_process_end_in_time_too() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let peer = std::sync::Arc::new(rim::Peer::new(address, None));
+    let limit = time::Duration::from_millis(200);
+    let mut calls = tokio::task::JoinSet::new();
+    for _ in 0..20 {
+        let peer = std::sync::Arc::clone(&peer);
+        calls.spawn(async move {
+            let called = peer.call::<_, ()>(rim::Method::Slow, &0, limit).await;
+            called.expect_err("nobody answers")
+        });
+    }
+    // Twice the time for opening a connection and the call, and some for a busy machine.
+    let ended = tokio::time::timeout(time::Duration::from_secs(3), calls.join_all()).await;
+    for error in ended.expect("all calls end") {
+        assert!(!error.may_have_arrived(), "{error}");
+    }
+}
