List servers that fail, and slow ones on large sites too

Cause: on the grown sites a hub hears of a slow server about 12 times a second; the list needed a faded sum of 9 reports, which 12 a second never reach.

Change: entry VMs report failed attempts, and fast answers of servers they reported within the last second. A server is listed when reports weigh 4, go on for 200 ms and follow one another within 250 ms; a fast answer starts anew, so pauses of small sites, where reports are frequent, do not list.

--- a/crates/fireflyspool/src/control/control_thread.rs
+++ b/crates/fireflyspool/src/control/control_thread.rs
@@ -204,9 +204,9 @@
                     follow.polled(reply.map(|reply| *reply), &self.outlet, now);
                 }
             }
-            control::Event::Slow(server) => {
+            control::Event::Slow(sign) => {
                 if let Some(follow) = &mut self.follow {
-                    follow.note_slow(server);
+                    follow.note_slow(sign);
                 }
             }
             control::Event::Leave => {
--- a/crates/fireflyspool/src/control/event.rs
+++ b/crates/fireflyspool/src/control/event.rs
@@ -93,8 +93,8 @@
     Leave,
     /// For the hub of this control VM.
     Hub(control::HubEvent),
-    /// An attempt took much longer than is typical.
-    Slow(ids::ServerName),
+    /// An attempt shows that a backend server is slow, failing or well again.
+    Slow(hub::Sign),
     /// The poll of this entry VM has ended; `None` if there was no answer.
     Polled(Option<Box<hub::FollowReply>>),
     /// A deadline has come.
--- a/crates/fireflyspool/src/control/follow_side.rs
+++ b/crates/fireflyspool/src/control/follow_side.rs
@@ -11,7 +11,7 @@
     in_touch: bool,
     version: ids::ConfigVersion,
     /// Slow backend servers that the hub has not been told of.
-    slow: Vec<ids::ServerName>,
+    slow: Vec<hub::Sign>,
 }
 
 impl FollowSide {
@@ -46,8 +46,8 @@
     }
 
     /// Takes a slow backend server, of which the hub is told with the next tick.
-    pub fn note_slow(&mut self, server: ids::ServerName) {
-        self.slow.push(server);
+    pub fn note_slow(&mut self, sign: hub::Sign) {
+        self.slow.push(sign);
     }
 
     /// Takes the end of a poll.
--- a/crates/fireflyspool/src/control/hub_event.rs
+++ b/crates/fireflyspool/src/control/hub_event.rs
@@ -41,7 +41,7 @@
         ack: Option<hub::Ack>,
     },
     /// Backend servers that an entry VM found slow.
-    Slow(Vec<ids::ServerName>),
+    Slow(Vec<hub::Sign>),
     /// Poll of an entry VM.
     Follow {
         /// The poll.
--- a/crates/fireflyspool/src/control/outlet.rs
+++ b/crates/fireflyspool/src/control/outlet.rs
@@ -41,7 +41,7 @@
     fn follow(&self, _hub: net::SocketAddr, _request: hub::FollowRequest) {}
 
     /// Tells a control VM of slow backend servers; the message may be lost.
-    fn report_slow(&self, _hub: net::SocketAddr, _reports: Vec<ids::ServerName>) {}
+    fn report_slow(&self, _hub: net::SocketAddr, _reports: Vec<hub::Sign>) {}
 
     /// Publishes what this entry VM knows to the traffic threads.
     fn publish_fleet(&self, _view: fleet::View) {}
--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{backend, configuration, fleet, ids, sorted};
+use crate::{backend, configuration, fleet, hub, ids, sorted};
 
 /// State of the traffic side about backend servers.
 #[derive(Debug)]
@@ -13,8 +13,8 @@
     generation: u64,
     members: usize,
     next_token: ids::Ticket,
-    /// Slow servers of which the control VMs have not been told.
-    slow: Vec<ids::ServerName>,
+    /// What attempts showed and the control VMs have not been told.
+    signs: Vec<hub::Sign>,
     pools: sorted::SortedMap<ids::ServiceName, fleet::pool::Pool>,
     routes: sorted::SortedMap<String, fleet::route_latency::RouteLatency>,
     splits: sorted::SortedMap<String, fleet::split_state::SplitState>,
@@ -30,7 +30,7 @@
             generation: 0,
             members: 0,
             next_token: 0,
-            slow: Vec::new(),
+            signs: Vec::new(),
             pools: sorted::SortedMap::new(),
             routes: sorted::SortedMap::new(),
             splits: sorted::SortedMap::new(),
@@ -179,7 +179,7 @@
         if let Some(target) = pool.and_then(|pool| pool.targets.get_mut(server)) {
             let factor = elapsed.as_secs_f64() / typical;
             target.note_overdue(token, factor, now);
-            self.slow.push(server.to_owned());
+            self.signs.push((server.to_owned(), hub::Symptom::Overdue));
         }
     }
 
@@ -213,13 +213,15 @@
         }
         let pool = self.pools.get_mut(service);
         if let Some(target) = pool.and_then(|pool| pool.targets.get_mut(server)) {
-            target.end(token, result, typical, now);
+            let symptom = target.end(token, result, typical, now);
+            let sign = symptom.map(|symptom| (server.to_owned(), symptom));
+            self.signs.extend(sign);
         }
     }
 
-    /// Slow servers that were noticed since the last call.
-    pub fn take_slow(&mut self) -> Vec<ids::ServerName> {
-        std::mem::take(&mut self.slow)
+    /// What attempts showed since the last call.
+    pub fn take_signs(&mut self) -> Vec<hub::Sign> {
+        std::mem::take(&mut self.signs)
     }
 
     /// Latency that most attempts of a route do not exceed.
--- a/crates/fireflyspool/src/fleet/target.rs
+++ b/crates/fireflyspool/src/fleet/target.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::{backend, fleet, hashing, ids, registry};
+use crate::{backend, fleet, hashing, hub, ids, registry};
 
 /// Weight of a new latency sample.
 const LATENCY_WEIGHT: f64 = 0.3;
@@ -38,6 +38,12 @@
 /// leaving the zone costs.
 const LISTED_SLOWNESS: f64 = 6.5;
 
+/// Time for which a reported server is watched for an answer that is fast again.
+const WATCH: time::Duration = time::Duration::from_secs(1);
+
+/// Multiple of the typical latency up to which an answer is fast.
+const FAST_FACTOR: f64 = 2.0;
+
 /// Failures in a row after which a server counts as unreachable.
 const BROKEN_LIMIT: u32 = 6;
 
@@ -57,6 +63,8 @@
     pub(super) running: usize,
     /// Attempts under way that take longer than usual.
     overdue: Vec<ids::Ticket>,
+    /// When the control VMs were last told of an overdue or failed attempt.
+    reported: Option<time::Instant>,
     /// Latency relative to what is typical.
     slowness: f64,
     slowness_at: time::Instant,
@@ -90,6 +98,7 @@
             suspended: None,
             running: 0,
             overdue: Vec::new(),
+            reported: None,
             slowness: 1.0,
             slowness_at: now,
             listed_slow: false,
@@ -168,6 +177,7 @@
     /// Notes that an attempt takes longer than usual.
     pub(super) fn note_overdue(&mut self, token: ids::Ticket, elapsed: f64, now: time::Instant) {
         self.overdue.push(token);
+        self.reported = Some(now);
         if elapsed > self.slowness {
             self.slowness = elapsed;
             self.slowness_at = now;
@@ -180,13 +190,15 @@
     }
 
     /// Notes the end of an attempt; `typical` is the typical latency of its route.
+    ///
+    /// Returns what the control VMs are to be told.
     pub(super) fn end(
         &mut self,
         token: ids::Ticket,
         result: fleet::AttemptResult,
         typical: time::Duration,
         now: time::Instant,
-    ) {
+    ) -> Option<hub::Symptom> {
         self.running = self.running.saturating_sub(1);
         self.overdue.retain(|overdue| *overdue != token);
         let relative =
@@ -197,6 +209,9 @@
                 self.slowness_at = now;
                 self.note_failure(0.0, now);
                 self.broken = 0;
+                if relative(elapsed) < FAST_FACTOR {
+                    return self.recovered(now);
+                }
             }
             fleet::AttemptResult::Abandoned { elapsed } => {
                 let relative = relative(elapsed);
@@ -212,12 +227,21 @@
                 if self.broken >= BROKEN_LIMIT {
                     self.suspended = Some(now);
                 }
+                self.reported = Some(now);
+                return Some(hub::Symptom::Failed);
             }
             fleet::AttemptResult::Unreachable => {
                 self.note_failure(1.0, now);
                 self.suspended = Some(now);
             }
         }
+        None
+    }
+
+    /// Whether a fast answer contradicts what was reported a moment ago.
+    fn recovered(&mut self, now: time::Instant) -> Option<hub::Symptom> {
+        let at = self.reported.take()?;
+        (now.saturating_duration_since(at) < WATCH).then_some(hub::Symptom::Recovered)
     }
 
     fn note_failure(&mut self, sample: f64, now: time::Instant) {
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -89,10 +89,10 @@
         }
     }
 
-    /// Takes reports of slow backend servers from an entry VM.
-    pub fn report_slow(&mut self, reports: Vec<ids::ServerName>, now: time::Instant) {
-        for server in reports {
-            self.slow.report(server, now);
+    /// Takes what attempts of an entry VM showed about backend servers.
+    pub fn report_slow(&mut self, reports: Vec<hub::Sign>, now: time::Instant) {
+        for (server, symptom) in reports {
+            self.slow.report(server, symptom, now);
         }
     }
 
--- a/crates/fireflyspool/src/hub/slow_list.rs
+++ b/crates/fireflyspool/src/hub/slow_list.rs
@@ -1,33 +1,37 @@
-//! Backend servers that several requests found slow.
+//! Backend servers that several requests found slow or failing.
 //!
 //! One entry VM of a large site reaches a backend server too rarely to notice
 //! in time that it has become slow, but all entry VMs together do. Reports must
-//! be frequent, and spread over longer than a short pause, which a hedge
-//! already covers.
+//! follow one another for longer than a short pause, which a hedge already
+//! covers, and without a fast answer in between.
 
 use std::time;
 
-use crate::{ids, sorted};
+use crate::{hub, ids, sorted};
 
-/// Time over which reports must be spread; longer than the pauses of backend servers.
-const SPREAD: time::Duration = time::Duration::from_millis(180);
+/// Time over which reports must go on; longer than the pauses of backend servers.
+const SPREAD: time::Duration = time::Duration::from_millis(200);
 
-/// Reports that list a server, each faded by its age. A busy server whose
-/// slowest requests are reported stays far below.
-const LEAST_REPORTS: f64 = 9.0;
+/// Longest time between two reports that belong together; a hub of a large site
+/// hears of a slow server about every 80 ms.
+const GAP: time::Duration = time::Duration::from_millis(250);
 
-/// Time after which a report counts about a third.
-const FADE: time::Duration = time::Duration::from_millis(500);
+/// Weight of reports that lists a server.
+const LEAST_WEIGHT: u32 = 4;
+
+/// Weight of a failure, where an overdue attempt weighs 1: a healthy server has
+/// overdue attempts now and then, but does not fail.
+const FAILURE_WEIGHT: u32 = 2;
 
 /// Time without a report after which a server is no longer listed, so that it is tried again.
 const LIFETIME: time::Duration = time::Duration::from_millis(1_300);
 
 #[derive(Debug)]
 struct Mark {
+    /// First and last of the reports that belong together.
     first: time::Instant,
     last: time::Instant,
-    /// Faded number of reports as of `last`.
-    reports: f64,
+    weight: u32,
     listed: bool,
     /// Whether entry VMs reported it here, as opposed to another hub.
     own: bool,
@@ -63,20 +67,39 @@
     }
 
     /// Takes the report of an entry VM.
-    pub(super) fn report(&mut self, server: ids::ServerName, now: time::Instant) {
+    pub(super) fn report(
+        &mut self,
+        server: ids::ServerName,
+        symptom: hub::Symptom,
+        now: time::Instant,
+    ) {
+        let weight = match symptom {
+            hub::Symptom::Overdue => 1,
+            hub::Symptom::Failed => FAILURE_WEIGHT,
+            hub::Symptom::Recovered => {
+                // A listed server gets few requests, so one fast answer says little.
+                if self.marks.get(&server).is_some_and(|mark| !mark.listed) {
+                    self.marks.remove(&server);
+                }
+                return;
+            }
+        };
         let mark = self.marks.get_or_insert_with(server, || Mark {
             first: now,
             last: now,
-            reports: 0.0,
+            weight: 0,
             listed: false,
             own: true,
         });
-        let age = now.saturating_duration_since(mark.last);
-        mark.reports = 1.0 + mark.reports * (-age.as_secs_f64() / FADE.as_secs_f64()).exp();
+        if now.saturating_duration_since(mark.last) > GAP {
+            mark.first = now;
+            mark.weight = 0;
+        }
+        mark.weight += weight;
         mark.last = now;
         mark.own = true;
         let spread = now.saturating_duration_since(mark.first);
-        if !mark.listed && spread >= SPREAD && mark.reports >= LEAST_REPORTS {
+        if !mark.listed && spread >= SPREAD && mark.weight >= LEAST_WEIGHT {
             mark.listed = true;
             self.revision += 1;
             self.own_revision += 1;
@@ -91,7 +114,7 @@
         let mark = Mark {
             first: now,
             last: now,
-            reports: LEAST_REPORTS,
+            weight: LEAST_WEIGHT,
             listed: true,
             own: false,
         };
--- /dev/null
+++ b/crates/fireflyspool/src/hub/symptom.rs
@@ -0,0 +1,19 @@
+//! What an attempt showed about its backend server.
+
+use crate::ids;
+
+/// Symptom that an entry VM reports to its hub.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Symptom {
+    /// An attempt takes longer than usual.
+    Overdue,
+    /// An attempt failed after it was sent.
+    Failed,
+    /// An attempt after a reported one was answered as fast as usual.
+    Recovered,
+}
+
+/// Backend server with what it showed.
+pub type Sign = (ids::ServerName, Symptom);
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -103,8 +103,8 @@
 
     /// Tells the control thread which servers turned out slow.
     pub(super) fn tell_slow(&self, fleet: &mut fleet::Fleet) {
-        for server in fleet.take_slow() {
-            self.process.tell(control::Event::Slow(server));
+        for sign in fleet.take_signs() {
+            self.process.tell(control::Event::Slow(sign));
         }
     }
 
--- a/crates/fireflyspool/src/node/mesh_listener.rs
+++ b/crates/fireflyspool/src/node/mesh_listener.rs
@@ -5,7 +5,7 @@
 use jsonrpsee::{server, types};
 use tokio::sync::oneshot;
 
-use crate::{control, hub, ids, node, rim, state};
+use crate::{control, hub, node, rim, state};
 
 type Module = jsonrpsee::RpcModule<sync::Arc<node::Control>>;
 type Parsed<T> = Result<T, types::ErrorObjectOwned>;
@@ -51,7 +51,7 @@
         },
     )?;
     module.register_method(rim::Method::Slow.name(), |parameters, node, _| {
-        let reports: Vec<ids::ServerName> = parameters.one()?;
+        let reports: Vec<hub::Sign> = parameters.one()?;
         let event = control::Event::Hub(control::HubEvent::Slow(reports));
         node.process().tell(event);
         Parsed::Ok(())
--- a/crates/fireflyspool/src/node/mesh_outlet.rs
+++ b/crates/fireflyspool/src/node/mesh_outlet.rs
@@ -116,7 +116,7 @@
         self.call(hub, rim::Method::Follow, request, POLL_TIMEOUT, event);
     }
 
-    fn report_slow(&self, hub: net::SocketAddr, reports: Vec<ids::ServerName>) {
+    fn report_slow(&self, hub: net::SocketAddr, reports: Vec<hub::Sign>) {
         let process = sync::Arc::clone(&self.process);
         self.runtime.spawn(async move {
             let peer = process.peer(hub);
--- a/crates/fireflyspool/tests/fleet.rs
+++ b/crates/fireflyspool/tests/fleet.rs
@@ -318,3 +318,31 @@
     }
     assert!(same * 4 > all * 3, "{same} of {all} picks stay");
 }
+
+/// Guards against a hub that takes a short pause for a slow server, because nobody
+/// tells it of the fast answers after it.
+#[test]
+fn a_fast_answer_after_a_reported_attempt_is_a_sign_too() {
+    let mut site = Site::new(vec![record("a-1", "a")]);
+    for _ in 0..20 {
+        site.run(1, FAST);
+    }
+    assert!(site.fleet.take_signs().is_empty(), "nothing was reported");
+    let picked = site.pick(1).expect("a server");
+    let place = ("shard", "a-1");
+    let elapsed = time::Duration::from_millis(40);
+    site.fleet
+        .note_overdue(place, picked.token, &route(), elapsed, site.now);
+    site.run(1, FAST);
+    site.run(1, fleet::AttemptResult::Failed);
+    site.now += time::Duration::from_secs(2);
+    site.run(1, FAST);
+    let signs = site.fleet.take_signs().into_iter();
+    let symptoms: Vec<_> = signs.map(|(_, symptom)| symptom).collect();
+    let expected = [
+        hub::Symptom::Overdue,
+        hub::Symptom::Recovered,
+        hub::Symptom::Failed,
+    ];
+    assert_eq!(symptoms, expected, "what lies 2 s back is not contradicted");
+}
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -83,6 +83,20 @@
         }
     }
 
+    /// Tells the first hub so many times of one server.
+    fn tell(&mut self, symptom: hub::Symptom, times: usize) {
+        let reports = vec![("s".to_owned(), symptom); times];
+        self.hubs[0].report_slow(reports, self.now);
+    }
+
+    /// Slow servers that a follower of the third hub is told.
+    fn listed(&mut self) -> usize {
+        let now = self.now;
+        self.hubs[2].follow(1, poll(member(100, "c", true)), now);
+        self.advance(1);
+        self.replies.pop().expect("an answer").slow.len()
+    }
+
     fn advance(&mut self, millis: u64) {
         self.now += time::Duration::from_millis(millis);
         // A batch can cause another one; a few rounds settle all.
@@ -264,29 +278,68 @@
 fn a_server_that_stays_slow_is_told_to_the_followers_of_all_hubs() {
     let mut site = Site::new();
     site.advance(10);
-    let slow = || vec!["s".to_owned(); 6];
-    let listed = |site: &mut Site| {
-        let now = site.now;
-        site.hubs[2].follow(1, poll(member(100, "c", true)), now);
-        site.advance(1);
-        site.replies.pop().expect("an answer").slow.len()
-    };
     for _ in 0..3 {
-        let now = site.now;
-        site.hubs[0].report_slow(slow(), now);
+        site.tell(hub::Symptom::Overdue, 6);
         site.advance(30);
     }
     site.advance(1_100);
-    assert_eq!(listed(&mut site), 0, "a pause of 60 ms");
+    assert_eq!(site.listed(), 0, "a pause of 60 ms");
     for _ in 0..3 {
-        let now = site.now;
-        site.hubs[0].report_slow(slow(), now);
+        site.tell(hub::Symptom::Overdue, 6);
         site.advance(100);
     }
     site.advance(1_000);
-    assert_eq!(listed(&mut site), 1);
+    assert_eq!(site.listed(), 1);
     for _ in 0..6 {
         site.advance(1_000);
     }
-    assert_eq!(listed(&mut site), 0, "it must be tried again");
+    assert_eq!(site.listed(), 0, "it must be tried again");
+}
+
+/// Guards against a large site on which a hub hears of a slow server only every
+/// 80 ms, and never lists it.
+#[test]
+fn a_slow_server_of_a_large_site_is_listed() {
+    let mut site = Site::new();
+    site.advance(10);
+    for _ in 0..4 {
+        site.tell(hub::Symptom::Overdue, 1);
+        site.advance(80);
+    }
+    assert_eq!(site.listed(), 1);
+}
+
+/// Guards against a pause that joins the odd overdue attempts after it: a fast
+/// answer in between ends what belongs together, and so does a silence.
+#[test]
+fn a_server_that_recovers_between_reports_is_not_listed() {
+    for recovers in [true, false] {
+        let mut site = Site::new();
+        site.advance(10);
+        for _ in 0..4 {
+            site.tell(hub::Symptom::Overdue, 1);
+            site.advance(30);
+        }
+        if recovers {
+            site.tell(hub::Symptom::Recovered, 1);
+        } else {
+            site.advance(200);
+        }
+        site.advance(90);
+        site.tell(hub::Symptom::Overdue, 1);
+        site.advance(10);
+        assert_eq!(site.listed(), 0, "recovers: {recovers}");
+    }
+}
+
+/// Guards against requests to servers that are known to fail what they run.
+#[test]
+fn a_server_that_fails_is_listed_after_few_failures() {
+    let mut site = Site::new();
+    site.advance(10);
+    for _ in 0..3 {
+        site.tell(hub::Symptom::Failed, 1);
+        site.advance(110);
+    }
+    assert_eq!(site.listed(), 1);
 }
