Take no failure for a sign right after the start of an entry VM

Ruled out: telling such resets by their time (an entry VM that opens 90 connections at once sees them after 13 to 23 ms, like answers).

Change: for 5 s after its first view an entry VM reports no failures.

--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -13,8 +13,7 @@
     generation: u64,
     members: usize,
     next_token: ids::Ticket,
-    /// What attempts showed and the control VMs have not been told.
-    signs: Vec<hub::Sign>,
+    signs: fleet::sign_book::SignBook,
     pools: sorted::SortedMap<ids::ServiceName, fleet::pool::Pool>,
     routes: sorted::SortedMap<String, fleet::route_latency::RouteLatency>,
     splits: sorted::SortedMap<String, fleet::split_state::SplitState>,
@@ -30,7 +29,7 @@
             generation: 0,
             members: 0,
             next_token: 0,
-            signs: Vec::new(),
+            signs: fleet::sign_book::SignBook::default(),
             pools: sorted::SortedMap::new(),
             routes: sorted::SortedMap::new(),
             splits: sorted::SortedMap::new(),
@@ -43,6 +42,7 @@
             return false;
         }
         self.generation = view.generation;
+        self.signs.start(now);
         self.members = view.members;
         for (name, server) in view.servers.iter() {
             let out = view.zones.zones.contains(&server.record.zone);
@@ -179,7 +179,7 @@
         if let Some(target) = pool.and_then(|pool| pool.targets.get_mut(server)) {
             let factor = elapsed.as_secs_f64() / typical;
             target.note_overdue(token, factor, now);
-            self.signs.push((server.to_owned(), hub::Symptom::Overdue));
+            self.signs.add(server, hub::Symptom::Overdue, now);
         }
     }
 
@@ -212,16 +212,16 @@
             latency.high.add(elapsed);
         }
         let pool = self.pools.get_mut(service);
-        if let Some(target) = pool.and_then(|pool| pool.targets.get_mut(server)) {
-            let symptom = target.end(token, result, typical, now);
-            let sign = symptom.map(|symptom| (server.to_owned(), symptom));
-            self.signs.extend(sign);
+        let target = pool.and_then(|pool| pool.targets.get_mut(server));
+        let symptom = target.and_then(|target| target.end(token, result, typical, now));
+        if let Some(symptom) = symptom {
+            self.signs.add(server, symptom, now);
         }
     }
 
     /// What attempts showed since the last call.
     pub fn take_signs(&mut self) -> Vec<hub::Sign> {
-        std::mem::take(&mut self.signs)
+        self.signs.take()
     }
 
     /// Latency that most attempts of a route do not exceed.
--- a/crates/fireflyspool/src/fleet/mod.rs
+++ b/crates/fireflyspool/src/fleet/mod.rs
@@ -24,8 +24,10 @@
 mod quantile;
 mod repeat_budget;
 mod route_latency;
+mod sign_book;
 mod split_state;
 mod target;
+mod target_score;
 mod view;
 
 pub use attempt_result::AttemptResult;
--- a/crates/fireflyspool/src/fleet/target.rs
+++ b/crates/fireflyspool/src/fleet/target.rs
@@ -7,26 +7,9 @@
 /// Weight of a new latency sample.
 const LATENCY_WEIGHT: f64 = 0.3;
 
-/// Time after which a slow server's penalty has faded to about a third, so
-/// that it is tried again.
-const FORGIVENESS: time::Duration = time::Duration::from_millis(2_500);
-
-/// Age at which the load that a server told says nothing any more.
-const LOAD_LIFETIME: time::Duration = time::Duration::from_millis(250);
-
 /// Weight of a new failure or success.
 const FAILURE_WEIGHT: f64 = 0.25;
 
-/// Score of one overdue attempt, in units of a typical latency.
-const OVERDUE_PENALTY: f64 = 4.0;
-
-/// Score of a server whose attempts all fail, in units of a typical latency.
-const FAILURE_PENALTY: f64 = 20.0;
-
-/// Score of leaving the zone, in units of a typical latency: the way there and
-/// back, and the price of traffic between zones.
-const ZONE_PENALTY: f64 = 4.0;
-
 /// Most by which an entry VM prefers one server of another zone to another one,
 /// in units of a typical latency; above what one running request makes.
 ///
@@ -34,10 +17,6 @@
 /// keeps to one of the other zones while it can.
 const PREFERENCE: f64 = 1.0;
 
-/// Least slowness of a server that entry VMs together find slow; above what
-/// leaving the zone costs.
-const LISTED_SLOWNESS: f64 = 6.5;
-
 /// Time for which a reported server is watched for an answer that is fast again.
 const WATCH: time::Duration = time::Duration::from_secs(1);
 
@@ -53,27 +32,27 @@
     pub(super) address: net::SocketAddr,
     pub(super) local: bool,
     /// Penalty of a server of another zone; the same for this entry VM at all times.
-    aversion: f64,
+    pub(super) aversion: f64,
     pub(super) born: ids::BornMillis,
-    slots: f64,
+    pub(super) slots: f64,
     serving: bool,
     cold_until: time::Instant,
     zone_out: bool,
     pub(super) suspended: Option<time::Instant>,
     pub(super) running: usize,
     /// Attempts under way that take longer than usual.
-    overdue: Vec<ids::Ticket>,
+    pub(super) overdue: Vec<ids::Ticket>,
     /// When the control VMs were last told of an overdue or failed attempt.
     reported: Option<time::Instant>,
     /// Latency relative to what is typical.
-    slowness: f64,
-    slowness_at: time::Instant,
+    pub(super) slowness: f64,
+    pub(super) slowness_at: time::Instant,
     /// Whether entry VMs together find it slow.
-    listed_slow: bool,
-    load: f64,
-    load_at: time::Instant,
-    failures: f64,
-    failures_at: time::Instant,
+    pub(super) listed_slow: bool,
+    pub(super) load: f64,
+    pub(super) load_at: time::Instant,
+    pub(super) failures: f64,
+    pub(super) failures_at: time::Instant,
     broken: u32,
 }
 
@@ -137,39 +116,6 @@
         self.serving && !self.zone_out && self.cold_until <= now && self.suspended.is_none()
     }
 
-    /// Expected cost of one more request; lower is better.
-    pub(super) fn score(&self, now: time::Instant) -> f64 {
-        let age = now
-            .saturating_duration_since(self.slowness_at)
-            .as_secs_f64();
-        let fade = (-age / FORGIVENESS.as_secs_f64()).exp();
-        let slowness = match self.slowness > 1.0 {
-            true => 1.0 + (self.slowness - 1.0) * fade,
-            false => self.slowness,
-        };
-        let slowness = match self.listed_slow {
-            true => slowness.max(LISTED_SLOWNESS),
-            false => slowness,
-        };
-        let age = now
-            .saturating_duration_since(self.failures_at)
-            .as_secs_f64();
-        let failures = self.failures * (-age / FORGIVENESS.as_secs_f64()).exp();
-        let told = match now.saturating_duration_since(self.load_at) < LOAD_LIFETIME {
-            true => self.load,
-            false => 0.0,
-        };
-        let busy = told.max(self.running as f64) / self.slots;
-        let zone = match self.local {
-            true => 0.0,
-            false => ZONE_PENALTY + self.aversion,
-        };
-        slowness * (1.0 + busy)
-            + OVERDUE_PENALTY * self.overdue.len() as f64
-            + FAILURE_PENALTY * failures
-            + zone
-    }
-
     pub(super) fn start(&mut self) {
         self.running += 1;
     }
--- a/crates/fireflyspool/src/lease/holder.rs
+++ b/crates/fireflyspool/src/lease/holder.rs
@@ -21,8 +21,8 @@
     replica: replica::Replica,
     holds: holds::Holds,
     hearing: hearing::Hearing,
-    reports: reports::Reports,
-    warnings: warnings::Warnings,
+    pub(super) reports: reports::Reports,
+    pub(super) warnings: warnings::Warnings,
 }
 
 impl Holder {
@@ -151,28 +151,6 @@
         self.member.load = load;
     }
 
-    /// Reports that a backend server died while it ran a request.
-    pub fn report_crash(
-        &mut self,
-        fingerprint: ids::Fingerprint,
-        server: &str,
-        incarnation: ids::Incarnation,
-    ) {
-        self.reports.add(roster::Crash {
-            fingerprint,
-            server: server.to_owned(),
-            incarnation,
-        });
-    }
-
-    /// Takes the word that a backend server died; returns whether the view changes.
-    ///
-    /// A content is suspect in the view at once, before the leader has
-    /// published the death.
-    pub fn warn(&mut self, crash: roster::Crash, now: time::Instant) -> bool {
-        self.warnings.add(crash, now)
-    }
-
     /// Backend servers whose connections are to be closed, ascending.
     pub fn to_release(&self) -> Vec<ids::ServerName> {
         self.holds.to_release()
--- a/crates/fireflyspool/src/lease/mod.rs
+++ b/crates/fireflyspool/src/lease/mod.rs
@@ -31,6 +31,7 @@
 mod hearing;
 mod hold;
 mod holder;
+mod holder_crashes;
 mod holds;
 mod replica;
 mod reports;
--- a/crates/fireflyspool/tests/fleet.rs
+++ b/crates/fireflyspool/tests/fleet.rs
@@ -324,6 +324,9 @@
 #[test]
 fn a_fast_answer_after_a_reported_attempt_is_a_sign_too() {
     let mut site = Site::new(vec![record("a-1", "a")]);
+    site.run(1, fleet::AttemptResult::Failed);
+    assert!(site.fleet.take_signs().is_empty(), "it has just started");
+    site.now += time::Duration::from_secs(5);
     for _ in 0..20 {
         site.run(1, FAST);
     }
