Name signs of backend servers alike in hub, control thread and messages

They tell of failures and recoveries as well as of slowness. A doc comment no longer links to a private constant, which failed the documentation check.

--- a/crates/fireflyspool/src/control/control_thread.rs
+++ b/crates/fireflyspool/src/control/control_thread.rs
@@ -204,9 +204,9 @@
                     follow.polled(reply.map(|reply| *reply), &self.outlet, now);
                 }
             }
-            control::Event::Slow(sign) => {
+            control::Event::Sign(sign) => {
                 if let Some(follow) = &mut self.follow {
-                    follow.note_slow(sign);
+                    follow.note_sign(sign);
                 }
             }
             control::Event::Leave => {
--- a/crates/fireflyspool/src/control/event.rs
+++ b/crates/fireflyspool/src/control/event.rs
@@ -94,7 +94,7 @@
     /// For the hub of this control VM.
     Hub(control::HubEvent),
     /// An attempt shows that a backend server is slow, failing or well again.
-    Slow(hub::Sign),
+    Sign(hub::Sign),
     /// The poll of this entry VM has ended; `None` if there was no answer.
     Polled(Option<Box<hub::FollowReply>>),
     /// A deadline has come.
--- a/crates/fireflyspool/src/control/follow_side.rs
+++ b/crates/fireflyspool/src/control/follow_side.rs
@@ -10,8 +10,8 @@
     logger: slog::Logger,
     in_touch: bool,
     version: ids::ConfigVersion,
-    /// Slow backend servers that the hub has not been told of.
-    slow: Vec<hub::Sign>,
+    /// What attempts showed and the hub has not been told.
+    signs: Vec<hub::Sign>,
 }
 
 impl FollowSide {
@@ -22,7 +22,7 @@
             logger,
             in_touch: false,
             version: 0,
-            slow: Vec::new(),
+            signs: Vec::new(),
         }
     }
 
@@ -33,9 +33,9 @@
 
     /// Sends the poll that is due.
     pub fn tick(&mut self, outlet: &dyn control::Outlet, now: time::Instant) {
-        if !self.slow.is_empty() {
-            let reports = std::mem::take(&mut self.slow);
-            outlet.report_slow(self.follower.hub(), reports);
+        if !self.signs.is_empty() {
+            let reports = std::mem::take(&mut self.signs);
+            outlet.report_signs(self.follower.hub(), reports);
         }
         if self.follower.next_poll().is_none_or(|due| due > now) {
             return;
@@ -45,9 +45,9 @@
         }
     }
 
-    /// Takes a slow backend server, of which the hub is told with the next tick.
-    pub fn note_slow(&mut self, sign: hub::Sign) {
-        self.slow.push(sign);
+    /// Takes what an attempt showed; the hub is told with the next tick.
+    pub fn note_sign(&mut self, sign: hub::Sign) {
+        self.signs.push(sign);
     }
 
     /// Takes the end of a poll.
--- a/crates/fireflyspool/src/control/hub_event.rs
+++ b/crates/fireflyspool/src/control/hub_event.rs
@@ -40,8 +40,8 @@
         /// Answer; `None` if there was none.
         ack: Option<hub::Ack>,
     },
-    /// Backend servers that an entry VM found slow.
-    Slow(Vec<hub::Sign>),
+    /// What attempts of an entry VM showed about backend servers.
+    Signs(Vec<hub::Sign>),
     /// Poll of an entry VM.
     Follow {
         /// The poll.
--- a/crates/fireflyspool/src/control/outlet.rs
+++ b/crates/fireflyspool/src/control/outlet.rs
@@ -40,8 +40,8 @@
     /// Only entry VMs that follow a hub need this and the next three.
     fn follow(&self, _hub: net::SocketAddr, _request: hub::FollowRequest) {}
 
-    /// Tells a control VM of slow backend servers; the message may be lost.
-    fn report_slow(&self, _hub: net::SocketAddr, _reports: Vec<hub::Sign>) {}
+    /// Tells a control VM what attempts showed; the message may be lost.
+    fn report_signs(&self, _hub: net::SocketAddr, _reports: Vec<hub::Sign>) {}
 
     /// Publishes what this entry VM knows to the traffic threads.
     fn publish_fleet(&self, _view: fleet::View) {}
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -90,7 +90,7 @@
     }
 
     /// Takes what attempts of an entry VM showed about backend servers.
-    pub fn report_slow(&mut self, reports: Vec<hub::Sign>, now: time::Instant) {
+    pub fn report_signs(&mut self, reports: Vec<hub::Sign>, now: time::Instant) {
         for (server, symptom) in reports {
             self.slow.report(server, symptom, now);
         }
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -101,10 +101,10 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
-    /// Tells the control thread which servers turned out slow.
-    pub(super) fn tell_slow(&self, fleet: &mut fleet::Fleet) {
+    /// Tells the control thread what attempts showed.
+    pub(super) fn tell_signs(&self, fleet: &mut fleet::Fleet) {
         for sign in fleet.take_signs() {
-            self.process.tell(control::Event::Slow(sign));
+            self.process.tell(control::Event::Sign(sign));
         }
     }
 
--- a/crates/fireflyspool/src/rim/method.rs
+++ b/crates/fireflyspool/src/rim/method.rs
@@ -29,8 +29,8 @@
     Follow,
     /// Order for the leader.
     Order,
-    /// Slow backend servers that an entry VM noticed.
-    Slow,
+    /// What attempts of an entry VM showed about backend servers.
+    Signs,
 }
 
 impl Method {
@@ -50,7 +50,7 @@
             Self::Exchange => "hub.exchange",
             Self::Follow => "hub.follow",
             Self::Order => "order.decide",
-            Self::Slow => "hub.slow",
+            Self::Signs => "hub.signs",
         }
     }
 }
--- a/crates/fireflyspool/src/traffic/crash_warning.rs
+++ b/crates/fireflyspool/src/traffic/crash_warning.rs
@@ -13,7 +13,7 @@
 impl traffic::EntryNode {
     /// Tells all members that backend servers died under a content.
     ///
-    /// Returns once they all act on it, or after [`WARNING_WAIT`].
+    /// Returns once they all act on it, or after a bounded wait.
     pub async fn warn(&self, fingerprint: ids::Fingerprint, servers: &[ids::ServerName]) {
         let view = self.shared.view.load_full();
         let crash = |server: &ids::ServerName| {
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -86,7 +86,7 @@
     /// Tells the first hub so many times of one server.
     fn tell(&mut self, symptom: hub::Symptom, times: usize) {
         let reports = vec![("s".to_owned(), symptom); times];
-        self.hubs[0].report_slow(reports, self.now);
+        self.hubs[0].report_signs(reports, self.now);
     }
 
     /// Slow servers that a follower of the third hub is told.
