Start platform processes and log a failed control thread in one place

Both roles assembled the same shared state and logged the end of the control thread with the same closure. Both outlets implemented timer, random numbers and time of day alike; these are a trait of their own now, with one implementation.

--- a/crates/fireflyspool/src/cli/serve.rs
+++ b/crates/fireflyspool/src/cli/serve.rs
@@ -166,13 +166,10 @@
     let (sender, failed) = oneshot::channel();
     let control = shared.control_addresses();
     let logger = shared.logger.clone();
-    control::ControlThread::new(outlet, receiver, voter, entry, control, logger.clone()).start(
-        move |result| {
-            if let Err(error) = result {
-                slog::error!(logger, "the control thread failed"; "error" => ?error);
-                // The receiver is gone only while the process ends anyway.
-                let _ = sender.send(error);
-            }
+    control::ControlThread::new(outlet, receiver, voter, entry, control, logger).start(
+        move |error| {
+            // The receiver is gone only while the process ends anyway.
+            let _ = sender.send(error);
         },
     )?;
     Ok(failed)
--- a/crates/fireflyspool/src/control/control_thread.rs
+++ b/crates/fireflyspool/src/control/control_thread.rs
@@ -70,20 +70,22 @@
         self
     }
 
-    /// Starts the thread; `ended` is called when it ends, with the error if it failed.
+    /// Starts the thread; `failed` is called with the error if it fails.
     ///
     /// # Errors
     ///
     /// Returns the error of the operating system if no thread can be started.
     pub fn start(
         mut self,
-        ended: impl FnOnce(Result<(), control::ControlError>) + Send + 'static,
+        failed: impl FnOnce(control::ControlError) + Send + 'static,
     ) -> std::io::Result<thread::JoinHandle<()>> {
         thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || {
-                let result = self.run();
-                ended(result);
+                if let Err(error) = self.run() {
+                    slog::error!(self.logger, "the control thread failed"; "error" => ?error);
+                    failed(error);
+                }
             })
     }
 
@@ -127,7 +129,7 @@
         if let Some(follow) = &mut self.follow {
             follow.tick(&self.outlet, now);
         }
-        self.outlet.wake_at(self.next_wake(now));
+        self.outlet.environment().wake_at(self.next_wake(now));
         Ok(())
     }
 
--- a/crates/fireflyspool/src/control/mod.rs
+++ b/crates/fireflyspool/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod control_error;
 mod control_thread;
 mod entry_side;
+mod environment;
 mod event;
 mod follow_side;
 mod hub_event;
@@ -38,6 +39,7 @@
 pub use control_error::ControlError;
 pub use control_thread::ControlThread;
 pub use entry_side::EntrySide;
+pub use environment::Environment;
 pub use event::Event;
 pub use follow_side::FollowSide;
 pub use hub_event::HubEvent;
--- a/crates/fireflyspool/src/control/outlet.rs
+++ b/crates/fireflyspool/src/control/outlet.rs
@@ -1,8 +1,8 @@
 //! What the control thread needs from the rest of the process.
 
-use std::{net, time};
+use std::net;
 
-use crate::{consensus, fleet, hub, ids, roster, state, view};
+use crate::{consensus, control, fleet, hub, ids, roster, state, view};
 
 /// Side effects of the control thread.
 ///
@@ -51,12 +51,6 @@
         Vec::new()
     }
 
-    /// Raises [`crate::control::Event::Timer`] at that time; replaces an earlier call.
-    fn wake_at(&self, at: time::Instant);
-
-    /// A random number.
-    fn entropy(&self) -> u64;
-
-    /// Milliseconds since the Unix epoch.
-    fn wall_clock(&self) -> u64;
+    /// Time and chance.
+    fn environment(&self) -> &dyn control::Environment;
 }
--- a/crates/fireflyspool/src/control/voter.rs
+++ b/crates/fireflyspool/src/control/voter.rs
@@ -59,7 +59,8 @@
         outlet: &dyn control::Outlet,
         now: time::Instant,
     ) -> Result<Self, control::ControlError> {
-        let (replica, actions) = consensus::Replica::new(config, recovered, now, outlet.entropy());
+        let (replica, actions) =
+            consensus::Replica::new(config, recovered, now, outlet.environment().entropy());
         let mut voter = Self {
             replica,
             folder,
@@ -214,7 +215,9 @@
         outlet: &dyn control::Outlet,
         now: time::Instant,
     ) {
-        let actions = self.replica.handle(event, now, outlet.entropy());
+        let actions = self
+            .replica
+            .handle(event, now, outlet.environment().entropy());
         self.pending.extend(actions);
     }
 }
--- a/crates/fireflyspool/src/control/voter_proposals.rs
+++ b/crates/fireflyspool/src/control/voter_proposals.rs
@@ -21,14 +21,14 @@
         outlet: &dyn control::Outlet,
         now: time::Instant,
     ) {
-        let stamped = outlet.wall_clock();
+        let stamped = outlet.environment().wall_clock();
         let entry = state::Entry::Command { command, stamped };
         self.propose(&entry, waiter::Waiter::Command(reply), outlet, now);
     }
 
     /// Puts all waiting claims and outcomes into one entry each.
     pub(super) fn propose_claims(&mut self, outlet: &dyn control::Outlet, now: time::Instant) {
-        let issued = outlet.wall_clock();
+        let issued = outlet.environment().wall_clock();
         while !self.claims.is_empty() {
             let batch = self.claims.len().min(CLAIM_BATCH);
             let (claims, replies) = self
--- a/crates/fireflyspool/src/node/control.rs
+++ b/crates/fireflyspool/src/node/control.rs
@@ -6,9 +6,7 @@
 use tokio::sync::oneshot;
 
 use crate::node::numbering;
-use crate::{
-    consensus, control, hub, ids, node, registry, rim, roster, sorted, state, storage, timer,
-};
+use crate::{consensus, control, hub, ids, node, registry, rim, roster, sorted, state, storage};
 
 /// Time for an order; its sender tries another VM after a second.
 const ORDER_LIMIT: time::Duration = time::Duration::from_millis(930);
@@ -43,11 +41,8 @@
         settings: node::ControlSettings,
         logger: slog::Logger,
     ) -> anyhow::Result<sync::Arc<Self>> {
-        let timer = timer::TimerService::start()?;
-        let (mailbox, receiver) = control::Mailbox::new();
-        let incarnation = rand::random::<u64>() >> 11;
-        let process = node::Process::new(logger.clone(), timer, mailbox, incarnation);
-        let process = sync::Arc::new(process);
+        let (process, receiver) = node::Process::start(logger.clone())?;
+        let incarnation = process.incarnation;
         let outlet = node::MeshOutlet::new(
             sync::Arc::clone(&process),
             tokio::runtime::Handle::current(),
@@ -70,14 +65,9 @@
         let listener = node::mesh_listener(settings.rpc, sync::Arc::clone(&node)).await?;
         node.listener.get_or_init(|| listener);
         let opener = opener(settings, logger.clone());
-        let failed = logger.clone();
         control::ControlThread::new(outlet, receiver, None, None, Vec::new(), logger)
             .with_hub(hub, opener)
-            .start(move |result| {
-                if let Err(error) = result {
-                    slog::error!(failed, "the control thread failed"; "error" => ?error);
-                }
-            })?;
+            .start(drop)?;
         Ok(node)
     }
 
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -5,7 +5,7 @@
     time,
 };
 
-use crate::{configuration, control, fleet, follow, forward, hub, node, telemetry, timer};
+use crate::{configuration, control, fleet, follow, forward, hub, node, telemetry};
 
 /// Time before the end of the grace in which a leaving process must be gone.
 const EXIT_MARGIN: time::Duration = time::Duration::from_millis(700);
@@ -37,11 +37,8 @@
         link: sync::Arc<dyn node::Link>,
         (logger, dropped): (slog::Logger, telemetry::DroppedLines),
     ) -> anyhow::Result<sync::Arc<Self>> {
-        let timer = timer::TimerService::start()?;
-        let (mailbox, receiver) = control::Mailbox::new();
-        let incarnation = rand::random::<u64>() >> 11;
-        let process = node::Process::new(logger.clone(), timer, mailbox, incarnation);
-        let process = sync::Arc::new(process);
+        let (process, receiver) = node::Process::start(logger.clone())?;
+        let incarnation = process.incarnation;
         let runtime = tokio::runtime::Handle::current();
         let outlet = node::MeshOutlet::new(sync::Arc::clone(&process), runtime, settings.callers);
         let member = hub::Member {
@@ -55,14 +52,9 @@
         let follower = follow::Follower::new(member, format, settings.contacts, now)
             .ok_or_else(|| anyhow::anyhow!("the settings name no control VM"))?;
         let follow = control::FollowSide::new(follower, logger.clone());
-        let failed = logger.clone();
         control::ControlThread::new(outlet, receiver, None, None, Vec::new(), logger)
             .with_follower(follow)
-            .start(move |result| {
-                if let Err(error) = result {
-                    slog::error!(failed, "the control thread failed"; "error" => ?error);
-                }
-            })?;
+            .start(drop)?;
         let fleet = fleet::Fleet::new(settings.zone, incarnation, settings.limits);
         let forwarding = node::Forwarding::new(sync::Arc::clone(&process), fleet, link);
         Ok(sync::Arc::new(Self {
--- a/crates/fireflyspool/src/node/mesh_outlet.rs
+++ b/crates/fireflyspool/src/node/mesh_outlet.rs
@@ -19,7 +19,7 @@
     /// Listener of this process; unused on entry VMs, which have no replica.
     own: net::SocketAddr,
     links: sync::Mutex<sorted::SortedMap<net::SocketAddr, mpsc::Sender<consensus::Envelope>>>,
-    wake: rim::Wake,
+    environment: rim::ProcessEnvironment,
 }
 
 impl MeshOutlet {
@@ -29,13 +29,14 @@
         runtime: tokio::runtime::Handle,
         own: net::SocketAddr,
     ) -> Self {
-        let wake = rim::Wake::new(process.timer.clone(), process.mailbox.clone());
+        let environment =
+            rim::ProcessEnvironment::new(process.timer.clone(), process.mailbox.clone());
         Self {
             process,
             runtime,
             own,
             links: sync::Mutex::default(),
-            wake,
+            environment,
         }
     }
 
@@ -135,15 +136,7 @@
         self.process.suspended.load().as_ref().clone()
     }
 
-    fn wake_at(&self, at: time::Instant) {
-        self.wake.set(at);
-    }
-
-    fn entropy(&self) -> u64 {
-        rand::random()
-    }
-
-    fn wall_clock(&self) -> u64 {
-        rim::wall_millis()
+    fn environment(&self) -> &dyn control::Environment {
+        &self.environment
     }
 }
--- a/crates/fireflyspool/src/node/process.rs
+++ b/crates/fireflyspool/src/node/process.rs
@@ -1,6 +1,9 @@
 //! What all parts of one process share.
 
-use std::{net, sync};
+use std::{
+    io, net,
+    sync::{self, mpsc},
+};
 
 use crate::node::numbering;
 use crate::{control, fleet, hub, ids, rim, timer};
@@ -28,24 +31,29 @@
 }
 
 impl Process {
-    /// Shared state of a process that starts.
-    pub fn new(
+    /// Starts the timer; returns the shared state and the queue of the control thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the operating system if no thread can be started.
+    pub fn start(
         logger: slog::Logger,
-        timer: timer::TimerService,
-        mailbox: control::Mailbox,
-        incarnation: ids::Incarnation,
-    ) -> Self {
-        Self {
+    ) -> io::Result<(sync::Arc<Self>, mpsc::Receiver<control::Event>)> {
+        let timer = timer::TimerService::start()?;
+        let (mailbox, receiver) = control::Mailbox::new();
+        let process = Self {
             logger,
             timer,
             mailbox,
             peers: rim::Peers::new(None),
-            incarnation,
+            // 53 bits, which every JSON reader keeps exactly.
+            incarnation: rand::random::<u64>() >> 11,
             group: arc_swap::ArcSwap::default(),
             addresses: arc_swap::ArcSwap::default(),
             view: arc_swap::ArcSwap::default(),
             suspended: arc_swap::ArcSwap::default(),
-        }
+        };
+        Ok((sync::Arc::new(process), receiver))
     }
 
     /// Sends an event to the control thread.
--- a/crates/fireflyspool/src/rim/control_outlet.rs
+++ b/crates/fireflyspool/src/rim/control_outlet.rs
@@ -14,7 +14,7 @@
     node: sync::Arc<traffic::EntryNode>,
     runtime: tokio::runtime::Handle,
     links: sync::Mutex<sorted::SortedMap<ids::NodeId, Link>>,
-    wake: rim::Wake,
+    environment: rim::ProcessEnvironment,
 }
 
 struct Link {
@@ -26,12 +26,13 @@
     /// An outlet whose calls run on that runtime.
     pub fn new(node: sync::Arc<traffic::EntryNode>, runtime: tokio::runtime::Handle) -> Self {
         let shared = node.shared();
-        let wake = rim::Wake::new(shared.timer.clone(), shared.mailbox.clone());
+        let environment =
+            rim::ProcessEnvironment::new(shared.timer.clone(), shared.mailbox.clone());
         Self {
             node,
             runtime,
             links: sync::Mutex::default(),
-            wake,
+            environment,
         }
     }
 
@@ -107,15 +108,7 @@
         self.node.shared().set_control_addresses(addresses);
     }
 
-    fn wake_at(&self, at: time::Instant) {
-        self.wake.set(at);
-    }
-
-    fn entropy(&self) -> u64 {
-        rand::random()
-    }
-
-    fn wall_clock(&self) -> u64 {
-        rim::wall_millis()
+    fn environment(&self) -> &dyn control::Environment {
+        &self.environment
     }
 }
--- a/crates/fireflyspool/src/rim/wake.rs
+++ b/crates/fireflyspool/src/rim/process_environment.rs
@@ -1,26 +1,28 @@
-//! Wake-up call of the control thread.
+//! Timer, random numbers and time of day for the control thread.
 
 use std::{sync, time};
 
-use crate::{control, timer};
+use crate::{control, rim, timer};
 
-/// The one deadline for which the control thread waits.
-pub struct Wake {
+/// Environment of the control thread of a running process.
+pub struct ProcessEnvironment {
     mailbox: control::Mailbox,
+    /// The one deadline for which the control thread waits.
     alarm: sync::Mutex<timer::Alarm>,
 }
 
-impl Wake {
-    /// A wake-up call that is not set.
+impl ProcessEnvironment {
+    /// An environment without a deadline.
     pub fn new(timer: timer::TimerService, mailbox: control::Mailbox) -> Self {
         Self {
             mailbox,
             alarm: sync::Mutex::new(timer::Alarm::new(timer)),
         }
     }
+}
 
-    /// Raises [`control::Event::Timer`] at that time; replaces an earlier call.
-    pub fn set(&self, at: time::Instant) {
+impl control::Environment for ProcessEnvironment {
+    fn wake_at(&self, at: time::Instant) {
         // Only the control thread locks this; the lock is there for `Sync`.
         let mut alarm = self
             .alarm
@@ -34,4 +36,12 @@
             let _ = mailbox.send(control::Event::Timer);
         });
     }
+
+    fn entropy(&self) -> u64 {
+        rand::random()
+    }
+
+    fn wall_clock(&self) -> u64 {
+        rim::wall_millis()
+    }
 }
--- a/crates/fireflyspool/tests/common/view_outlet.rs
+++ b/crates/fireflyspool/tests/common/view_outlet.rs
@@ -30,6 +30,12 @@
 
     fn publish_control(&self, _: Vec<(ids::NodeId, net::SocketAddr)>) {}
 
+    fn environment(&self) -> &dyn control::Environment {
+        self
+    }
+}
+
+impl control::Environment for ViewOutlet {
     fn wake_at(&self, _: time::Instant) {}
 
     fn entropy(&self) -> u64 {
