Call slow and failing servers outliers, and reports of them observations

Entry VMs now log which servers were listed and dropped; nothing told that so far. The penalty of another zone is one figure of a server, and a server is looked up in one place.

--- a/crates/fireflyspool/src/control/control_thread.rs
+++ b/crates/fireflyspool/src/control/control_thread.rs
@@ -206,9 +206,9 @@
                     follow.polled(reply.map(|reply| *reply), &self.outlet, now);
                 }
             }
-            control::Event::Sign(sign) => {
+            control::Event::Observed(observation) => {
                 if let Some(follow) = &mut self.follow {
-                    follow.note_sign(sign);
+                    follow.note_observation(observation);
                 }
             }
             control::Event::Leave => {
--- a/crates/fireflyspool/src/control/event.rs
+++ b/crates/fireflyspool/src/control/event.rs
@@ -93,8 +93,8 @@
     Leave,
     /// For the hub of this control VM.
     Hub(control::HubEvent),
-    /// An attempt shows that a backend server is slow, failing or well again.
-    Sign(hub::Sign),
+    /// An attempt showed that a backend server is slow, failing or fast again.
+    Observed(hub::Observation),
     /// The poll of this entry VM has ended; `None` if there was no answer.
     Polled(Option<Box<hub::FollowReply>>),
     /// A deadline has come.
--- a/crates/fireflyspool/src/control/follow_side.rs
+++ b/crates/fireflyspool/src/control/follow_side.rs
@@ -8,10 +8,12 @@
 pub struct FollowSide {
     follower: follow::Follower,
     logger: slog::Logger,
-    in_touch: bool,
+    connected: bool,
     version: ids::ConfigVersion,
+    /// Outliers as last logged.
+    outliers: Vec<ids::ServerName>,
     /// What attempts showed and the hub has not been told.
-    signs: Vec<hub::Sign>,
+    observations: Vec<hub::Observation>,
 }
 
 impl FollowSide {
@@ -20,9 +22,10 @@
         Self {
             follower,
             logger,
-            in_touch: false,
+            connected: false,
             version: 0,
-            signs: Vec::new(),
+            outliers: Vec::new(),
+            observations: Vec::new(),
         }
     }
 
@@ -33,9 +36,9 @@
 
     /// Sends the poll that is due.
     pub fn tick(&mut self, outlet: &dyn control::Outlet, now: time::Instant) {
-        if !self.signs.is_empty() {
-            let reports = std::mem::take(&mut self.signs);
-            outlet.report_signs(self.follower.hub(), reports);
+        if !self.observations.is_empty() {
+            let reports = std::mem::take(&mut self.observations);
+            outlet.report_observations(self.follower.hub(), reports);
         }
         if self.follower.next_poll().is_none_or(|due| due > now) {
             return;
@@ -46,8 +49,8 @@
     }
 
     /// Takes what an attempt showed; the hub is told with the next tick.
-    pub fn note_sign(&mut self, sign: hub::Sign) {
-        self.signs.push(sign);
+    pub fn note_observation(&mut self, observation: hub::Observation) {
+        self.observations.push(observation);
     }
 
     /// Takes the end of a poll.
@@ -58,16 +61,17 @@
         now: time::Instant,
     ) {
         let answered = reply.is_some();
-        if answered != self.in_touch {
-            self.in_touch = answered;
+        if answered != self.connected {
+            self.connected = answered;
             let state = if answered { "regained" } else { "lost" };
-            slog::info!(self.logger, "touch with the control VMs"; "state" => state);
+            slog::info!(self.logger, "connection to the control VMs"; "state" => state);
         }
         if let Err(error) = self.follower.polled(reply, now) {
             slog::error!(self.logger, "unusable configuration"; "error" => %error);
         }
         if answered {
             let view = self.follower.view().clone();
+            self.log_outliers(&view.outliers);
             let version = view.table.as_ref().map_or(0, |table| table.version());
             if version != self.version {
                 self.version = version;
@@ -77,6 +81,19 @@
         }
     }
 
+    /// Writes which backend servers became outliers, and which no longer are.
+    fn log_outliers(&mut self, outliers: &[ids::ServerName]) {
+        if self.outliers == outliers {
+            return;
+        }
+        let known = |list: &[ids::ServerName], server| list.binary_search(server).is_ok();
+        let listed = outliers.iter().filter(|name| !known(&self.outliers, name));
+        let dropped = self.outliers.iter().filter(|name| !known(outliers, name));
+        slog::info!(self.logger, "outliers changed";
+            "listed" => ?listed.collect::<Vec<_>>(), "dropped" => ?dropped.collect::<Vec<_>>());
+        self.outliers = outliers.to_vec();
+    }
+
     /// Takes this VM out of the answers to callers.
     pub fn leave(&mut self, now: time::Instant) {
         self.follower.leave(now);
--- a/crates/fireflyspool/src/control/hub_event.rs
+++ b/crates/fireflyspool/src/control/hub_event.rs
@@ -41,7 +41,7 @@
         ack: Option<hub::Ack>,
     },
     /// What attempts of an entry VM showed about backend servers.
-    Signs(Vec<hub::Sign>),
+    Observed(Vec<hub::Observation>),
     /// Poll of an entry VM.
     Follow {
         /// The poll.
--- a/crates/fireflyspool/src/control/hub_side.rs
+++ b/crates/fireflyspool/src/control/hub_side.rs
@@ -107,7 +107,7 @@
             control::HubEvent::Exchanged { peer, ack } => {
                 self.hub.exchanged(peer, ack.as_ref(), now);
             }
-            control::HubEvent::Signs(reports) => self.hub.report_signs(reports, now),
+            control::HubEvent::Observed(reports) => self.hub.observe(reports, now),
             control::HubEvent::Follow { request, reply } => {
                 let ticket = self.ticket();
                 self.polls.insert(ticket, reply);
--- a/crates/fireflyspool/src/control/outlet.rs
+++ b/crates/fireflyspool/src/control/outlet.rs
@@ -41,7 +41,7 @@
     fn follow(&self, _hub: net::SocketAddr, _request: hub::FollowRequest) {}
 
     /// Tells a control VM what attempts showed; the message may be lost.
-    fn report_signs(&self, _hub: net::SocketAddr, _reports: Vec<hub::Sign>) {}
+    fn report_observations(&self, _hub: net::SocketAddr, _reports: Vec<hub::Observation>) {}
 
     /// Publishes what this entry VM knows to the traffic threads.
     fn publish_fleet(&self, _view: fleet::View) {}
--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -13,7 +13,7 @@
     generation: u64,
     members: usize,
     next_token: ids::Ticket,
-    signs: fleet::sign_book::SignBook,
+    observations: fleet::observations::Observations,
     pools: sorted::SortedMap<ids::ServiceName, fleet::pool::Pool>,
     routes: sorted::SortedMap<String, fleet::route_latency::RouteLatency>,
     splits: sorted::SortedMap<String, fleet::split_state::SplitState>,
@@ -29,7 +29,7 @@
             generation: 0,
             members: 0,
             next_token: 0,
-            signs: fleet::sign_book::SignBook::default(),
+            observations: fleet::observations::Observations::default(),
             pools: sorted::SortedMap::new(),
             routes: sorted::SortedMap::new(),
             splits: sorted::SortedMap::new(),
@@ -42,12 +42,12 @@
             return false;
         }
         self.generation = view.generation;
-        self.signs.start(now);
+        self.observations.start(now);
         self.members = view.members;
         for (name, server) in view.servers.iter() {
             let out = view.zones.zones.contains(&server.record.zone);
-            let slow = view.slow.binary_search(name).is_ok();
-            self.follow_server(name, server, (out, slow), now);
+            let outlier = view.outliers.binary_search(name).is_ok();
+            self.follow_server(name, server, (out, outlier), now);
         }
         for (service, pool) in self.pools.iter_mut() {
             let known = |name: &ids::ServerName| {
@@ -168,30 +168,23 @@
     /// Notes that an attempt takes longer than usual.
     pub fn note_overdue(
         &mut self,
-        (service, server): (&str, &str),
+        place: (&str, &str),
         token: ids::Ticket,
         route: &configuration::Route,
         elapsed: time::Duration,
         now: time::Instant,
     ) {
         let typical = self.typical(route).as_secs_f64();
-        let pool = self.pools.get_mut(service);
-        if let Some(target) = pool.and_then(|pool| pool.targets.get_mut(server)) {
+        if let Some(target) = self.target(place) {
             let factor = elapsed.as_secs_f64() / typical;
             target.note_overdue(token, factor, now);
-            self.signs.add(server, hub::Symptom::Overdue, now);
+            self.observations.add(place.1, hub::Symptom::Overdue, now);
         }
     }
 
     /// Takes the load that a server told with an answer.
-    pub fn note_load(
-        &mut self,
-        (service, server): (&str, &str),
-        load: backend::Load,
-        now: time::Instant,
-    ) {
-        let pool = self.pools.get_mut(service);
-        if let Some(target) = pool.and_then(|pool| pool.targets.get_mut(server)) {
+    pub fn note_load(&mut self, place: (&str, &str), load: backend::Load, now: time::Instant) {
+        if let Some(target) = self.target(place) {
             target.note_load(load, now);
         }
     }
@@ -199,7 +192,7 @@
     /// Notes the end of an attempt that [`Self::pick`] counted.
     pub fn note_end(
         &mut self,
-        (service, server): (&str, &str),
+        place: (&str, &str),
         token: ids::Ticket,
         route: &configuration::Route,
         result: fleet::AttemptResult,
@@ -211,17 +204,16 @@
             latency.typical.add(elapsed);
             latency.high.add(elapsed);
         }
-        let pool = self.pools.get_mut(service);
-        let target = pool.and_then(|pool| pool.targets.get_mut(server));
+        let target = self.target(place);
         let symptom = target.and_then(|target| target.end(token, result, typical, now));
         if let Some(symptom) = symptom {
-            self.signs.add(server, symptom, now);
+            self.observations.add(place.1, symptom, now);
         }
     }
 
     /// What attempts showed since the last call.
-    pub fn take_signs(&mut self) -> Vec<hub::Sign> {
-        self.signs.take()
+    pub fn take_observations(&mut self) -> Vec<hub::Observation> {
+        self.observations.take()
     }
 
     /// Latency that most attempts of a route do not exceed.
@@ -236,6 +228,11 @@
         suspended.map(|(name, _)| name.clone()).collect()
     }
 
+    /// The server of a service.
+    fn target(&mut self, (service, server): (&str, &str)) -> Option<&mut fleet::target::Target> {
+        self.pools.get_mut(service)?.targets.get_mut(server)
+    }
+
     fn typical(&mut self, route: &configuration::Route) -> time::Duration {
         self.latency(route).typical.value()
     }
--- a/crates/fireflyspool/src/fleet/sign_book.rs
+++ b/crates/fireflyspool/src/fleet/observations.rs
@@ -4,20 +4,20 @@
 
 use crate::hub;
 
-/// Time after the first view in which failed attempts are no signs: a process that
+/// Time after the first view in which failures are not reported: a process that
 /// has just started opens all its connections, and servers reset those over their
 /// limit, which counts those of the former process until they time out.
 const SETTLING: time::Duration = time::Duration::from_secs(5);
 
-/// Signs of which the control VMs have not been told.
+/// Observations of which the control VMs have not been told.
 #[derive(Debug, Default)]
-pub(super) struct SignBook {
+pub(super) struct Observations {
     /// When the first view came.
     started: Option<time::Instant>,
-    signs: Vec<hub::Sign>,
+    observations: Vec<hub::Observation>,
 }
 
-impl SignBook {
+impl Observations {
     /// Notes that a view came.
     pub(super) fn start(&mut self, now: time::Instant) {
         self.started.get_or_insert(now);
@@ -28,12 +28,12 @@
         let age = |started| now.saturating_duration_since(started);
         let settled = self.started.is_some_and(|started| age(started) >= SETTLING);
         if settled || symptom != hub::Symptom::Failed {
-            self.signs.push((server.to_owned(), symptom));
+            self.observations.push((server.to_owned(), symptom));
         }
     }
 
-    /// Signs that were added since the last call.
-    pub(super) fn take(&mut self) -> Vec<hub::Sign> {
-        mem::take(&mut self.signs)
+    /// Observations that were added since the last call.
+    pub(super) fn take(&mut self) -> Vec<hub::Observation> {
+        mem::take(&mut self.observations)
     }
 }
--- a/crates/fireflyspool/src/fleet/target.rs
+++ b/crates/fireflyspool/src/fleet/target.rs
@@ -10,6 +10,10 @@
 /// Weight of a new failure or success.
 const FAILURE_WEIGHT: f64 = 0.25;
 
+/// Score of leaving the zone, in units of a typical latency: the way there and
+/// back, and the price of traffic between zones.
+const ZONE_PENALTY: f64 = 4.0;
+
 /// Most by which an entry VM prefers one server of another zone to another one,
 /// in units of a typical latency; above what one running request makes.
 ///
@@ -31,8 +35,8 @@
 pub(super) struct Target {
     pub(super) address: net::SocketAddr,
     pub(super) local: bool,
-    /// Penalty of a server of another zone; the same for this entry VM at all times.
-    pub(super) aversion: f64,
+    /// Score of leaving the zone for it; the same for this process at all times.
+    pub(super) zone_penalty: f64,
     pub(super) born: ids::BornMillis,
     pub(super) slots: f64,
     serving: bool,
@@ -47,8 +51,8 @@
     /// Latency relative to what is typical.
     pub(super) slowness: f64,
     pub(super) slowness_at: time::Instant,
-    /// Whether entry VMs together find it slow.
-    pub(super) listed_slow: bool,
+    /// Whether entry VMs together find it slow or failing.
+    pub(super) outlier: bool,
     pub(super) load: f64,
     pub(super) load_at: time::Instant,
     pub(super) failures: f64,
@@ -63,12 +67,17 @@
         now: time::Instant,
     ) -> Self {
         let record = &server.record;
+        let local = record.zone == zone;
         let hasher = hashing::StableHasher::new().number(incarnation);
         let hash = hasher.text(&record.server).finish();
+        let share = (hash >> 40) as f64 / f64::from(1 << 24);
         Self {
             address: record.address,
-            local: record.zone == zone,
-            aversion: PREFERENCE * (hash >> 40) as f64 / f64::from(1 << 24),
+            local,
+            zone_penalty: match local {
+                true => 0.0,
+                false => ZONE_PENALTY + PREFERENCE * share,
+            },
             born: record.born,
             slots: f64::from(record.slots.max(1)),
             serving: false,
@@ -80,7 +89,7 @@
             reported: None,
             slowness: 1.0,
             slowness_at: now,
-            listed_slow: false,
+            outlier: false,
             load: 0.0,
             load_at: now,
             failures: 0.0,
@@ -93,10 +102,10 @@
     pub(super) fn follow(
         &mut self,
         server: &fleet::KnownServer,
-        (out, slow): (bool, bool),
+        (out, outlier): (bool, bool),
         now: time::Instant,
     ) {
-        self.listed_slow = slow;
+        self.outlier = outlier;
         let record = &server.record;
         self.serving = record.phase == registry::Phase::Serving && !record.silent;
         self.cold_until = server.cold_until;
--- a/crates/fireflyspool/src/fleet/target_score.rs
+++ b/crates/fireflyspool/src/fleet/target_score.rs
@@ -13,13 +13,9 @@
 /// Score of a server whose attempts all fail, in units of a typical latency.
 const FAILURE_PENALTY: f64 = 20.0;
 
-/// Score of leaving the zone, in units of a typical latency: the way there and
-/// back, and the price of traffic between zones.
-const ZONE_PENALTY: f64 = 4.0;
-
-/// Least slowness of a server that entry VMs together find slow; above what
-/// leaving the zone costs.
-const LISTED_SLOWNESS: f64 = 6.5;
+/// Least slowness of a server that entry VMs together find slow or failing;
+/// above what leaving the zone costs.
+const OUTLIER_SLOWNESS: f64 = 6.5;
 
 /// Time after which a slow server's penalty has faded to about a third, so
 /// that it is tried again.
@@ -36,8 +32,8 @@
             true => 1.0 + (self.slowness - 1.0) * fade,
             false => self.slowness,
         };
-        let slowness = match self.listed_slow {
-            true => slowness.max(LISTED_SLOWNESS),
+        let slowness = match self.outlier {
+            true => slowness.max(OUTLIER_SLOWNESS),
             false => slowness,
         };
         let age = now
@@ -49,13 +45,9 @@
             false => 0.0,
         };
         let busy = told.max(self.running as f64) / self.slots;
-        let zone = match self.local {
-            true => 0.0,
-            false => ZONE_PENALTY + self.aversion,
-        };
         slowness * (1.0 + busy)
             + OVERDUE_PENALTY * self.overdue.len() as f64
             + FAILURE_PENALTY * failures
-            + zone
+            + self.zone_penalty
     }
 }
--- a/crates/fireflyspool/src/fleet/view.rs
+++ b/crates/fireflyspool/src/fleet/view.rs
@@ -15,8 +15,8 @@
     pub servers: sorted::SortedMap<ids::ServerName, fleet::KnownServer>,
     /// Zones taken out.
     pub zones: hub::ZonesOut,
-    /// Backend servers that entry VMs together find slow, ascending.
-    pub slow: Vec<ids::ServerName>,
+    /// Backend servers that entry VMs together find slow or failing, ascending.
+    pub outliers: Vec<ids::ServerName>,
     /// Live entry VMs.
     pub members: usize,
     /// When a control VM that reaches a majority last answered.
--- a/crates/fireflyspool/src/follow/follower.rs
+++ b/crates/fireflyspool/src/follow/follower.rs
@@ -21,7 +21,7 @@
     failures: usize,
     incarnation: ids::Incarnation,
     position: ids::ChangePosition,
-    slow_revision: u64,
+    outlier_revision: u64,
     view: fleet::View,
     leaving: bool,
     in_flight: bool,
@@ -50,7 +50,7 @@
             failures: 0,
             incarnation: 0,
             position: 0,
-            slow_revision: 0,
+            outlier_revision: 0,
             view: fleet::View::default(),
             leaving: false,
             in_flight: false,
@@ -97,7 +97,7 @@
             position: self.position,
             version: table.map_or(0, |table| table.version()),
             revision: self.view.zones.revision,
-            slow_revision: self.slow_revision,
+            outlier_revision: self.outlier_revision,
             hubs: self.hubs.len(),
             suspended: suspended.to_vec(),
         };
@@ -126,8 +126,8 @@
         self.position = reply.changes.position;
         self.view.generation += 1;
         self.view.members = reply.members;
-        self.slow_revision = reply.slow_revision;
-        self.view.slow.clone_from(&reply.slow);
+        self.outlier_revision = reply.outlier_revision;
+        self.view.outliers.clone_from(&reply.outliers);
         self.merge_servers(&reply, now);
         if let Some(zones) = reply.zones
             && zones.revision > self.view.zones.revision
--- a/crates/fireflyspool/src/hub/batch.rs
+++ b/crates/fireflyspool/src/hub/batch.rs
@@ -20,9 +20,9 @@
     /// Backend servers that reported to the sender without other news.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub sightings: Vec<registry::Sighting>,
-    /// Backend servers that entry VMs find slow.
+    /// Backend servers that entry VMs find slow or failing.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub slow: Vec<ids::ServerName>,
+    pub outliers: Vec<ids::ServerName>,
     /// Entry VMs that follow the sender.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub members: Vec<hub::MemberRecord>,
--- a/crates/fireflyspool/src/hub/follow_reply.rs
+++ b/crates/fireflyspool/src/hub/follow_reply.rs
@@ -21,11 +21,11 @@
     /// Latest heartbeats of the suspended servers that the poll names.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub confirmations: Vec<hub::Confirmation>,
-    /// Revision of the list of slow backend servers.
-    pub slow_revision: u64,
-    /// Backend servers that entry VMs find slow.
+    /// Revision of the list of outliers.
+    pub outlier_revision: u64,
+    /// Backend servers that entry VMs find slow or failing.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub slow: Vec<ids::ServerName>,
+    pub outliers: Vec<ids::ServerName>,
     /// Live entry VMs.
     pub members: usize,
     /// Control VMs, if the list changed.
--- a/crates/fireflyspool/src/hub/follow_request.rs
+++ b/crates/fireflyspool/src/hub/follow_request.rs
@@ -16,8 +16,8 @@
     pub version: ids::ConfigVersion,
     /// Revision of the zones taken out that it knows.
     pub revision: ids::Revision,
-    /// Revision of the list of slow backend servers that it knows.
-    pub slow_revision: u64,
+    /// Revision of the list of outliers that it knows.
+    pub outlier_revision: u64,
     /// Number of control VMs that it knows.
     pub hubs: usize,
     /// Backend servers that it does not use until they report again.
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -17,8 +17,8 @@
     pub(super) zones: hub::ZonesOut,
     /// Since when another hub has had newer state of the replicated log.
     pub(super) behind: Option<time::Instant>,
-    /// Backend servers that entry VMs find slow.
-    pub(super) slow: hub::slow_list::SlowList,
+    /// Backend servers that entry VMs find slow or failing.
+    pub(super) outliers: hub::outliers::Outliers,
     pub(super) waiting: Vec<hub::waiting::Waiting>,
     pub(super) unacknowledged: Vec<hub::unacknowledged::Unacknowledged>,
     pub(super) published: hub::AddressBook,
@@ -38,7 +38,7 @@
             document: None,
             zones: hub::ZonesOut::default(),
             behind: None,
-            slow: hub::slow_list::SlowList::default(),
+            outliers: hub::outliers::Outliers::default(),
             waiting: Vec::new(),
             unacknowledged: Vec::new(),
             published: hub::AddressBook::default(),
@@ -90,9 +90,9 @@
     }
 
     /// Takes what attempts of an entry VM showed about backend servers.
-    pub fn report_signs(&mut self, reports: Vec<hub::Sign>, now: time::Instant) {
+    pub fn observe(&mut self, reports: Vec<hub::Observation>, now: time::Instant) {
         for (server, symptom) in reports {
-            self.slow.report(server, symptom, now);
+            self.outliers.report(server, symptom, now);
         }
     }
 
@@ -125,7 +125,7 @@
     /// Does what is due and returns the actions that have come up.
     pub fn advance(&mut self, now: time::Instant) -> Vec<hub::Action> {
         self.registry.expire(now);
-        self.slow.expire(now);
+        self.outliers.expire(now);
         self.note_lag(now);
         self.exchange_due(now);
         self.acknowledge_due(now);
--- a/crates/fireflyspool/src/hub/hub_followers.rs
+++ b/crates/fireflyspool/src/hub/hub_followers.rs
@@ -51,7 +51,7 @@
     fn has_news(&self, request: &hub::FollowRequest) -> bool {
         request.incarnation != self.own.incarnation
             || request.position != self.registry.position()
-            || request.slow_revision != self.slow.revision()
+            || request.outlier_revision != self.outliers.revision()
             || self.version() > request.version
             || self.zones.revision > request.revision
     }
@@ -80,8 +80,8 @@
             zones: (self.zones.revision > request.revision).then(|| self.zones.clone()),
             changes,
             confirmations,
-            slow_revision: self.slow.revision(),
-            slow: self.slow.listed(),
+            outlier_revision: self.outliers.revision(),
+            outliers: self.outliers.listed(),
             members: self.published.members.len(),
             hubs: (!known || hubs.len() != request.hubs).then_some(hubs),
         }
--- a/crates/fireflyspool/src/hub/hub_peers.rs
+++ b/crates/fireflyspool/src/hub/hub_peers.rs
@@ -28,8 +28,8 @@
         for sighting in &batch.sightings {
             self.registry.sight(sighting, now);
         }
-        for server in batch.slow {
-            self.slow.adopt(server, now);
+        for server in batch.outliers {
+            self.outliers.adopt(server, now);
         }
         for record in batch.members {
             let heard = now
@@ -79,7 +79,7 @@
         let position = self.registry.position();
         let interval = self.config.exchange;
         let ready = |peer: &hub::peer::Peer| {
-            let behind = peer.acked < position || peer.slow != self.slow.own_revision();
+            let behind = peer.acked < position || peer.outliers != self.outliers.own_revision();
             let news = behind && peer.is_reached(self.config.peer_patience, now);
             peer.may_send(now) && (news || peer.due(interval).is_none_or(|due| due <= now))
         };
@@ -116,14 +116,14 @@
         if regular {
             peer.told = Some(now);
         }
-        peer.slow = self.slow.own_revision();
+        peer.outliers = self.outliers.own_revision();
         let batch = hub::Batch {
             from: self.own.clone(),
             version: self.version(),
             revision: self.zones.revision,
             records: changes.records,
             sightings,
-            slow: self.slow.own(),
+            outliers: self.outliers.own(),
             members,
         };
         let batch = Box::new(batch);
--- a/crates/fireflyspool/src/hub/slow_list.rs
+++ b/crates/fireflyspool/src/hub/outliers.rs
@@ -21,7 +21,7 @@
 
 /// Weight of a failure, where an overdue attempt weighs 1: a healthy server has
 /// overdue attempts now and then, but does not fail.
-const FAILURE_WEIGHT: u32 = 2;
+const FAILED_WEIGHT: u32 = 2;
 
 /// Time without a report after which a server is no longer listed, so that it is tried again.
 const LIFETIME: time::Duration = time::Duration::from_millis(1_300);
@@ -39,13 +39,13 @@
 
 /// Reports by backend server.
 #[derive(Debug, Default)]
-pub(super) struct SlowList {
+pub(super) struct Outliers {
     marks: sorted::SortedMap<ids::ServerName, Mark>,
     revision: u64,
     own_revision: u64,
 }
 
-impl SlowList {
+impl Outliers {
     /// Grows with each change of the list.
     pub(super) fn revision(&self) -> u64 {
         self.revision
@@ -56,7 +56,7 @@
         self.own_revision
     }
 
-    /// Servers that are slow now, ascending.
+    /// Servers that are listed now, ascending.
     pub(super) fn listed(&self) -> Vec<ids::ServerName> {
         self.names(|mark| mark.listed)
     }
@@ -75,7 +75,7 @@
     ) {
         let weight = match symptom {
             hub::Symptom::Overdue => 1,
-            hub::Symptom::Failed => FAILURE_WEIGHT,
+            hub::Symptom::Failed => FAILED_WEIGHT,
             hub::Symptom::Recovered => {
                 // A listed server gets few requests, so one fast answer says little.
                 if self.marks.get(&server).is_some_and(|mark| !mark.listed) {
--- a/crates/fireflyspool/src/hub/peer.rs
+++ b/crates/fireflyspool/src/hub/peer.rs
@@ -13,8 +13,8 @@
     pub(super) version: ids::ConfigVersion,
     /// Revision of the zones that the peer holds.
     pub(super) revision: ids::Revision,
-    /// Revision of the list of slow servers that was sent last.
-    pub(super) slow: u64,
+    /// Revision of the list of outliers that was sent last.
+    pub(super) outliers: u64,
     /// Incarnation of the peer that acknowledged `acked`.
     pub(super) incarnation: Option<ids::Incarnation>,
     /// Changes up to here are acknowledged.
--- a/crates/fireflyspool/src/hub/symptom.rs
+++ b/crates/fireflyspool/src/hub/symptom.rs
@@ -1,7 +1,5 @@
 //! What an attempt showed about its backend server.
 
-use crate::ids;
-
 /// Symptom that an entry VM reports to its hub.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -14,6 +12,3 @@
     /// An attempt after a reported one was answered as fast as usual.
     Recovered,
 }
-
-/// Backend server with what it showed.
-pub type Sign = (ids::ServerName, Symptom);
--- a/crates/fireflyspool/src/node/attempt_guard.rs
+++ b/crates/fireflyspool/src/node/attempt_guard.rs
@@ -73,7 +73,7 @@
         if let Some(load) = load {
             fleet.note_load(place, load, now);
         }
-        self.forwarding.tell_signs(&mut fleet);
+        self.forwarding.report_observations(&mut fleet);
     }
 }
 
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -89,7 +89,7 @@
             "suspended_servers",
             count(self.process.suspended.load().len()),
         );
-        metrics.set_state("slow_servers", count(view.slow.len()));
+        metrics.set_state("outlier_servers", count(view.outliers.len()));
         metrics.encode()
     }
 
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -66,7 +66,7 @@
                     let mut fleet = forwarding.fleet();
                     let now = time::Instant::now();
                     let actions = exchange.wake(&mut fleet, rand::random(), now);
-                    forwarding.tell_signs(&mut fleet);
+                    forwarding.report_observations(&mut fleet);
                     actions
                 }
             };
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -102,9 +102,9 @@
     }
 
     /// Tells the control thread what attempts showed.
-    pub(super) fn tell_signs(&self, fleet: &mut fleet::Fleet) {
-        for sign in fleet.take_signs() {
-            self.process.tell(control::Event::Sign(sign));
+    pub(super) fn report_observations(&self, fleet: &mut fleet::Fleet) {
+        for observation in fleet.take_observations() {
+            self.process.tell(control::Event::Observed(observation));
         }
     }
 
--- a/crates/fireflyspool/src/node/mesh_listener.rs
+++ b/crates/fireflyspool/src/node/mesh_listener.rs
@@ -50,9 +50,9 @@
             ask(&node, |reply| control::HubEvent::Follow { request, reply }).await
         },
     )?;
-    module.register_method(rim::Method::Signs.name(), |parameters, node, _| {
-        let reports: Vec<hub::Sign> = parameters.one()?;
-        let event = control::Event::Hub(control::HubEvent::Signs(reports));
+    module.register_method(rim::Method::Observe.name(), |parameters, node, _| {
+        let reports: Vec<hub::Observation> = parameters.one()?;
+        let event = control::Event::Hub(control::HubEvent::Observed(reports));
         node.process().tell(event);
         Parsed::Ok(())
     })?;
--- a/crates/fireflyspool/src/node/mesh_outlet.rs
+++ b/crates/fireflyspool/src/node/mesh_outlet.rs
@@ -117,13 +117,13 @@
         self.call(hub, rim::Method::Follow, request, POLL_TIMEOUT, event);
     }
 
-    fn report_signs(&self, hub: net::SocketAddr, reports: Vec<hub::Sign>) {
+    fn report_observations(&self, hub: net::SocketAddr, reports: Vec<hub::Observation>) {
         let process = sync::Arc::clone(&self.process);
         self.runtime.spawn(async move {
             let peer = process.peer(hub);
-            let called = peer.call::<_, ()>(rim::Method::Signs, &reports, CALL_TIMEOUT);
+            let called = peer.call::<_, ()>(rim::Method::Observe, &reports, CALL_TIMEOUT);
             if let Err(error) = called.await {
-                slog::debug!(process.logger, "signs not reported"; "error" => %error);
+                slog::debug!(process.logger, "observations not reported"; "error" => %error);
             }
         });
     }
--- a/crates/fireflyspool/src/rim/method.rs
+++ b/crates/fireflyspool/src/rim/method.rs
@@ -30,7 +30,7 @@
     /// Order for the leader.
     Order,
     /// What attempts of an entry VM showed about backend servers.
-    Signs,
+    Observe,
 }
 
 impl Method {
@@ -50,7 +50,7 @@
             Self::Exchange => "hub.exchange",
             Self::Follow => "hub.follow",
             Self::Order => "order.decide",
-            Self::Signs => "hub.signs",
+            Self::Observe => "hub.observe",
         }
     }
 }
--- a/crates/fireflyspool/tests/fleet.rs
+++ b/crates/fireflyspool/tests/fleet.rs
@@ -325,12 +325,18 @@
 fn a_fast_answer_after_a_reported_attempt_is_a_sign_too() {
     let mut site = Site::new(vec![record("a-1", "a")]);
     site.run(1, fleet::AttemptResult::Failed);
-    assert!(site.fleet.take_signs().is_empty(), "it has just started");
+    assert!(
+        site.fleet.take_observations().is_empty(),
+        "it has just started"
+    );
     site.now += time::Duration::from_secs(5);
     for _ in 0..20 {
         site.run(1, FAST);
     }
-    assert!(site.fleet.take_signs().is_empty(), "nothing was reported");
+    assert!(
+        site.fleet.take_observations().is_empty(),
+        "nothing was reported"
+    );
     let picked = site.pick(1).expect("a server");
     let place = ("shard", "a-1");
     let elapsed = time::Duration::from_millis(40);
@@ -340,7 +346,7 @@
     site.run(1, fleet::AttemptResult::Failed);
     site.now += time::Duration::from_secs(2);
     site.run(1, FAST);
-    let signs = site.fleet.take_signs().into_iter();
+    let signs = site.fleet.take_observations().into_iter();
     let symptoms: Vec<_> = signs.map(|(_, symptom)| symptom).collect();
     let expected = [
         hub::Symptom::Overdue,
--- a/crates/fireflyspool/tests/follow.rs
+++ b/crates/fireflyspool/tests/follow.rs
@@ -27,8 +27,8 @@
             records: Vec::new(),
         },
         confirmations: Vec::new(),
-        slow_revision: 0,
-        slow: Vec::new(),
+        outlier_revision: 0,
+        outliers: Vec::new(),
         members: 1,
         hubs: None,
     }
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -48,7 +48,7 @@
         position: 0,
         version: 0,
         revision: 0,
-        slow_revision: 0,
+        outlier_revision: 0,
         hubs: 0,
         suspended: Vec::new(),
     }
@@ -86,7 +86,7 @@
     /// Tells the first hub so many times of one server.
     fn tell(&mut self, symptom: hub::Symptom, times: usize) {
         let reports = vec![("s".to_owned(), symptom); times];
-        self.hubs[0].report_signs(reports, self.now);
+        self.hubs[0].observe(reports, self.now);
     }
 
     /// Slow servers that a follower of the third hub is told.
@@ -94,7 +94,7 @@
         let now = self.now;
         self.hubs[2].follow(1, poll(member(100, "c", true)), now);
         self.advance(1);
-        self.replies.pop().expect("an answer").slow.len()
+        self.replies.pop().expect("an answer").outliers.len()
     }
 
     fn advance(&mut self, millis: u64) {
--- a/crates/fireflyspool/tests/peers.rs
+++ b/crates/fireflyspool/tests/peers.rs
@@ -32,7 +32,7 @@
     for _ in 0..20 {
         let peer = std::sync::Arc::clone(&peer);
         calls.spawn(async move {
-            let called = peer.call::<_, ()>(rim::Method::Signs, &0, limit).await;
+            let called = peer.call::<_, ()>(rim::Method::Observe, &0, limit).await;
             called.expect_err("nobody answers")
         });
     }
