--- a/crates/fireflyspool/tests/fault_soak.rs
+++ b/crates/fireflyspool/tests/fault_soak.rs
@@ -24,11 +24,11 @@
     std::env::var(name).ok()?.parse().ok()
 }
 
-/// Guards against promises that hold only without faults, or with one at a time:
+/// Guards against invariants that hold only without faults, or with one at a time:
 /// own and whole answers, nothing run twice, true refusals, acknowledged
 /// configurations, departures and zones, requests and stops in time, recovery.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn promises_hold_under_random_faults() {
+async fn invariants_hold_under_random_faults() {
     let plan = soak::Plan {
         length: time::Duration::from_secs(number("FIREFLYSPOOL_SECONDS").unwrap_or(12)),
         entries: u8::try_from(number("FIREFLYSPOOL_ENTRIES").unwrap_or(4)).expect("few"),
--- a/crates/fireflyspool/tests/soak/backends.rs
+++ b/crates/fireflyspool/tests/soak/backend.rs
@@ -1,10 +1,10 @@
 //! Backend servers that report, leave and come back cold.
 
-use std::{net, sync, time};
+use std::{sync, time};
 
 use tokio::sync::Mutex;
 
-use super::{fault::Fault, random::Random, relay::Relay, stage::Stage};
+use super::{context::Context, random::Random, relay::Relay};
 use crate::platform_site::Searcher;
 
 /// Time between heartbeats.
@@ -25,7 +25,7 @@
     service: String,
     zone: &'static str,
     number: usize,
-    relay: Relay,
+    pub(crate) relay: Relay,
     searcher: Searcher,
     former: Vec<Searcher>,
 }
@@ -48,10 +48,6 @@
         }
     }
 
-    pub(crate) fn set(&self, fault: Fault) {
-        self.relay.set(fault);
-    }
-
     pub(crate) fn name(&self) -> String {
         format!("{}-{} of zone {}", self.service, self.number, self.zone)
     }
@@ -71,32 +67,34 @@
     }
 
     /// Leaves, and comes back as another process that is cold for a while.
-    pub(crate) async fn replace(&mut self, stage: &Stage, random: &mut Random) {
-        let http = Stage::client();
+    pub(crate) async fn replace(&mut self, context: &Context, random: &mut Random) {
+        let http = Context::client();
         let mut acknowledged = false;
         for _ in 0..10 {
-            let control = any_control(stage, random);
+            let control = context.any_control(random);
             if self.searcher.beat_once(&http, control, "draining", 0).await {
                 acknowledged = true;
                 break;
             }
         }
         if !acknowledged {
-            stage.ledger.tell(format!("{} leaves unheard", self.name()));
+            context
+                .checker
+                .log(format!("{} leaves, not acknowledged", self.name()));
             return;
         }
         let since = time::Instant::now();
-        stage.ledger.tell(format!("{} leaves", self.name()));
+        context.checker.log(format!("{} leaves", self.name()));
         let end = since + DRAIN + random.millis(500, 1_500);
         while time::Instant::now() < end {
             // It reports on while it leaves, so silence alone does not spare it.
-            let control = any_control(stage, random);
+            let control = context.any_control(random);
             self.searcher.beat_once(&http, control, "draining", 0).await;
             tokio::time::sleep(BEAT).await;
         }
         if self.last_start().is_some_and(|last| last > since + DRAIN) {
             let line = format!("{} ran a request after it had left", self.name());
-            stage.ledger.violate(line);
+            context.checker.violation(line);
         }
         self.number += 10;
         let mut fresh = Searcher::start(&self.service, self.number, self.zone, true).await;
@@ -105,10 +103,10 @@
         self.former
             .push(std::mem::replace(&mut self.searcher, fresh));
         let back = time::Instant::now();
-        stage.ledger.tell(format!("{} starts cold", self.name()));
+        context.checker.log(format!("{} starts cold", self.name()));
         while back.elapsed() < COLD {
             let left = COLD.saturating_sub(back.elapsed());
-            let control = any_control(stage, random);
+            let control = context.any_control(random);
             // A heartbeat that is lost is followed by another one.
             self.searcher
                 .beat_once(&http, control, "ready", left.as_millis())
@@ -119,16 +117,20 @@
         let cold = starts.filter(|start| *start < back + COLD).count();
         if cold > COLD_LIMIT {
             let line = format!("{} got {cold} requests while it was cold", self.name());
-            stage.ledger.violate(line);
+            context.checker.violation(line);
         }
     }
 }
 
 /// Sends heartbeats until the run is stopped.
-pub(crate) async fn report(stage: sync::Arc<Stage>, backend: SharedBackend, mut random: Random) {
-    let http = Stage::client();
-    while !stage.is_stopped() {
-        let control = any_control(&stage, &mut random);
+pub(crate) async fn report(
+    context: sync::Arc<Context>,
+    backend: SharedBackend,
+    mut random: Random,
+) {
+    let http = Context::client();
+    while !context.is_stopped() {
+        let control = context.any_control(&mut random);
         // A heartbeat that is lost is followed by another one.
         backend
             .lock()
@@ -139,7 +141,3 @@
         tokio::time::sleep(BEAT).await;
     }
 }
-
-fn any_control(stage: &Stage, random: &mut Random) -> net::SocketAddr {
-    stage.controls[random.index(stage.controls.len())].address()
-}
--- a/crates/fireflyspool/tests/soak/ledger.rs
+++ b/crates/fireflyspool/tests/soak/checker.rs
@@ -1,47 +1,29 @@
-//! What the system has promised so far.
+//! Invariants of a run, and what excuses an entry VM.
 
 use std::{net, sync, time};
 
-type Span = (time::Instant, time::Instant);
+use super::checker_state;
 
-/// Time by which a disturbance and its notes may differ.
+/// Time by which a fault and the record of it may differ.
 const MARGIN: time::Duration = time::Duration::from_millis(300);
 
-/// Promises and disturbances, written by all tasks of a run.
+/// Record of acknowledgements, faults and violations that all tasks write.
 #[derive(Default)]
-pub(crate) struct Ledger {
-    state: sync::Mutex<State>,
+pub(crate) struct Checker {
+    state: sync::Mutex<checker_state::CheckerState>,
 }
 
-#[derive(Default)]
-struct State {
-    /// Greatest version of a configuration that was sent, and that was acknowledged.
-    sent: u64,
-    acknowledged: u64,
-    /// Requests that may run once only, with the status of the answer.
-    singles: Vec<(String, Option<u16>)>,
-    /// When entry VMs or the ways to them were disturbed.
-    disturbed: Vec<(net::SocketAddr, Span)>,
-    /// What breaks a promise of an entry VM unless it was disturbed then.
-    suspected: Vec<(net::SocketAddr, Span, String)>,
-    gathered: usize,
-    whole: usize,
-    violations: Vec<String>,
-    story: Vec<(time::Duration, String)>,
-    started: Option<time::Instant>,
-}
-
-impl Ledger {
-    /// Notes what the run does, for the report of a failure.
-    pub(crate) fn tell(&self, line: String) {
+impl Checker {
+    /// Adds a line to the timeline, which a failure prints.
+    pub(crate) fn log(&self, line: String) {
         let mut state = self.lock();
         let started = *state.started.get_or_insert_with(time::Instant::now);
-        state.story.push((started.elapsed(), line));
+        state.timeline.push((started.elapsed(), line));
     }
 
-    /// Notes a broken promise.
-    pub(crate) fn violate(&self, line: String) {
-        self.tell(format!("VIOLATION {line}"));
+    /// Records a broken invariant.
+    pub(crate) fn violation(&self, line: String) {
+        self.log(format!("VIOLATION {line}"));
         self.lock().violations.push(line);
     }
 
@@ -63,18 +45,14 @@
         (state.acknowledged, state.sent)
     }
 
-    pub(crate) fn disturb(
-        &self,
-        entry: net::SocketAddr,
-        since: time::Instant,
-        until: time::Instant,
-    ) {
-        self.lock().disturbed.push((entry, (since, until)));
+    /// Records that an entry VM or the link to it was faulty.
+    pub(crate) fn fault(&self, entry: net::SocketAddr, since: time::Instant, until: time::Instant) {
+        self.lock().faults.push((entry, (since, until)));
     }
 
-    /// Notes what an entry VM must not do while it is undisturbed.
+    /// Records what an entry VM must not do while it is healthy.
     pub(crate) fn suspect(&self, entry: net::SocketAddr, since: time::Instant, line: String) {
-        self.tell(format!("{entry} {line}"));
+        self.log(format!("{entry} {line}"));
         let span = (since, time::Instant::now());
         self.lock().suspected.push((entry, span, line));
     }
@@ -84,8 +62,8 @@
         let mut state = self.lock();
         let suspected = std::mem::take(&mut state.suspected);
         for (entry, (since, until), line) in suspected {
-            let excused = state.disturbed.iter().any(|(disturbed, (from, to))| {
-                *disturbed == entry && *from <= until + MARGIN && since <= *to + MARGIN
+            let excused = state.faults.iter().any(|(faulty, (from, to))| {
+                *faulty == entry && *from <= until + MARGIN && since <= *to + MARGIN
             });
             if !excused {
                 state.violations.push(format!("{entry} {line}"));
@@ -117,15 +95,15 @@
         self.lock().violations.clone()
     }
 
-    /// The run as text.
-    pub(crate) fn story(&self) -> String {
+    /// What happened, a line each.
+    pub(crate) fn timeline(&self) -> String {
         let state = self.lock();
-        let lines = state.story.iter();
+        let lines = state.timeline.iter();
         let lines = lines.map(|(at, line)| format!("{:8.3} {line}\n", at.as_secs_f64()));
         lines.collect()
     }
 
-    fn lock(&self) -> sync::MutexGuard<'_, State> {
+    fn lock(&self) -> sync::MutexGuard<'_, checker_state::CheckerState> {
         // A task that panicked has already failed the run.
         self.state
             .lock()
--- a/crates/fireflyspool/tests/soak/stage.rs
+++ b/crates/fireflyspool/tests/soak/context.rs
@@ -2,13 +2,13 @@
 
 use std::{collections, net, sync::atomic};
 
-use super::{ledger::Ledger, relay::Relay};
+use super::{checker::Checker, random::Random, relay::Relay};
 use crate::platform_site::Site;
 
-/// Addresses, relays and promises of one run.
-pub(crate) struct Stage {
+/// Addresses, relays and checks of one run.
+pub(crate) struct Context {
     pub(crate) site: Site,
-    pub(crate) ledger: Ledger,
+    pub(crate) checker: Checker,
     /// Relays before the entry VMs, by the address that control VMs name.
     pub(crate) entries: collections::BTreeMap<net::SocketAddr, Relay>,
     /// Relays before the control VMs, for the operator and heartbeats.
@@ -16,7 +16,7 @@
     pub(crate) stopped: atomic::AtomicBool,
 }
 
-impl Stage {
+impl Context {
     pub(crate) fn new(
         site: Site,
         entries: collections::BTreeMap<net::SocketAddr, Relay>,
@@ -24,7 +24,7 @@
     ) -> Self {
         Self {
             site,
-            ledger: Ledger::default(),
+            checker: Checker::default(),
             entries,
             controls,
             stopped: atomic::AtomicBool::new(false),
@@ -39,6 +39,23 @@
         self.stopped.store(true, atomic::Ordering::Relaxed);
     }
 
+    /// Address of a control VM, drawn at random, behind its relay.
+    pub(crate) fn any_control(&self, random: &mut Random) -> net::SocketAddr {
+        self.controls[random.index(self.controls.len())].address()
+    }
+
+    /// Sends an order of the operator once; returns the status of the answer.
+    pub(crate) async fn order(
+        http: &reqwest::Client,
+        control: net::SocketAddr,
+        path: &str,
+        body: String,
+    ) -> Option<reqwest::StatusCode> {
+        let url = format!("http://{control}/fireflyspool/{path}");
+        let answer = http.post(url).body(body).send().await;
+        answer.ok().map(|answer| answer.status())
+    }
+
     /// A client that gives up before the bounds of acknowledgements.
     pub(crate) fn client() -> reqwest::Client {
         reqwest::Client::builder()
--- a/crates/fireflyspool/tests/soak/fault.rs
+++ b/crates/fireflyspool/tests/soak/link_fault.rs
@@ -4,9 +4,9 @@
 
 use super::random::Random;
 
-/// Fault of all connections through one relay.
+/// LinkFault of all connections through one relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Fault {
+pub(crate) enum LinkFault {
     None,
     /// Everything is passed on later.
     Delay(time::Duration),
@@ -18,7 +18,7 @@
     Reset,
 }
 
-impl Fault {
+impl LinkFault {
     pub(crate) fn draw(random: &mut Random) -> Self {
         match random.below(4) {
             0 => Self::Delay(random.millis(20, 300)),
--- a/crates/fireflyspool/tests/soak/relay.rs
+++ b/crates/fireflyspool/tests/soak/relay.rs
@@ -1,6 +1,6 @@
 //! Loopback proxy with faults.
 
-use std::net;
+use std::{net, time};
 
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -8,7 +8,7 @@
     sync::watch,
 };
 
-use super::fault::Fault;
+use super::link_fault::LinkFault;
 
 /// Bytes that one read takes at most.
 const CHUNK: usize = 16_384;
@@ -16,14 +16,14 @@
 /// Proxy before one server.
 pub(crate) struct Relay {
     address: net::SocketAddr,
-    fault: watch::Sender<Fault>,
+    fault: watch::Sender<LinkFault>,
 }
 
 impl Relay {
     pub(crate) async fn start(server: net::SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let (fault, current) = watch::channel(Fault::None);
+        let (fault, current) = watch::channel(LinkFault::None);
         tokio::spawn(async move {
             while let Ok((client, _)) = listener.accept().await {
                 tokio::spawn(relay(client, server, current.clone()));
@@ -36,13 +36,16 @@
         self.address
     }
 
-    pub(crate) fn set(&self, fault: Fault) {
+    /// Keeps up a fault for a time.
+    pub(crate) async fn hold(&self, fault: LinkFault, pause: time::Duration) {
         self.fault.send_replace(fault);
+        tokio::time::sleep(pause).await;
+        self.fault.send_replace(LinkFault::None);
     }
 }
 
-async fn relay(mut client: TcpStream, server: net::SocketAddr, fault: watch::Receiver<Fault>) {
-    if *fault.borrow() == Fault::Reset {
+async fn relay(mut client: TcpStream, server: net::SocketAddr, fault: watch::Receiver<LinkFault>) {
+    if *fault.borrow() == LinkFault::Reset {
         let _ = client.set_zero_linger();
         return;
     }
@@ -53,8 +56,8 @@
     let (from_client, to_client) = client.split();
     let (from_server, to_server) = upstream.split();
     let clean = tokio::select! {
-        clean = pump(from_client, to_server, Fault::CutThere, fault.clone()) => clean,
-        clean = pump(from_server, to_client, Fault::CutBack, fault) => clean,
+        clean = pump(from_client, to_server, LinkFault::CutThere, fault.clone()) => clean,
+        clean = pump(from_server, to_client, LinkFault::CutBack, fault) => clean,
     };
     if !clean {
         // A connection that does not exist any more has nothing to set.
@@ -67,8 +70,8 @@
 async fn pump(
     mut from: tcp::ReadHalf<'_>,
     mut to: tcp::WriteHalf<'_>,
-    cut: Fault,
-    mut fault: watch::Receiver<Fault>,
+    cut: LinkFault,
+    mut fault: watch::Receiver<LinkFault>,
 ) -> bool {
     let mut buffer = vec![0; CHUNK];
     let mut lost = false;
@@ -81,7 +84,7 @@
             changed = fault.changed() => {
                 let now = *fault.borrow();
                 // What a cut swallowed cannot be made up for, so the connection ends with it.
-                if changed.is_err() || now == Fault::Reset || lost && now != cut {
+                if changed.is_err() || now == LinkFault::Reset || lost && now != cut {
                     return false;
                 }
                 continue;
@@ -89,8 +92,8 @@
         };
         let now = *fault.borrow();
         match now {
-            Fault::Delay(delay) => tokio::time::sleep(delay).await,
-            Fault::Reset => return false,
+            LinkFault::Delay(delay) => tokio::time::sleep(delay).await,
+            LinkFault::Reset => return false,
             _ if now == cut => {
                 lost = true;
                 continue;
--- a/crates/fireflyspool/tests/soak/vm.rs
+++ b/crates/fireflyspool/tests/soak/vm.rs
@@ -4,7 +4,7 @@
 
 use rustix::process::Signal;
 
-use super::{random::Random, stage::Stage};
+use super::{context::Context, random::Random};
 use crate::platform_site::Process;
 
 /// Time in which a stopping process ends; `GraceS` of the settings, and some for a
@@ -17,6 +17,12 @@
 /// Time after its return in which callers of an entry VM may still notice.
 const SETTLE: time::Duration = time::Duration::from_secs(2);
 
+/// Memory of the smallest machine of the users' sites.
+const MEMORY_MB: u64 = 112;
+
+/// Descriptors of the smallest machine of the users' sites.
+const DESCRIPTORS: usize = 2_870;
+
 /// VM that runs one process.
 pub(crate) struct Vm {
     pub(crate) number: u8,
@@ -26,8 +32,13 @@
 }
 
 impl Vm {
-    pub(crate) fn start(stage: &Stage, number: u8, role: &'static str, zone: &'static str) -> Self {
-        let process = stage.site.start(number, role, zone, true);
+    pub(crate) fn start(
+        context: &Context,
+        number: u8,
+        role: &'static str,
+        zone: &'static str,
+    ) -> Self {
+        let process = context.site.start(number, role, zone, true);
         Self {
             number,
             role,
@@ -37,15 +48,15 @@
     }
 
     /// Address for callers; means something on entry VMs only.
-    pub(crate) fn address(&self, stage: &Stage) -> net::SocketAddr {
-        stage.site.at(self.number, 1)
+    pub(crate) fn address(&self, context: &Context) -> net::SocketAddr {
+        context.site.at(self.number, 1)
     }
 
     /// Kills the process and starts it again, without its disk if `wipe` is set.
-    pub(crate) async fn kill(&mut self, stage: &Stage, pause: time::Duration, wipe: bool) {
+    pub(crate) async fn kill(&mut self, context: &Context, pause: time::Duration, wipe: bool) {
         let since = time::Instant::now();
-        self.check(stage);
-        stage.ledger.tell(format!(
+        self.check(context);
+        context.checker.log(format!(
             "{} {} is killed, disk lost: {wipe}",
             self.role, self.number
         ));
@@ -54,18 +65,18 @@
         }
         if wipe {
             // A process that was killed at its start has no folder yet.
-            let _ = std::fs::remove_dir_all(stage.site.data(self.number));
+            let _ = std::fs::remove_dir_all(context.site.data(self.number));
         }
         tokio::time::sleep(pause).await;
-        self.restart(stage, since).await;
+        self.restart(context, since).await;
     }
 
-    /// Stops the process for a while, as a frozen machine would.
-    pub(crate) async fn freeze(&mut self, stage: &Stage, pause: time::Duration) {
+    /// Suspends the process for a while, as on a frozen machine.
+    pub(crate) async fn freeze(&mut self, context: &Context, pause: time::Duration) {
         let since = time::Instant::now();
-        self.check(stage);
-        stage.ledger.tell(format!(
-            "{} {} freezes for {pause:?}",
+        self.check(context);
+        context.checker.log(format!(
+            "{} {} is suspended for {pause:?}",
             self.role, self.number
         ));
         if let Some(process) = &self.process {
@@ -73,15 +84,15 @@
             tokio::time::sleep(pause).await;
             process.signal(Signal::CONT);
         }
-        self.disturbed(stage, since);
+        self.faulty(context, since);
     }
 
     /// Asks the process to end and starts it again.
-    pub(crate) async fn stop(&mut self, stage: &Stage, pause: time::Duration) {
-        self.check(stage);
-        stage
-            .ledger
-            .tell(format!("{} {} is asked to end", self.role, self.number));
+    pub(crate) async fn stop(&mut self, context: &Context, pause: time::Duration) {
+        self.check(context);
+        context
+            .checker
+            .log(format!("{} {} gets SIGTERM", self.role, self.number));
         let Some(mut process) = self.process.take() else {
             return;
         };
@@ -93,45 +104,47 @@
         let since = time::Instant::now();
         if process.is_running() {
             let line = format!("{} {} did not end in {GRACE:?}", self.role, self.number);
-            stage.ledger.violate(line);
+            context.checker.violation(line);
         } else if process.wait(GRACE).await != Some(0) {
             let line = format!("{} {} ended with an error", self.role, self.number);
-            stage.ledger.violate(line);
+            context.checker.violation(line);
         }
         tokio::time::sleep(pause).await;
-        self.restart(stage, since).await;
+        self.restart(context, since).await;
     }
 
     /// Tells the process that its settings may have changed.
-    pub(crate) fn reload(&mut self, stage: &Stage) {
-        self.check(stage);
-        stage
-            .ledger
-            .tell(format!("{} {} is told to reload", self.role, self.number));
+    pub(crate) fn reload(&mut self, context: &Context) {
+        self.check(context);
+        context
+            .checker
+            .log(format!("{} {} gets SIGHUP", self.role, self.number));
         if let Some(process) = &self.process {
             process.signal(Signal::HUP);
         }
     }
 
     /// Notes a process that ended by itself or uses more than its machine has.
-    pub(crate) fn check(&mut self, stage: &Stage) {
+    pub(crate) fn check(&mut self, context: &Context) {
         let name = format!("{} {}", self.role, self.number);
         let Some(process) = &mut self.process else {
             return;
         };
         if !process.is_running() {
-            return stage.ledger.violate(format!("{name} ended by itself"));
+            return context.checker.violation(format!("{name} ended by itself"));
         }
         let memory = memory_mb(process.id());
         if memory > MEMORY_MB {
-            stage.ledger.violate(format!("{name} holds {memory} MB"));
+            context
+                .checker
+                .violation(format!("{name} holds {memory} MB"));
         }
         let descriptors = std::fs::read_dir(format!("/proc/{}/fd", process.id()));
         let descriptors = descriptors.map_or(0, Iterator::count);
         if descriptors > DESCRIPTORS {
-            stage
-                .ledger
-                .violate(format!("{name} has {descriptors} descriptors"));
+            context
+                .checker
+                .violation(format!("{name} has {descriptors} descriptors"));
         }
     }
 
@@ -140,25 +153,19 @@
         random.millis(50, 2_000)
     }
 
-    async fn restart(&mut self, stage: &Stage, since: time::Instant) {
-        let process = stage.site.start(self.number, self.role, self.zone, false);
+    async fn restart(&mut self, context: &Context, since: time::Instant) {
+        let process = context.site.start(self.number, self.role, self.zone, false);
         self.process = Some(process);
         tokio::time::sleep(START).await;
-        self.disturbed(stage, since);
+        self.faulty(context, since);
     }
 
-    fn disturbed(&self, stage: &Stage, since: time::Instant) {
+    fn faulty(&self, context: &Context, since: time::Instant) {
         let until = time::Instant::now() + SETTLE;
-        stage.ledger.disturb(self.address(stage), since, until);
+        context.checker.fault(self.address(context), since, until);
     }
 }
 
-/// Memory of the smallest machine of the users' sites.
-const MEMORY_MB: u64 = 112;
-
-/// Descriptors of the smallest machine of the users' sites.
-const DESCRIPTORS: usize = 2_870;
-
 /// Resident memory of a process; 0 if it has just ended.
 fn memory_mb(process: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
