--- a/crates/fireflyspool/src/control/entry_side.rs
+++ b/crates/fireflyspool/src/control/entry_side.rs
@@ -128,7 +128,7 @@
         self.due = now;
     }
 
-    /// Takes the word of a coordinator that backend servers died under a content.
+    /// Takes the warning of a coordinator whose query crashed backend servers.
     pub fn warned(
         &mut self,
         crashes: Vec<roster::Crash>,
--- a/crates/fireflyspool/src/control/event.rs
+++ b/crates/fireflyspool/src/control/event.rs
@@ -78,11 +78,11 @@
     Announce(Box<backend::Announcement>),
     /// A backend server died while it ran a request.
     Crash(roster::Crash),
-    /// A coordinator tells of backend servers that died under its query.
+    /// A coordinator warns of a content that crashed backend servers.
     Warned {
-        /// The deaths.
+        /// The crashes.
         crashes: Vec<roster::Crash>,
-        /// Told once they are in the published view.
+        /// Answered once they are in the published view.
         reply: oneshot::Sender<()>,
     },
     /// The traffic side has closed all connections to a backend server.
--- a/crates/fireflyspool/src/gather/action.rs
+++ b/crates/fireflyspool/src/gather/action.rs
@@ -19,8 +19,8 @@
         /// Numbers of the sub-requests.
         subs: Vec<ids::SubRequestId>,
     },
-    /// Tell all members that backend servers died under the content, and wait for
-    /// that before the outcome is reported: its caller may send it again elsewhere.
+    /// Warn all members that the content crashed backend servers, and wait for that
+    /// before the outcome is reported: the caller may send it again elsewhere.
     Warn {
         /// Hash of the content.
         fingerprint: ids::Fingerprint,
--- a/crates/fireflyspool/src/gather/mod.rs
+++ b/crates/fireflyspool/src/gather/mod.rs
@@ -14,7 +14,8 @@
 //! **Crash suspicion.** A reset connection may mean that the request crashed
 //! the server. From the first reset on, one shard alone is tried again; the
 //! others wait for the result. If that attempt is answered, the others follow;
-//! otherwise the request is not sent anywhere again.
+//! otherwise the request is not sent anywhere again, and the other members are
+//! warned before its caller is answered ([`Action::Warn`]).
 //!
 //! **Versions.** All sub-requests name one index version. If owners state that
 //! it is gone, the query moves as a whole to another version and discards
--- a/crates/fireflyspool/src/lease/holder_crashes.rs
+++ b/crates/fireflyspool/src/lease/holder_crashes.rs
@@ -1,4 +1,4 @@
-//! Deaths of backend servers at a holder.
+//! Crashes of backend servers, as a holder reports and learns them.
 
 use std::time;
 
@@ -19,10 +19,10 @@
         });
     }
 
-    /// Takes the word that a backend server died; returns whether the view changes.
+    /// Takes the warning of a crash; returns whether the view changes.
     ///
     /// A content is suspect in the view at once, before the leader has
-    /// published the death.
+    /// published the crash.
     pub fn warn(&mut self, crash: roster::Crash, now: time::Instant) -> bool {
         self.warnings.add(crash, now)
     }
--- a/crates/fireflyspool/src/lease/mod.rs
+++ b/crates/fireflyspool/src/lease/mod.rs
@@ -14,6 +14,9 @@
 //! it back. Traffic threads need no notice of that, because every
 //! [`crate::view::View`] carries the end of its lease.
 //!
+//! Coordinators warn all members of contents that crash backend servers
+//! ([`Holder::warn`]); a warning is in the view until the roster names the crash.
+//!
 //! # Driver
 //!
 //! The control thread calls [`Holder::request`] once per renewal interval and
--- a/crates/fireflyspool/src/lease/warnings.rs
+++ b/crates/fireflyspool/src/lease/warnings.rs
@@ -1,16 +1,16 @@
-//! Deaths that other entry VMs told of.
+//! Warnings of coordinators.
 
 use std::{sync, time};
 
 use super::warned;
 use crate::{ids, roster, sorted};
 
-/// Time for which a warning counts; the leader names the death well before.
+/// Time for which a warning counts; the leader names the crash well before.
 ///
 /// The owner repeats its report with every renewal, so this spans ten of them.
 const LIFETIME: time::Duration = time::Duration::from_secs(10);
 
-/// Deaths under contents, until the leader has published them.
+/// Crashes under contents, until the leader has published them.
 #[derive(Clone, Debug)]
 pub(super) struct Warnings {
     warned: sorted::SortedMap<ids::Fingerprint, warned::Warned>,
@@ -25,7 +25,7 @@
         }
     }
 
-    /// Takes a warning; returns whether it tells of a death that was not known.
+    /// Takes a warning; returns whether it names a crash that was not known.
     ///
     /// The warning that ends first makes room when there are too many.
     pub(super) fn add(&mut self, crash: roster::Crash, now: time::Instant) -> bool {
@@ -40,14 +40,14 @@
         let warned = self
             .warned
             .get_or_insert_with(crash.fingerprint, || warned::Warned {
-                dead: sorted::SortedMap::new(),
+                crashed: sorted::SortedMap::new(),
                 until,
             });
         let process = (crash.server, crash.incarnation);
-        if warned.dead.contains_key(&process) {
+        if warned.crashed.contains_key(&process) {
             return false;
         }
-        warned.dead.insert(process, ());
+        warned.crashed.insert(process, ());
         warned.until = until;
         true
     }
@@ -57,14 +57,14 @@
         self.warned.retain(|_, warned| now < warned.until);
     }
 
-    /// Suspects of the leader, with the deaths it has not published yet.
+    /// Suspects of the leader, with the crashes it has not published yet.
     pub(super) fn merge(
         &self,
         published: &sync::Arc<sorted::SortedMap<ids::Fingerprint, u32>>,
     ) -> sync::Arc<sorted::SortedMap<ids::Fingerprint, u32>> {
         let mut merged = sync::Arc::clone(published);
         for (fingerprint, warned) in self.warned.iter() {
-            let deaths = u32::try_from(warned.dead.len()).unwrap_or(u32::MAX);
+            let deaths = u32::try_from(warned.crashed.len()).unwrap_or(u32::MAX);
             if published
                 .get(fingerprint)
                 .is_none_or(|known| *known < deaths)
--- a/crates/fireflyspool/src/rim/method.rs
+++ b/crates/fireflyspool/src/rim/method.rs
@@ -7,7 +7,7 @@
     Consensus,
     /// Renewal of a lease.
     Renew,
-    /// Deaths of backend servers under a query, for other members.
+    /// Warning of a content that crashed backend servers.
     Warn,
     /// Command for the leader.
     Propose,
--- a/crates/fireflyspool/src/traffic/crash_warning.rs
+++ b/crates/fireflyspool/src/traffic/crash_warning.rs
@@ -7,11 +7,11 @@
 use crate::{control, ids, rim, roster, traffic};
 
 /// Longest wait for the members that were warned; one that is frozen or cut off
-/// learns of the deaths with its next renewal.
+/// learns of the crashes with its next renewal.
 const WARNING_WAIT: time::Duration = time::Duration::from_millis(100);
 
 impl traffic::EntryNode {
-    /// Tells all members that backend servers died under a content.
+    /// Warns all members of a content that crashed backend servers.
     ///
     /// Returns once they all act on it, or after a bounded wait.
     pub async fn warn(&self, fingerprint: ids::Fingerprint, servers: &[ids::ServerName]) {
