--- a/crates/fireflyspool/src/control/event.rs
+++ b/crates/fireflyspool/src/control/event.rs
@@ -13,7 +13,7 @@
 pub enum Event {
     /// Messages of another replica.
     Envelopes {
-        /// Its listener, if it told.
+        /// Its listener, if known.
         from: Option<net::SocketAddr>,
         /// The messages.
         envelopes: Vec<consensus::Envelope>,
--- a/crates/fireflyspool/src/control/follow_side.rs
+++ b/crates/fireflyspool/src/control/follow_side.rs
@@ -12,7 +12,7 @@
     version: ids::ConfigVersion,
     /// Outliers as last logged.
     outliers: Vec<ids::ServerName>,
-    /// What attempts showed and the hub has not been told.
+    /// Observations that the hub has not received.
     observations: Vec<hub::Observation>,
 }
 
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Takes what an attempt showed; the hub is told with the next tick.
+    /// Takes what an attempt showed; it is reported with the next tick.
     pub fn note_observation(&mut self, observation: hub::Observation) {
         self.observations.push(observation);
     }
--- a/crates/fireflyspool/src/control/hub_event.rs
+++ b/crates/fireflyspool/src/control/hub_event.rs
@@ -20,7 +20,7 @@
     Depart {
         /// Backend server.
         server: ids::ServerName,
-        /// Start time of its incarnation, if it told.
+        /// Start time of its incarnation, if known.
         born: Option<ids::BornMillis>,
         /// Told the address for reports; dropped if too few hubs hold the
         /// departure.
--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -66,7 +66,7 @@
         &mut self,
         name: &ids::ServerName,
         server: &fleet::KnownServer,
-        told: (bool, bool),
+        flags: (bool, bool),
         now: time::Instant,
     ) {
         let record = &server.record;
@@ -82,7 +82,7 @@
             pool.targets.insert(name.clone(), fresh);
         }
         if let Some(target) = pool.targets.get_mut(name) {
-            target.follow(server, told, now);
+            target.follow(server, flags, now);
         }
     }
 
@@ -182,7 +182,7 @@
         }
     }
 
-    /// Takes the load that a server told with an answer.
+    /// Takes the load that a server reported with an answer.
     pub fn note_load(&mut self, place: (&str, &str), load: backend::Load, now: time::Instant) {
         if let Some(target) = self.target(place) {
             target.note_load(load, now);
--- a/crates/fireflyspool/src/fleet/known_server.rs
+++ b/crates/fireflyspool/src/fleet/known_server.rs
@@ -11,7 +11,7 @@
     pub record: registry::Record,
     /// When it stops being cold.
     pub cold_until: time::Instant,
-    /// When it was last heard, as far as this VM was told.
+    /// When it was last heard, as far as this VM knows.
     pub heard: time::Instant,
 }
 
--- a/crates/fireflyspool/src/fleet/observations.rs
+++ b/crates/fireflyspool/src/fleet/observations.rs
@@ -9,7 +9,7 @@
 /// limit, which counts those of the former process until they time out.
 const SETTLING: time::Duration = time::Duration::from_secs(5);
 
-/// Observations of which the control VMs have not been told.
+/// Observations that the control VMs have not received.
 #[derive(Debug, Default)]
 pub(super) struct Observations {
     /// When the first view came.
--- a/crates/fireflyspool/src/fleet/target.rs
+++ b/crates/fireflyspool/src/fleet/target.rs
@@ -46,7 +46,7 @@
     pub(super) running: usize,
     /// Attempts under way that take longer than usual.
     pub(super) overdue: Vec<ids::Ticket>,
-    /// When the control VMs were last told of an overdue or failed attempt.
+    /// When an overdue or failed attempt was last reported to the control VMs.
     reported: Option<time::Instant>,
     /// Latency relative to what is typical.
     pub(super) slowness: f64,
@@ -146,7 +146,7 @@
 
     /// Notes the end of an attempt; `typical` is the typical latency of its route.
     ///
-    /// Returns what the control VMs are to be told.
+    /// Returns what to report to the control VMs.
     pub(super) fn end(
         &mut self,
         token: ids::Ticket,
--- a/crates/fireflyspool/src/fleet/target_score.rs
+++ b/crates/fireflyspool/src/fleet/target_score.rs
@@ -4,7 +4,7 @@
 
 use crate::fleet;
 
-/// Age at which the load that a server told says nothing any more.
+/// Age at which the load that a server reported says nothing any more.
 const LOAD_LIFETIME: time::Duration = time::Duration::from_millis(250);
 
 /// Score of one overdue attempt, in units of a typical latency.
@@ -40,11 +40,11 @@
             .saturating_duration_since(self.failures_at)
             .as_secs_f64();
         let failures = self.failures * (-age / FORGIVENESS.as_secs_f64()).exp();
-        let told = match now.saturating_duration_since(self.load_at) < LOAD_LIFETIME {
+        let reported = match now.saturating_duration_since(self.load_at) < LOAD_LIFETIME {
             true => self.load,
             false => 0.0,
         };
-        let busy = told.max(self.running as f64) / self.slots;
+        let busy = reported.max(self.running as f64) / self.slots;
         slowness * (1.0 + busy)
             + OVERDUE_PENALTY * self.overdue.len() as f64
             + FAILURE_PENALTY * failures
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -10,7 +10,7 @@
 /// can be used again. A longer one is cut: its server is slow or silent.
 const LINGER: time::Duration = time::Duration::from_millis(250);
 
-/// End of an attempt, with what the server told about its load.
+/// End of an attempt, with what the server reported about its load.
 type Ended = (ids::AttemptId, forward::AttemptEnd);
 
 /// One request under way.
--- a/crates/fireflyspool/src/traffic/crash_warning.rs
+++ b/crates/fireflyspool/src/traffic/crash_warning.rs
@@ -35,19 +35,19 @@
             calls.spawn(async move {
                 peer.call::<_, bool>(rim::Method::Warn, crashes.as_ref(), WARNING_WAIT)
                     .await
-                    .is_ok_and(|told| told)
+                    .is_ok_and(|warned| warned)
             });
         }
-        let (reply, told) = tokio::sync::oneshot::channel();
+        let (reply, applied) = tokio::sync::oneshot::channel();
         let crashes = crashes.as_ref().clone();
         self.shared
             .tell_control(control::Event::Warned { crashes, reply });
-        let mut heard = usize::from(told.await.is_ok());
-        for told in calls.join_all().await {
-            heard += usize::from(told);
+        let mut warned = usize::from(applied.await.is_ok());
+        for answered in calls.join_all().await {
+            warned += usize::from(answered);
         }
         slog::warn!(self.shared.logger, "content suspected of crashing backend servers";
             "fingerprint" => fingerprint, "servers" => ?servers,
-            "members" => view.members.len(), "warned" => heard);
+            "members" => view.members.len(), "warned" => warned);
     }
 }
