--- a/crates/fireflyspool/src/rim/peer.rs
+++ b/crates/fireflyspool/src/rim/peer.rs
@@ -44,7 +44,7 @@
         self.address
     }
 
-    /// Calls a method with one parameter.
+    /// Calls a method with one parameter; the timeout covers opening a connection.
     ///
     /// # Errors
     ///
@@ -60,11 +60,15 @@
         P: serde::Serialize + Sync,
         R: serde::de::DeserializeOwned,
     {
-        let client = self.connected().await?;
         let started = time::Instant::now();
+        let connected = tokio::time::timeout(timeout, self.connected()).await;
+        let client = connected.map_err(|_| rim::PeerError::Unanswered {
+            address: self.address,
+        })??;
         let parameters = jsonrpsee::rpc_params![parameter];
         let call = client::ClientT::request(client.as_ref(), method.name(), parameters);
-        match tokio::time::timeout(timeout, call).await {
+        let left = timeout.saturating_sub(started.elapsed());
+        match tokio::time::timeout(left, call).await {
             Ok(Ok(result)) => {
                 *self.last_answer() = Some(time::Instant::now());
                 Ok(result)
