Log how long a caller still waits and how late wake-ups are

The logs could not tell a request that waited for its servers from one whose caller had begun to wait earlier, or from an entry VM without processor time.

--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -22,6 +22,10 @@
     /// Service, backend server and start in milliseconds of each attempt, for the log.
     send_log: String,
     received: time::Instant,
+    /// When the exchange is to be woken.
+    wake_at: time::Instant,
+    /// Largest delay of a wake-up.
+    wake_lag: time::Duration,
 }
 
 impl ForwardTask {
@@ -39,6 +43,8 @@
             attempts: task::JoinSet::new(),
             send_log: String::new(),
             received,
+            wake_at: received,
+            wake_lag: time::Duration::ZERO,
         }
     }
 
@@ -65,6 +71,7 @@
                 () = &mut sleep => {
                     let mut fleet = forwarding.fleet();
                     let now = time::Instant::now();
+                    self.wake_lag = self.wake_lag.max(now.saturating_duration_since(self.wake_at));
                     let actions = exchange.wake(&mut fleet, rand::random(), now);
                     forwarding.report_observations(&mut fleet);
                     actions
@@ -102,7 +109,10 @@
         for action in actions {
             match action {
                 forward::Action::Send(send) => self.send(send),
-                forward::Action::WakeAt(at) => sleep.reset(at),
+                forward::Action::WakeAt(at) => {
+                    self.wake_at = at;
+                    sleep.reset(at);
+                }
                 forward::Action::Finish(end) => outcome = Some(end),
             }
         }
@@ -150,12 +160,15 @@
             forward::Outcome::Passed(response) => response.status,
             _ => 0,
         };
+        let caller_timeout = request.timeout.map_or(0, |timeout| timeout.as_millis());
         let age = view.confirmed.map_or(0, |at| at.elapsed().as_millis());
         slog::info!(self.forwarding.process.logger, "request answered";
             "request" => &request.id, "route" => &self.route.name,
             "outcome" => outcome.label(), "status" => status, "missing" => missing,
             "elapsed_us" => node::forwarding::micros(elapsed), "hedges" => exchange.hedges(),
             "retries" => exchange.retries(), "open" => ?exchange.pending_services(),
+            "caller_timeout_ms" => u64::try_from(caller_timeout).unwrap_or(u64::MAX),
+            "wake_lag_us" => node::forwarding::micros(self.wake_lag),
             "sends" => self.send_log.trim_end(),
             "view" => view.generation, "view_age_ms" => u64::try_from(age).unwrap_or(u64::MAX));
     }
