Count the objective from the caller's start, not from the receipt

Such a caller has waited for 7 to 22 ms when its request arrives; the time that it still waits says so, compared with the route's timeout. The cutoff now counts that time, up to half of the objective; a larger difference comes from a caller with little patience or from an attempt sent again.

--- a/crates/fireflyspool/src/forward/timing.rs
+++ b/crates/fireflyspool/src/forward/timing.rs
@@ -11,6 +11,11 @@
 /// Least time reserved for the network delay to the caller.
 const CALLER_DELAY: time::Duration = time::Duration::from_millis(8);
 
+/// Largest time before the receipt that counts towards the objective, as a share of
+/// it. A caller that states even less time has little patience or sends the request
+/// again, which says nothing about when it began to wait.
+const MAX_SETUP_SHARE: f64 = 0.5;
+
 /// Multiple of the latency objective until which a late answer waits for all shards.
 const LATE_CUTOFF_FACTOR: u32 = 2;
 
@@ -40,7 +45,9 @@
 impl Timing {
     /// Timing of a request that was received at `received`.
     ///
-    /// `caller_timeout` is how long the caller waits, network delay included.
+    /// `caller_timeout` is how long the caller still waits, network delay included.
+    /// What it lacks to the route's timeout is taken as spent on resolving and
+    /// connecting, because the caller measures latency from its own start.
     pub fn new(
         route: &configuration::Route,
         caller_timeout: Option<time::Duration>,
@@ -50,12 +57,16 @@
             timeout.saturating_sub(CALLER_DELAY).min(route.timeout)
         });
         let objective = route.objective;
+        let start = received
+            .checked_sub(setup_time(route, caller_timeout))
+            .unwrap_or(received);
         let latest = objective.saturating_sub(CALLER_DELAY);
+        let cutoff = objective.mul_f64(CUTOFF_SHARE).min(latest);
         Self {
             received,
-            cutoff: received + objective.mul_f64(CUTOFF_SHARE).min(latest),
-            objective: received + objective,
-            late_cutoff: received + objective * LATE_CUTOFF_FACTOR,
+            cutoff: start + cutoff,
+            objective: start + objective,
+            late_cutoff: start + objective * LATE_CUTOFF_FACTOR,
             deadline: received + timeout,
             queue_timeout: objective.mul_f64(QUEUE_SHARE),
         }
@@ -74,3 +85,17 @@
         high_latency.clamp(least, most.max(least))
     }
 }
+
+/// Time for which the caller has waited before its request was received.
+fn setup_time(
+    route: &configuration::Route,
+    caller_timeout: Option<time::Duration>,
+) -> time::Duration {
+    let spent = caller_timeout.map_or(time::Duration::ZERO, |timeout| {
+        route.timeout.saturating_sub(timeout)
+    });
+    match spent <= route.objective.mul_f64(MAX_SETUP_SHARE) {
+        true => spent,
+        false => time::Duration::ZERO,
+    }
+}
--- a/crates/fireflyspool/tests/forward.rs
+++ b/crates/fireflyspool/tests/forward.rs
@@ -37,6 +37,15 @@
 
 impl Harness {
     fn start(target: configuration::Target, idempotent: bool, replicas: usize) -> Self {
+        Self::start_with_timeout(target, (idempotent, None), replicas)
+    }
+
+    /// Starts a request whose caller states how long it still waits.
+    fn start_with_timeout(
+        target: configuration::Target,
+        (idempotent, caller_timeout): (bool, Option<time::Duration>),
+        replicas: usize,
+    ) -> Self {
         let now = time::Instant::now();
         let limits = fleet::RetryLimits {
             ratio: 0.2,
@@ -80,7 +89,7 @@
             max_attempts: 2,
             target,
         };
-        let timing = forward::Timing::new(&route, None, now);
+        let timing = forward::Timing::new(&route, caller_timeout, now);
         let route = sync::Arc::new(route);
         let (exchange, actions) = forward::Exchange::start(route, timing, &mut fleet, 1, now);
         let mut harness = Self {
@@ -97,13 +106,23 @@
     }
 
     fn gather(shards: usize, coverage: f64, replicas: usize) -> Self {
+        Self::gather_with_timeout((shards, coverage), None, replicas)
+    }
+
+    fn gather_with_timeout(
+        (shards, coverage): (usize, f64),
+        caller_timeout: Option<u64>,
+        replicas: usize,
+    ) -> Self {
+        let caller_timeout = caller_timeout.map(time::Duration::from_millis);
         let shards = (0..shards).map(|shard| format!("shard{shard}")).collect();
         let gather = configuration::Gather {
             shards,
             top_k: 2,
             coverage,
         };
-        Self::start(configuration::Target::Gather(gather), true, replicas)
+        let target = configuration::Target::Gather(gather);
+        Self::start_with_timeout(target, (true, caller_timeout), replicas)
     }
 
     fn single(idempotent: bool, replicas: usize) -> Self {
@@ -252,6 +271,42 @@
     assert_eq!(body.as_ref(), [[8_u8; 16], [7_u8; 16]].concat());
 }
 
+/// The route's timeout is 800 ms and its objective 100 ms.
+#[test]
+fn a_partial_answer_is_not_late_by_the_time_that_its_caller_spent_connecting() {
+    let mut harness = Harness::gather_with_timeout((10, 0.89), Some(780), 1);
+    for send in 0..9 {
+        harness.end_attempt(send, success(&[1; 16]));
+    }
+    harness.advance_to(50);
+    assert!(
+        harness.outcome.is_none(),
+        "there is time for the last shard"
+    );
+    harness.advance_to(80);
+    assert!(
+        matches!(harness.outcome, Some(forward::Outcome::Gathered { .. })),
+        "the caller has waited for 100 ms: {:?}",
+        harness.outcome
+    );
+}
+
+/// Guards against early partial answers to callers with little patience.
+#[test]
+fn a_short_timeout_of_the_caller_does_not_shorten_the_objective() {
+    let mut harness = Harness::gather_with_timeout((10, 0.89), Some(400), 1);
+    for send in 0..9 {
+        harness.end_attempt(send, success(&[1; 16]));
+    }
+    harness.advance_to(70);
+    assert!(
+        harness.outcome.is_none(),
+        "there is time for the last shard"
+    );
+    harness.advance_to(95);
+    assert!(harness.outcome.is_some(), "the objective is 100 ms");
+}
+
 /// Guards against an answer below the required coverage.
 #[test]
 fn coverage_below_the_minimum_gives_no_answer() {
