Wake the timer thread only for a new earliest deadline

Each attempt subscribes its deadline, and each subscription woke the timer thread: 36 wake-ups for one gathered query, on an entry VM with 0.084 of a core and a charge for each. Callers saw answers to gathered queries late.

Evidence: 702 futex calls beside 333 sends of sub-requests (strace of one entry VM at 36 shards); of 500 later deadlines 499 woke the thread before the change, fewer than 10 after it (the new test).

--- a/crates/fireflyspool/src/timer/timer_service.rs
+++ b/crates/fireflyspool/src/timer/timer_service.rs
@@ -66,8 +66,13 @@
             sequence: pending.last_sequence,
         };
         pending.callbacks.insert(token, Box::new(callback));
+        let first = pending.callbacks.first();
+        let is_first = first.is_some_and(|(first, _)| *first == token);
         drop(pending);
-        self.shared.changed.notify_one();
+        // The thread sleeps until the earliest deadline, so a later one can wait for that.
+        if is_first {
+            self.shared.changed.notify_one();
+        }
         token
     }
 
