Drive connections to backend servers in the task of their request

The pooled client of the HTTP library runs a task for each connection: a response woke that task, then the task of the attempt, then that of the request.

The client now polls a connection where its request is polled.

The same streams now limit a whole response to 1 MiB.

--- a/crates/fireflyspool/src/platform/http_backend_client.rs
+++ b/crates/fireflyspool/src/platform/http_backend_client.rs
@@ -1,11 +1,11 @@
 //! HTTP client for backend servers.
 
-use std::{sync, time};
+use std::{net, sync, time};
 
 use crate::platform::headers;
 use crate::{backend, forward, node, rim, timer};
 
-type Response = http::Response<hyper::body::Incoming>;
+type Response = http::Response<rim::ForwardBody>;
 type Ending = (forward::AttemptEnd, Option<backend::Load>);
 
 /// Sends requests to backend servers with the headers of the platform.
@@ -16,7 +16,7 @@
 
 impl HttpBackendClient {
     pub(super) fn new(timer: timer::TimerService) -> Self {
-        let client = rim::ForwardClient::default();
+        let client = rim::ForwardClient::new(timer.clone());
         Self { client, timer }
     }
 }
@@ -31,7 +31,7 @@
                 return (forward::AttemptEnd::Rejected, None);
             };
             tokio::select! {
-                ended = exchange(&client, request, &message.id) => ended,
+                ended = exchange(&client, send.address, request, &message.id) => ended,
                 () = sleep => (forward::AttemptEnd::TimedOut, None),
             }
         })
@@ -44,13 +44,13 @@
     send: &forward::Send,
     message: &node::Message,
 ) -> Option<http::Request<http_body_util::Full<bytes::Bytes>>> {
-    let target = message.target.path_and_query()?.as_str();
+    let target = message.target.path_and_query()?.clone();
     let left = send
         .deadline
         .saturating_duration_since(time::Instant::now());
     let mut request = http::Request::builder()
         .method(message.method.clone())
-        .uri(format!("http://{}{target}", send.address))
+        .uri(target)
         .body(http_body_util::Full::new(message.body.clone()))
         .ok()?;
     let head = request.headers_mut();
@@ -67,10 +67,11 @@
 
 async fn exchange(
     client: &rim::ForwardClient,
+    address: net::SocketAddr,
     request: http::Request<http_body_util::Full<bytes::Bytes>>,
     id: &str,
 ) -> Ending {
-    match client.send(request).await {
+    match client.send(address, request).await {
         Ok(response) => decode(response, id).await,
         Err(rim::ForwardError::Connect(_)) => (forward::AttemptEnd::Unreachable, None),
         Err(_) => (forward::AttemptEnd::Broken, None),
@@ -88,7 +89,7 @@
     let wrong_server = head.status == http::StatusCode::MISDIRECTED_REQUEST;
     let rejected = head.headers.contains_key(headers::NOT_EXECUTED);
     let signature = text(headers::SIGNATURE).map(str::to_owned);
-    let Ok(body) = rim::ForwardClient::read(body).await else {
+    let Ok(body) = body.read().await else {
         // The head arrived whole, and its status and headers tell whether the request ran.
         return match (wrong_server, rejected) {
             (true, _) => (forward::AttemptEnd::WrongServer, load),
--- /dev/null
+++ b/crates/fireflyspool/src/rim/bounded_stream.rs
@@ -0,0 +1,84 @@
+//! TCP stream that limits how much is read for one response.
+
+use std::{
+    io, pin,
+    sync::{self, atomic},
+    task::{self, Poll},
+};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Bytes that may still be read.
+pub(super) type Allowance = sync::Arc<atomic::AtomicUsize>;
+
+/// Stream whose reads fail once its allowance is used up.
+///
+/// The limit covers everything that the peer sends: heads, interim responses,
+/// chunk extensions, bodies and trailers.
+pub(super) struct BoundedStream {
+    stream: tokio::net::TcpStream,
+    allowance: Allowance,
+}
+
+impl BoundedStream {
+    /// Limits a stream; the owner of `allowance` renews it for each response.
+    pub(super) fn new(stream: tokio::net::TcpStream, allowance: Allowance) -> Self {
+        Self { stream, allowance }
+    }
+}
+
+impl AsyncRead for BoundedStream {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = buffer.filled().len() - before;
+        let left = self.allowance.load(atomic::Ordering::Relaxed);
+        match left.checked_sub(read) {
+            Some(left) => {
+                self.allowance.store(left, atomic::Ordering::Relaxed);
+                polled
+            }
+            None => Poll::Ready(Err(io::Error::other("the response is too long"))),
+        }
+    }
+}
+
+impl AsyncWrite for BoundedStream {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.stream).poll_write(context, buffer)
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        pin::Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/fireflyspool/src/rim/forward_error.rs
+++ b/crates/fireflyspool/src/rim/forward_error.rs
@@ -1,6 +1,6 @@
 //! Errors of the client for forwarded requests.
 
-use hyper_util::client::legacy;
+use std::io;
 
 /// Failure to forward a request or to read its response.
 #[derive(Debug)]
@@ -8,11 +8,11 @@
 pub enum ForwardError {
     /// No connection could be opened; nothing was sent.
     #[error("cannot connect")]
-    Connect(#[source] legacy::Error),
+    Connect(#[source] io::Error),
     /// The connection broke after the request may have been sent.
     #[error("the connection broke")]
-    Broken(#[source] legacy::Error),
-    /// The response body ended early.
+    Broken(#[source] hyper::Error),
+    /// The response body ended early or the response was too long.
     #[error("the answer is not complete")]
     Truncated(#[source] hyper::Error),
 }
