Read the responses that have arrived before hedging attempts

All attempts now run in the task of their request, so one wake-up handles every response that has arrived. A wake-up for hedges first lets the runtime read and handles what has arrived. Logging and statistics follow in a task of their own once the answer is written; they stood between the outcome and the answer.

--- a/crates/fireflyspool/src/forward/exchange.rs
+++ b/crates/fireflyspool/src/forward/exchange.rs
@@ -115,6 +115,11 @@
         self.advance(now)
     }
 
+    /// Whether the outcome is decided.
+    pub fn is_finished(&self) -> bool {
+        self.finished
+    }
+
     /// Number of hedges sent so far.
     pub fn hedges(&self) -> u32 {
         self.hedges
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -2,6 +2,7 @@
 
 use std::{sync, time};
 
+use futures_util::{FutureExt as _, StreamExt as _, future, stream};
 use tokio::task;
 
 use crate::{configuration, fleet, forward, ids, node, telemetry, timer};
@@ -13,12 +14,17 @@
 /// Number of an attempt and how it ended.
 type Ended = (ids::AttemptId, forward::AttemptEnd);
 
-/// Drives the exchange of one request: starts its attempts and wakes it.
+/// Drives the exchange of one request: runs its attempts and wakes it.
+///
+/// All attempts run in the task of the request, so responses that arrive together
+/// wake one task.
 pub(super) struct ForwardTask {
     forwarding: sync::Arc<node::Forwarding>,
+    view: sync::Arc<fleet::View>,
+    request: forward::Request,
     route: sync::Arc<configuration::Route>,
     message: sync::Arc<node::Message>,
-    attempts: task::JoinSet<Ended>,
+    attempts: stream::FuturesUnordered<future::BoxFuture<'static, Ended>>,
     /// Service, backend server and start in milliseconds of each attempt, for the log.
     send_log: String,
     received: time::Instant,
@@ -32,15 +38,18 @@
     /// Creates the task of a request that has not started.
     pub(super) fn new(
         forwarding: sync::Arc<node::Forwarding>,
+        view: sync::Arc<fleet::View>,
+        (request, message): (forward::Request, node::Message),
         route: sync::Arc<configuration::Route>,
-        message: node::Message,
         received: time::Instant,
     ) -> Self {
         Self {
             forwarding,
+            view,
+            request,
             route,
             message: sync::Arc::new(message),
-            attempts: task::JoinSet::new(),
+            attempts: stream::FuturesUnordered::new(),
             send_log: String::new(),
             received,
             wake_at: received,
@@ -49,57 +58,67 @@
     }
 
     /// Runs attempts until the request is answered or refused.
-    pub(super) async fn run(
-        mut self,
-        (view, request): (&fleet::View, &forward::Request),
-        timing: forward::Timing,
-    ) -> forward::Outcome {
-        let forwarding = sync::Arc::clone(&self.forwarding);
-        let timer = &forwarding.process.timer;
-        let (mut exchange, actions) = self.start(view, timing);
+    pub(super) async fn run(mut self) -> forward::Outcome {
+        let timer = self.forwarding.process.timer.clone();
+        let timing = forward::Timing::new(&self.route, self.request.timeout, self.received);
+        let (mut exchange, actions) = self.start(timing);
         let mut sleep = timer.sleep_until(timing.deadline);
         let mut outcome = self.execute(actions, &mut sleep);
         while outcome.is_none() {
             let actions = tokio::select! {
-                Some(ended) = self.attempts.join_next() => {
-                    // An attempt that panicked is ignored; the request goes on.
-                    let Ok((attempt, end)) = ended else { continue };
-                    let mut fleet = forwarding.fleet();
-                    let now = time::Instant::now();
-                    exchange.attempt_ended(attempt, end, &mut fleet, rand::random(), now)
-                }
+                biased;
+                Some(ended) = self.attempts.next() => self.end_attempt(&mut exchange, ended),
                 () = &mut sleep => {
-                    let mut fleet = forwarding.fleet();
-                    let now = time::Instant::now();
-                    self.wake_lag = self.wake_lag.max(now.saturating_duration_since(self.wake_at));
-                    let actions = exchange.wake(&mut fleet, rand::random(), now);
-                    forwarding.report_observations(&mut fleet);
-                    actions
+                    // The runtime reads what has arrived meanwhile.
+                    task::yield_now().await;
+                    self.wake(&mut exchange)
                 }
             };
             outcome = self.execute(actions, &mut sleep);
         }
         let outcome = outcome.unwrap_or(forward::Outcome::Failed);
-        exchange.report_sub_requests(&mut forwarding.fleet(), time::Instant::now());
-        self.log_outcome(&exchange, view, request, &outcome);
-        self.finish_late_attempts();
+        self.finish(exchange, &outcome);
         outcome
     }
 
-    fn start(
-        &mut self,
-        view: &fleet::View,
-        timing: forward::Timing,
-    ) -> (forward::Exchange, Vec<forward::Action>) {
+    fn start(&self, timing: forward::Timing) -> (forward::Exchange, Vec<forward::Action>) {
         let mut fleet = self.forwarding.fleet();
         let now = time::Instant::now();
-        if fleet.update(view, now) {
+        if fleet.update(&self.view, now) {
             self.forwarding.publish_suspended(&fleet);
         }
         let route = sync::Arc::clone(&self.route);
         forward::Exchange::start(route, timing, &mut fleet, rand::random(), now)
     }
 
+    fn end_attempt(
+        &self,
+        exchange: &mut forward::Exchange,
+        (attempt, end): Ended,
+    ) -> Vec<forward::Action> {
+        let mut fleet = self.forwarding.fleet();
+        let now = time::Instant::now();
+        exchange.attempt_ended(attempt, end, &mut fleet, rand::random(), now)
+    }
+
+    /// Handles the responses that have arrived, and then what is due.
+    fn wake(&mut self, exchange: &mut forward::Exchange) -> Vec<forward::Action> {
+        let mut actions = Vec::new();
+        while let Some(Some(ended)) = self.attempts.next().now_or_never() {
+            actions.extend(self.end_attempt(exchange, ended));
+            if exchange.is_finished() {
+                return actions;
+            }
+        }
+        let mut fleet = self.forwarding.fleet();
+        let now = time::Instant::now();
+        let lag = now.saturating_duration_since(self.wake_at);
+        self.wake_lag = self.wake_lag.max(lag);
+        actions.extend(exchange.wake(&mut fleet, rand::random(), now));
+        self.forwarding.report_observations(&mut fleet);
+        actions
+    }
+
     fn execute(
         &mut self,
         actions: Vec<forward::Action>,
@@ -134,24 +153,19 @@
             .forwarding
             .client
             .send(send.clone(), sync::Arc::clone(&self.message));
-        self.attempts.spawn(async move {
+        self.attempts.push(Box::pin(async move {
             let (end, load) = sending.await;
             guard.end(&end, load);
             (send.attempt, end)
-        });
+        }));
     }
 
-    fn log_outcome(
-        &self,
-        exchange: &forward::Exchange,
-        view: &fleet::View,
-        request: &forward::Request,
-        outcome: &forward::Outcome,
-    ) {
+    /// Records the outcome, and lets attempts go on for [`LATE_ATTEMPT_TIMEOUT`].
+    ///
+    /// This takes place in a task of its own, so that the answer is written first.
+    fn finish(mut self, exchange: forward::Exchange, outcome: &forward::Outcome) {
         let elapsed = self.received.elapsed();
-        let metrics = &self.forwarding.metrics;
-        telemetry::Metrics::count(&metrics.outcomes, outcome.label());
-        metrics.observe(&self.route.name, elapsed);
+        let label = outcome.label();
         let missing = match outcome {
             forward::Outcome::Gathered { missing, .. } => *missing,
             _ => 0,
@@ -160,11 +174,36 @@
             forward::Outcome::Passed(response) => response.status,
             _ => 0,
         };
+        tokio::spawn(async move {
+            exchange.report_sub_requests(&mut self.forwarding.fleet(), time::Instant::now());
+            self.log_outcome(&exchange, label, (status, missing), elapsed);
+            if self.attempts.is_empty() {
+                return;
+            }
+            let sleep = self.forwarding.process.timer.sleep(LATE_ATTEMPT_TIMEOUT);
+            tokio::select! {
+                () = sleep => {}
+                () = async { while self.attempts.next().await.is_some() {} } => {}
+            }
+        });
+    }
+
+    fn log_outcome(
+        &self,
+        exchange: &forward::Exchange,
+        label: &str,
+        (status, missing): (u16, usize),
+        elapsed: time::Duration,
+    ) {
+        let (request, view) = (&self.request, &self.view);
+        let metrics = &self.forwarding.metrics;
+        telemetry::Metrics::count(&metrics.outcomes, label);
+        metrics.observe(&self.route.name, elapsed);
         let caller_timeout = request.timeout.map_or(0, |timeout| timeout.as_millis());
         let age = view.confirmed.map_or(0, |at| at.elapsed().as_millis());
         slog::info!(self.forwarding.process.logger, "request answered";
             "request" => &request.id, "route" => &self.route.name,
-            "outcome" => outcome.label(), "status" => status, "missing" => missing,
+            "outcome" => label, "status" => status, "missing" => missing,
             "elapsed_us" => node::forwarding::micros(elapsed), "hedges" => exchange.hedges(),
             "retries" => exchange.retries(), "open" => ?exchange.pending_services(),
             "caller_timeout_ms" => u64::try_from(caller_timeout).unwrap_or(u64::MAX),
@@ -172,18 +211,4 @@
             "sends" => self.send_log.trim_end(),
             "view" => view.generation, "view_age_ms" => u64::try_from(age).unwrap_or(u64::MAX));
     }
-
-    /// Lets attempts go on for [`LATE_ATTEMPT_TIMEOUT`] after the answer.
-    fn finish_late_attempts(mut self) {
-        if self.attempts.is_empty() {
-            return;
-        }
-        tokio::spawn(async move {
-            let sleep = self.forwarding.process.timer.sleep(LATE_ATTEMPT_TIMEOUT);
-            tokio::select! {
-                () = sleep => {}
-                () = async { while self.attempts.join_next().await.is_some() {} } => {}
-            }
-        });
-    }
 }
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -76,10 +76,15 @@
         };
         let route = sync::Arc::clone(route);
         let forwarding = sync::Arc::clone(self);
-        let timing = forward::Timing::new(&route, request.timeout, received);
-        let task = node::forward_task::ForwardTask::new(forwarding, route, message, received);
-        let context = (view.as_ref(), &request);
-        task.run(context, timing).await
+        let content = (request, message);
+        let task = node::forward_task::ForwardTask::new(
+            forwarding,
+            sync::Arc::clone(&view),
+            content,
+            route,
+            received,
+        );
+        task.run().await
     }
 
     fn refuse(
