Bound the replies of the project's own backend protocol

A reply without a length was read without a limit, as were replies to cancellations and health checks. A server that sends without end filled the memory of an entry VM until the deadline.

--- a/crates/fireflyspool/src/rim/backend_client.rs
+++ b/crates/fireflyspool/src/rim/backend_client.rs
@@ -76,7 +76,8 @@
         let cancel = backend::CancelRequest { attempt };
         let request = self.pooled.post(self.url("v1/cancel")).json(&cancel);
         let response = request.timeout(timeout).send().await.ok()?;
-        let reply: CancelReply = response.json().await.ok()?;
+        let bytes = read_bounded(response).await.ok()??;
+        let reply: CancelReply = serde_json::from_slice(&bytes).ok()?;
         Some(reply.state)
     }
 
@@ -85,7 +86,7 @@
         let request = self.pooled.get(self.url("v1/health"));
         match request.timeout(CONNECT_TIMEOUT).send().await {
             // The connection returns to the pool only after the body has been read.
-            Ok(response) => response.bytes().await.is_ok(),
+            Ok(response) => matches!(read_bounded(response).await, Ok(Some(_))),
             Err(_) => false,
         }
     }
@@ -112,14 +113,10 @@
 
 async fn read_reply(body: &dispatch::Body, response: reqwest::Response) -> rim::BackendReply {
     let status = response.status().as_u16();
-    let too_long = response
-        .content_length()
-        .is_some_and(|length| length > MAX_REPLY_BYTES as u64);
-    if too_long {
-        return rim::BackendReply::Unreadable;
-    }
-    let Ok(bytes) = response.bytes().await else {
-        return rim::BackendReply::Broken { sent: true };
+    let bytes = match read_bounded(response).await {
+        Ok(Some(bytes)) => bytes,
+        Ok(None) => return rim::BackendReply::Unreadable,
+        Err(_) => return rim::BackendReply::Broken { sent: true },
     };
     let parsed = match (status, body) {
         (200, dispatch::Body::Search(_)) => {
@@ -134,3 +131,15 @@
     };
     parsed.unwrap_or(rim::BackendReply::Unreadable)
 }
+
+/// Reads a body of at most [`MAX_REPLY_BYTES`]; `None` if it is longer.
+async fn read_bounded(mut response: reqwest::Response) -> Result<Option<Vec<u8>>, reqwest::Error> {
+    let mut bytes = Vec::new();
+    while let Some(chunk) = response.chunk().await? {
+        if bytes.len() + chunk.len() > MAX_REPLY_BYTES {
+            return Ok(None);
+        }
+        bytes.extend_from_slice(&chunk);
+    }
+    Ok(Some(bytes))
+}
