Time attempts from when they are written

Hedges were due a fixed time after the decision to send. Hedges take the same processor time and open connections, so the queries after them were late as well; each was reported to the control VMs as a slow server. This feedback needs no failing server.

An attempt's hedge and latency now count from when the attempt is written, which is when its task has polled all new attempts.

The new test has no counterpart before: the exchange was not told of writes.

--- a/crates/fireflyspool/src/forward/attempt.rs
+++ b/crates/fireflyspool/src/forward/attempt.rs
@@ -13,6 +13,8 @@
     /// Index of the sub-request in its exchange.
     pub(super) index: usize,
     pub(super) server: ids::ServerName,
+    /// When it was started, and once it is written, when that was done.
     pub(super) sent: time::Instant,
+    pub(super) written: bool,
     pub(super) overdue: bool,
 }
--- a/crates/fireflyspool/src/forward/exchange.rs
+++ b/crates/fireflyspool/src/forward/exchange.rs
@@ -115,6 +115,24 @@
         self.advance(now)
     }
 
+    /// Handles that all attempts returned so far are written to their connections.
+    ///
+    /// Their time counts from now: a VM without processor time takes a while to write
+    /// many of them, which says nothing about their backend servers.
+    pub fn attempts_written(&mut self, now: time::Instant) -> Vec<forward::Action> {
+        for attempt in self.attempts.iter_mut().filter(|attempt| !attempt.written) {
+            attempt.written = true;
+            let delay = now.saturating_duration_since(attempt.sent);
+            attempt.sent = now;
+            if let Some(pending) = self.sub_requests[attempt.index].pending_mut()
+                && let Some(wake_at) = &mut pending.state.wake_at
+            {
+                *wake_at += delay;
+            }
+        }
+        self.advance(now)
+    }
+
     /// Whether the outcome is decided.
     pub fn is_finished(&self) -> bool {
         self.finished
--- a/crates/fireflyspool/src/forward/exchange_sends.rs
+++ b/crates/fireflyspool/src/forward/exchange_sends.rs
@@ -146,6 +146,7 @@
             index,
             server: picked.server.clone(),
             sent: now,
+            written: false,
             overdue: false,
         });
         self.actions.push(forward::Action::Send(forward::Send {
--- a/crates/fireflyspool/src/node/attempt_guard.rs
+++ b/crates/fireflyspool/src/node/attempt_guard.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Starts measuring again, now that the attempt is written.
+    pub(super) fn begin(&mut self) {
+        self.started = time::Instant::now();
+    }
+
     /// Records the end and the load that the backend server reported.
     pub(super) fn end(mut self, end: &forward::AttemptEnd, load: Option<backend::Load>) {
         self.ended = true;
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -28,6 +28,8 @@
     /// Service, backend server and start in milliseconds of each attempt, for the log.
     send_log: String,
     received: time::Instant,
+    /// Whether an attempt has not been polled, which writes it.
+    unwritten: bool,
     /// When the exchange is to be woken.
     wake_at: time::Instant,
     /// Largest delay of a wake-up.
@@ -54,6 +56,7 @@
             attempts: stream::FuturesUnordered::new(),
             send_log: String::new(),
             received,
+            unwritten: false,
             wake_at: received,
             wake_lag: time::Duration::ZERO,
             event_at: received,
@@ -70,13 +73,17 @@
         let mut sleep = timer.sleep_until(timing.deadline);
         let mut outcome = self.execute(actions, &mut sleep);
         while outcome.is_none() {
-            let actions = tokio::select! {
-                biased;
-                Some(ended) = self.attempts.next() => self.end_attempt(&mut exchange, ended),
-                () = &mut sleep => {
-                    // The runtime reads what has arrived meanwhile.
-                    task::yield_now().await;
-                    self.wake(&mut exchange)
+            let actions = if self.unwritten {
+                self.write_attempts(&mut exchange)
+            } else {
+                tokio::select! {
+                    biased;
+                    Some(ended) = self.attempts.next() => self.end_attempt(&mut exchange, ended),
+                    () = &mut sleep => {
+                        // The runtime reads what has arrived meanwhile.
+                        task::yield_now().await;
+                        self.wake(&mut exchange)
+                    }
                 }
             };
             outcome = self.execute(actions, &mut sleep);
@@ -96,6 +103,17 @@
         forward::Exchange::start(route, timing, &mut fleet, rand::random(), now)
     }
 
+    /// Polls new attempts, which writes them; the poll ends early if an attempt ends.
+    fn write_attempts(&mut self, exchange: &mut forward::Exchange) -> Vec<forward::Action> {
+        match self.attempts.next().now_or_never().flatten() {
+            Some(ended) => self.end_attempt(exchange, ended),
+            None => {
+                self.unwritten = false;
+                exchange.attempts_written(time::Instant::now())
+            }
+        }
+    }
+
     fn end_attempt(
         &mut self,
         exchange: &mut forward::Exchange,
@@ -150,7 +168,7 @@
         let elapsed = self.received.elapsed().as_millis();
         // Writing to a string cannot fail.
         let _ = write!(self.send_log, "{}>{}@{elapsed} ", send.service, send.server);
-        let guard = node::attempt_guard::AttemptGuard::new(
+        let mut guard = node::attempt_guard::AttemptGuard::new(
             sync::Arc::clone(&self.forwarding),
             sync::Arc::clone(&self.route),
             sync::Arc::clone(&self.message),
@@ -160,7 +178,9 @@
             .forwarding
             .client
             .send(send.clone(), sync::Arc::clone(&self.message));
+        self.unwritten = true;
         self.attempts.push(Box::pin(async move {
+            guard.begin();
             let (end, load) = sending.await;
             guard.end(&end, load);
             (send.attempt, end)
--- a/crates/fireflyspool/tests/forward.rs
+++ b/crates/fireflyspool/tests/forward.rs
@@ -190,6 +190,21 @@
     ));
 }
 
+/// An entry VM without processor time takes long to write many attempts.
+#[test]
+fn an_attempt_is_not_hedged_for_the_time_that_it_waited_to_be_written() {
+    let mut harness = Harness::gather(2, 1.0, 3);
+    let hedge_at = harness.wake.expect("a hedge is due");
+    let delay = time::Duration::from_millis(40);
+    harness.now = harness.start + delay;
+    let actions = harness.exchange.attempts_written(harness.now);
+    harness.execute(actions);
+    assert_eq!(harness.wake, Some(hedge_at + delay));
+    let actions = harness.exchange.attempts_written(harness.now + delay);
+    harness.execute(actions);
+    assert_eq!(harness.wake, Some(hedge_at + delay), "written once");
+}
+
 /// Guards against a non-idempotent request that runs twice, or that is refused
 /// although it may have run.
 #[test]
