--- a/crates/fireflyspool/src/node/attempt_guard.rs
+++ b/crates/fireflyspool/src/node/attempt_guard.rs
@@ -32,7 +32,7 @@
         }
     }
 
-    /// Starts measuring again, now that the attempt is written.
+    /// Starts measuring anew, because the attempt is written only now.
     pub(super) fn begin(&mut self) {
         self.started = time::Instant::now();
     }
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -28,13 +28,13 @@
     /// Service, backend server and start in milliseconds of each attempt, for the log.
     send_log: String,
     received: time::Instant,
-    /// Whether an attempt has not been polled, which writes it.
+    /// Whether there are attempts that were not polled yet; polling writes them.
     unwritten: bool,
     /// When the exchange is to be woken.
     wake_at: time::Instant,
     /// Largest delay of a wake-up.
     wake_lag: time::Duration,
-    /// When the last event was due: an end of an attempt or a wake-up.
+    /// When the last event was due: the end of an attempt or a wake-up.
     event_at: time::Instant,
 }
 
--- a/crates/fireflyspool/src/rim/forward_body.rs
+++ b/crates/fireflyspool/src/rim/forward_body.rs
@@ -23,29 +23,21 @@
     ///
     /// Returns a [`rim::ForwardError`] if the body ends early or the response is too long.
     pub async fn read(mut self) -> Result<bytes::Bytes, rim::ForwardError> {
-        let mut first = bytes::Bytes::new();
-        let mut rest = Vec::new();
+        let mut chunks = Vec::new();
         loop {
             let (connection, body) = (&mut self.connection, &mut self.body);
             let frame = future::poll_fn(|context| connection.poll_frame(body, context)).await;
             let Some(frame) = frame else { break };
             let frame = frame.map_err(rim::ForwardError::Truncated)?;
             // Trailers are not forwarded.
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            if first.is_empty() && rest.is_empty() {
-                first = data;
-            } else {
-                if rest.is_empty() {
-                    rest.extend_from_slice(&first);
-                }
-                rest.extend_from_slice(&data);
-            }
+            chunks.extend(frame.into_data().ok());
         }
         if let Some(connection) = self.connection.finish().await {
             self.idle.put(self.address, connection);
         }
-        Ok(if rest.is_empty() { first } else { rest.into() })
+        Ok(match chunks.len() {
+            1 => chunks.remove(0),
+            _ => chunks.concat().into(),
+        })
     }
 }
--- a/crates/fireflyspool/src/rim/forward_connection.rs
+++ b/crates/fireflyspool/src/rim/forward_connection.rs
@@ -14,14 +14,14 @@
 use hyper::{body, client::conn::http1};
 use hyper_util::rt;
 
-use crate::rim::{bounded_stream, forward_error, send_failure};
+use crate::rim::{bounded_stream, send_failure};
 use crate::{rim, timer};
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
 /// Largest response, head included; many times the largest one of any known service.
-pub(super) const MAX_RESPONSE_BYTES: usize = 1024 * 1024;
+const MAX_RESPONSE_BYTES: usize = 1024 * 1024;
 
 /// Largest response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -29,6 +29,13 @@
 /// Body of a forwarded request.
 pub(super) type RequestBody = http_body_util::Full<bytes::Bytes>;
 
+/// Head of a response, its body and the connection that delivers it.
+type Received = (
+    http::response::Parts,
+    body::Incoming,
+    ForwardConnection<Receiving>,
+);
+
 type Stream = rt::TokioIo<bounded_stream::BoundedStream>;
 
 /// State of a connection without a request.
@@ -91,11 +98,11 @@
             stream = tokio::net::TcpStream::connect(address) => stream,
             () = timer.sleep(CONNECT_TIMEOUT) => Err(std::io::ErrorKind::TimedOut.into()),
         };
-        let stream = stream.map_err(forward_error::ForwardError::Connect)?;
+        let stream = stream.map_err(rim::ForwardError::Connect)?;
         // With Nagle's algorithm, a request waits for the acknowledgement of the last one.
         stream
             .set_nodelay(true)
-            .map_err(forward_error::ForwardError::Connect)?;
+            .map_err(rim::ForwardError::Connect)?;
         let allowance = bounded_stream::Allowance::default();
         let stream = bounded_stream::BoundedStream::new(stream, sync::Arc::clone(&allowance));
         let opened = http1::Builder::new()
@@ -118,14 +125,7 @@
     pub(super) async fn send(
         mut self,
         request: http::Request<RequestBody>,
-    ) -> Result<
-        (
-            http::response::Parts,
-            body::Incoming,
-            ForwardConnection<Receiving>,
-        ),
-        send_failure::SendFailure,
-    > {
+    ) -> Result<Received, send_failure::SendFailure> {
         self.allowance
             .store(MAX_RESPONSE_BYTES, atomic::Ordering::Relaxed);
         let mut response = pin::pin!(self.sender.try_send_request(request));
