--- a/crates/fireflyspool/src/rim/bounded_stream.rs
+++ b/crates/fireflyspool/src/rim/bounded_stream.rs
@@ -6,7 +6,7 @@
     task::{self, Poll},
 };
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io as async_io;
 
 /// Bytes that may still be read.
 pub(super) type Allowance = sync::Arc<atomic::AtomicUsize>;
@@ -27,11 +27,11 @@
     }
 }
 
-impl AsyncRead for BoundedStream {
+impl async_io::AsyncRead for BoundedStream {
     fn poll_read(
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
-        buffer: &mut ReadBuf<'_>,
+        buffer: &mut async_io::ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let polled = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
@@ -47,7 +47,7 @@
     }
 }
 
-impl AsyncWrite for BoundedStream {
+impl async_io::AsyncWrite for BoundedStream {
     fn poll_write(
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
--- a/crates/fireflyspool/src/rim/forward_body.rs
+++ b/crates/fireflyspool/src/rim/forward_body.rs
@@ -5,13 +5,12 @@
 use hyper::body;
 
 use crate::rim;
-use crate::rim::forward_connection::{ForwardConnection, Receiving};
-use crate::rim::idle_connections;
+use crate::rim::{forward_connection, idle_connections};
 
 /// Body that has not been read; dropping it closes its connection.
 pub struct ForwardBody {
     pub(super) body: body::Incoming,
-    pub(super) connection: ForwardConnection<Receiving>,
+    pub(super) connection: forward_connection::ForwardConnection<forward_connection::Receiving>,
     pub(super) address: net::SocketAddr,
     pub(super) idle: sync::Arc<idle_connections::IdleConnections>,
 }
--- a/crates/fireflyspool/src/rim/idle_connections.rs
+++ b/crates/fireflyspool/src/rim/idle_connections.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, time};
 
-use crate::rim::forward_connection::{ForwardConnection, Idle};
+use crate::rim::forward_connection;
 use crate::{sorted, timer};
 
 /// Time for which an idle connection is kept. Servers close theirs later, so a
@@ -12,12 +12,12 @@
 /// Idle connections kept for each backend server.
 const MAX_IDLE_CONNECTIONS: usize = 4;
 
-/// Idle connections by backend server, the most recently used one last.
-type Idles = sorted::SortedMap<net::SocketAddr, Vec<ForwardConnection<Idle>>>;
+type IdleConnection = forward_connection::ForwardConnection<forward_connection::Idle>;
 
 #[derive(Default)]
 struct State {
-    idle: Idles,
+    /// Connections by backend server, the most recently used one last.
+    idle: sorted::SortedMap<net::SocketAddr, Vec<IdleConnection>>,
     /// Whether the removal of expired connections is scheduled.
     scheduled: bool,
 }
@@ -38,7 +38,7 @@
     }
 
     /// Removes and returns the most recently used connection to a server.
-    pub(super) fn take(&self, address: net::SocketAddr) -> Option<ForwardConnection<Idle>> {
+    pub(super) fn take(&self, address: net::SocketAddr) -> Option<IdleConnection> {
         self.lock().idle.get_mut(&address)?.pop()
     }
 
@@ -46,7 +46,7 @@
     pub(super) fn put(
         self: &sync::Arc<Self>,
         address: net::SocketAddr,
-        connection: ForwardConnection<Idle>,
+        connection: IdleConnection,
     ) {
         let mut state = self.lock();
         let connections = state.idle.get_or_insert_with(address, Vec::new);
@@ -71,7 +71,7 @@
 
     fn remove_expired(self: &sync::Arc<Self>, now: time::Instant) {
         let mut state = self.lock();
-        let expiry = |connection: &ForwardConnection<Idle>| connection.idle_since() + IDLE_TIMEOUT;
+        let expiry = |connection: &IdleConnection| connection.idle_since() + IDLE_TIMEOUT;
         state.idle.retain(|_, connections| {
             connections.retain(|connection| expiry(connection) > now);
             !connections.is_empty()
