Heed what backend servers state about themselves in their responses

Cause: a backend server that leaves, or that wants no requests for a while, says so in its responses, and no line read either. Requests, hedges and retries went on until a heartbeat told the control VMs, which one that is cut off cannot send.

Change: responses carry a condition (load, leaving, pause). The fleet keeps it as a notice of one incarnation, apart from the statistics, so neither a view, a late heartbeat nor another address ends it. Departures go to the hub, which marks the incarnation as leaving for all; the first serving server of a service is never marked at second hand, so no statements, false or stale, empty a service. A refusal says when enough services have a usable server, if that is known and before the deadline. The two headers do not reach callers.

Decided: a pause needs status 503 and a positive number of seconds, fractions allowed; the longest of several counts, an hour at most; dates and the rest are ignored. A departure is the value 1 only. A response 421 speaks for another server.

--- a/crates/fireflyspool/src/backend/mod.rs
+++ b/crates/fireflyspool/src/backend/mod.rs
@@ -5,6 +5,7 @@
 mod announcement;
 mod cancel_request;
 mod cancel_state;
+mod condition;
 mod hosted_shard;
 mod load;
 mod phase;
@@ -17,6 +18,7 @@
 pub use announcement::Announcement;
 pub use cancel_request::CancelRequest;
 pub use cancel_state::CancelState;
+pub use condition::Condition;
 pub use hosted_shard::HostedShard;
 pub use load::Load;
 pub use phase::Phase;
--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -17,6 +17,7 @@
     members: usize,
     next_token: ids::Ticket,
     observations: fleet::observations::Observations,
+    notices: fleet::notices::Notices,
     pools: sorted::SortedMap<ids::ServiceName, fleet::pool::Pool>,
     routes: sorted::SortedMap<String, fleet::route_latency::RouteLatency>,
     splits: sorted::SortedMap<String, fleet::split_state::SplitState>,
@@ -37,6 +38,7 @@
             members: 0,
             next_token: 0,
             observations: fleet::observations::Observations::default(),
+            notices: fleet::notices::Notices::default(),
             pools: sorted::SortedMap::new(),
             routes: sorted::SortedMap::new(),
             splits: sorted::SortedMap::new(),
@@ -51,6 +53,7 @@
         self.generation = view.generation;
         self.observations.start(now);
         self.members = view.members;
+        self.notices.update(view);
         for (name, server) in view.servers.iter() {
             let zone_out = view.zones.zones.contains(&server.record.zone);
             let outlier = view.outliers.binary_search(name).is_ok();
@@ -119,10 +122,11 @@
         let members = self.members;
         self.next_token += 1;
         let pool = self.pools.get_mut(service)?;
-        let (name, state) = pool.pick(excluded, members, entropy, now)?;
+        let (name, state) = pool.pick(excluded, &self.notices, members, entropy, now)?;
         let picked = fleet::PickedServer {
             token: self.next_token,
             server: name.clone(),
+            born: state.born,
             address: state.address,
             local: state.local,
         };
@@ -134,8 +138,13 @@
 
     /// Whether a service has a usable server.
     pub fn is_usable(&self, service: &str, now: time::Instant) -> bool {
-        let pool = self.pools.get(service);
-        pool.is_some_and(|pool| pool.is_usable(now))
+        self.usable_at(service, now) == Some(now)
+    }
+
+    /// When a service has a usable server: `now` at the earliest, `None` if that is not
+    /// known.
+    pub fn usable_at(&self, service: &str, now: time::Instant) -> Option<time::Instant> {
+        self.pools.get(service)?.usable_at(&self.notices, now)
     }
 
     /// Counts a request for a service in its retry budget.
@@ -191,11 +200,29 @@
         }
     }
 
-    /// Records the load that a server reported with a response.
-    pub fn record_load(&mut self, key: (&str, &str), load: backend::Load, now: time::Instant) {
-        if let Some(server) = self.server(key) {
+    /// Records what the incarnation of a server that started at `born` stated in a response.
+    ///
+    /// Returns whether it leaves and had not said so before.
+    pub fn record_condition(
+        &mut self,
+        key: (&str, &str),
+        born: ids::BornMillis,
+        condition: &backend::Condition,
+        now: time::Instant,
+    ) -> bool {
+        let server = self.server(key);
+        if server.as_ref().is_some_and(|server| server.born > born) {
+            return false;
+        }
+        if let (Some(server), Some(load)) = (server, condition.load) {
             server.record_load(load, now);
         }
+        let leaves = self.notices.record(key.1, born, condition, now);
+        if leaves {
+            let symptom = hub::Symptom::Leaving { born };
+            self.observations.add(key.1, symptom, now);
+        }
+        leaves
     }
 
     /// Records the end of an attempt that [`Self::pick`] counted.
--- a/crates/fireflyspool/src/fleet/mod.rs
+++ b/crates/fireflyspool/src/fleet/mod.rs
@@ -10,6 +10,10 @@
 //! reached, because it may be restarting after a crash and cold afterwards; it
 //! is used again once a control VM has received a later heartbeat from it.
 //!
+//! What a server states about itself in its responses binds this VM too: one that
+//! leaves gets no request until a later incarnation reports, and one that asks for a
+//! pause gets none until its end. Neither a heartbeat nor a new view ends that.
+//!
 //! Retries and hedges to each service draw on a [`RetryBudget`], this VM's share
 //! of what all entry VMs may send together.
 
@@ -18,6 +22,8 @@
 #[allow(clippy::module_inception, reason = "a file is named after its type")]
 mod fleet;
 mod known_server;
+mod notice;
+mod notices;
 mod observations;
 mod picked_server;
 mod pool;
--- a/crates/fireflyspool/src/fleet/picked_server.rs
+++ b/crates/fireflyspool/src/fleet/picked_server.rs
@@ -11,6 +11,8 @@
     pub token: ids::Ticket,
     /// Name of the backend server.
     pub server: ids::ServerName,
+    /// Start time of its incarnation.
+    pub born: ids::BornMillis,
     /// Address of the backend server for requests.
     pub address: net::SocketAddr,
     /// Whether the backend server is in the zone of this VM.
--- a/crates/fireflyspool/src/fleet/pool.rs
+++ b/crates/fireflyspool/src/fleet/pool.rs
@@ -27,6 +27,7 @@
     pub(super) fn pick(
         &self,
         excluded: &[ids::ServerName],
+        notices: &fleet::notices::Notices,
         members: usize,
         entropy: u64,
         now: time::Instant,
@@ -36,7 +37,8 @@
         let mut entropy = entropy;
         let mut best: Option<(f64, (&ids::ServerName, &fleet::server_state::ServerState))> = None;
         for (name, server) in self.servers.iter() {
-            if !server.is_usable(now) || server.running >= limit || excluded.contains(name) {
+            let usable = server.is_usable(now) && notices.allows(name, server.born, now);
+            if !usable || server.running >= limit || excluded.contains(name) {
                 continue;
             }
             entropy = entropy.rotate_left(17).wrapping_mul(0x9e37_79b9_7f4a_7c15);
@@ -49,8 +51,17 @@
         best.map(|(_, entry)| entry)
     }
 
-    /// Whether any server is usable, even if it has no free connection.
-    pub(super) fn is_usable(&self, now: time::Instant) -> bool {
-        self.servers.values().any(|server| server.is_usable(now))
+    /// When the first server is usable, even if it has no free connection: `now` at the
+    /// earliest, `None` if that is not known.
+    pub(super) fn usable_at(
+        &self,
+        notices: &fleet::notices::Notices,
+        now: time::Instant,
+    ) -> Option<time::Instant> {
+        let usable_at = |(name, server): (&ids::ServerName, &fleet::server_state::ServerState)| {
+            let allowed_at = notices.usable_at(name, server.born, now)?;
+            Some(allowed_at.max(server.usable_at(now)?))
+        };
+        self.servers.iter().filter_map(usable_at).min()
     }
 }
--- a/crates/fireflyspool/src/fleet/server_state.rs
+++ b/crates/fireflyspool/src/fleet/server_state.rs
@@ -131,7 +131,13 @@
     }
 
     pub(super) fn is_usable(&self, now: time::Instant) -> bool {
-        self.serving && !self.zone_out && self.cold_until <= now && self.suspended.is_none()
+        self.usable_at(now) == Some(now)
+    }
+
+    /// When it is usable: `now` at the earliest, `None` if that is not known.
+    pub(super) fn usable_at(&self, now: time::Instant) -> Option<time::Instant> {
+        let in_service = self.serving && !self.zone_out && self.suspended.is_none();
+        in_service.then(|| self.cold_until.max(now))
     }
 
     /// Counts an attempt that starts.
--- a/crates/fireflyspool/src/forward/any_sub_request.rs
+++ b/crates/fireflyspool/src/forward/any_sub_request.rs
@@ -38,6 +38,14 @@
         }
     }
 
+    pub(super) fn service(&self) -> &ids::ServiceName {
+        match self {
+            Self::Pending(sub_request) => &sub_request.service,
+            Self::Answered(sub_request) => &sub_request.service,
+            Self::Failed(sub_request) => &sub_request.service,
+        }
+    }
+
     pub(super) fn pending_mut(&mut self) -> Option<&mut forward::SubRequest<forward::Pending>> {
         match self {
             Self::Pending(pending) => Some(pending),
--- a/crates/fireflyspool/src/forward/exchange.rs
+++ b/crates/fireflyspool/src/forward/exchange.rs
@@ -5,12 +5,6 @@
 use crate::forward::{any_sub_request, attempt};
 use crate::{configuration, fleet, forward, ids};
 
-/// Time after which a refused caller may try again.
-///
-/// A suspended backend server is usable again after its next heartbeat, and
-/// heartbeats arrive about once a second.
-pub(super) const RETRY_AFTER: time::Duration = time::Duration::from_millis(300);
-
 /// A caller request that is being forwarded.
 pub struct Exchange {
     pub(super) route: sync::Arc<configuration::Route>,
@@ -61,9 +55,10 @@
             || services.is_empty()
             || !forward::likelihood::admits(&services, required, fleet, entropy, now);
         if refused {
-            exchange.finish(forward::Outcome::Refused {
-                retry_after: RETRY_AFTER,
-            });
+            let deadline = exchange.timing.deadline;
+            let retry_after =
+                forward::retry_time::retry_after(&services, required, fleet, deadline, now);
+            exchange.finish(forward::Outcome::Refused { retry_after });
             let actions = std::mem::take(&mut exchange.actions);
             return (exchange, actions);
         }
@@ -78,7 +73,7 @@
         for index in 0..exchange.sub_requests.len() {
             exchange.send_first(index, fleet, entropy.rotate_left(index as u32), now);
         }
-        let actions = exchange.advance(now);
+        let actions = exchange.advance(fleet, now);
         (exchange, actions)
     }
 
@@ -99,7 +94,7 @@
             let attempt = self.attempts.swap_remove(position);
             self.handle_end(&attempt, end, fleet, entropy, now);
         }
-        self.advance(now)
+        self.advance(fleet, now)
     }
 
     /// Sends the hedges, retries and delayed first attempts that are due.
@@ -112,14 +107,18 @@
         for index in 0..self.sub_requests.len() {
             self.send_due(index, fleet, entropy.rotate_left(index as u32), now);
         }
-        self.advance(now)
+        self.advance(fleet, now)
     }
 
     /// Handles that all attempts returned so far are written to their connections.
     ///
     /// Their time counts from now: a VM without processor time takes a while to write
     /// many of them, which says nothing about their backend servers.
-    pub fn attempts_written(&mut self, now: time::Instant) -> Vec<forward::Action> {
+    pub fn attempts_written(
+        &mut self,
+        fleet: &fleet::Fleet,
+        now: time::Instant,
+    ) -> Vec<forward::Action> {
         for attempt in self.attempts.iter_mut().filter(|attempt| !attempt.written) {
             attempt.written = true;
             let delay = now.saturating_duration_since(attempt.sent);
@@ -130,7 +129,7 @@
                 *wake_at += delay;
             }
         }
-        self.advance(now)
+        self.advance(fleet, now)
     }
 
     /// Whether the outcome is decided.
@@ -149,9 +148,9 @@
     }
 
     /// Finishes the request or sets the next wake-up, and returns the actions.
-    fn advance(&mut self, now: time::Instant) -> Vec<forward::Action> {
+    fn advance(&mut self, fleet: &fleet::Fleet, now: time::Instant) -> Vec<forward::Action> {
         if !self.finished {
-            match self.decide(now) {
+            match self.decide(fleet, now) {
                 Some(outcome) => self.finish(outcome),
                 None => {
                     let wake = self.next_wake(now);
--- a/crates/fireflyspool/src/forward/exchange_ends.rs
+++ b/crates/fireflyspool/src/forward/exchange_ends.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::forward::{any_sub_request, attempt, exchange};
+use crate::forward::{any_sub_request, attempt, retry_time};
 use crate::{configuration, fleet, forward, ids};
 
 impl forward::Exchange {
@@ -41,30 +41,39 @@
     }
 
     /// The outcome, or `None` while more attempts may still change it.
-    pub(super) fn decide(&self, now: time::Instant) -> Option<forward::Outcome> {
+    pub(super) fn decide(
+        &self,
+        fleet: &fleet::Fleet,
+        now: time::Instant,
+    ) -> Option<forward::Outcome> {
         match &self.route.target {
-            configuration::Target::Gather(gather) => self.decide_gather(gather.top_k, now),
-            _ => self.decide_single(now),
+            configuration::Target::Gather(gather) => self.decide_gather(gather.top_k, fleet, now),
+            _ => self.decide_single(fleet, now),
         }
     }
 
-    fn decide_single(&self, now: time::Instant) -> Option<forward::Outcome> {
+    fn decide_single(&self, fleet: &fleet::Fleet, now: time::Instant) -> Option<forward::Outcome> {
         match self.sub_requests.first()? {
             any_sub_request::AnySubRequest::Answered(answered) => {
                 Some(forward::Outcome::Passed(answered.state.response.clone()))
             }
             any_sub_request::AnySubRequest::Failed(failed) => Some(match &failed.state.failure {
                 Some(failure) => forward::Outcome::Passed(failure.clone()),
-                None => self.without_response(now),
+                None => self.without_response(fleet, now),
             }),
             any_sub_request::AnySubRequest::Pending(_) if now >= self.timing.deadline => {
-                Some(self.without_response(now))
+                Some(self.without_response(fleet, now))
             }
             any_sub_request::AnySubRequest::Pending(_) => None,
         }
     }
 
-    fn decide_gather(&self, top_k: usize, now: time::Instant) -> Option<forward::Outcome> {
+    fn decide_gather(
+        &self,
+        top_k: usize,
+        fleet: &fleet::Fleet,
+        now: time::Instant,
+    ) -> Option<forward::Outcome> {
         let is_pending = |state: &&any_sub_request::AnySubRequest| {
             matches!(state, any_sub_request::AnySubRequest::Pending(_))
         };
@@ -76,7 +85,7 @@
         if pending == 0 || answered + pending < self.required || now >= self.timing.deadline {
             return Some(match answered >= self.required {
                 true => self.gather(top_k),
-                false => self.without_response(now),
+                false => self.without_response(fleet, now),
             });
         }
         let at_cutoff = now >= self.timing.cutoff && now < self.timing.objective;
@@ -102,7 +111,7 @@
     }
 
     /// Outcome without a usable response: refused only if certainly nothing ran.
-    fn without_response(&self, now: time::Instant) -> forward::Outcome {
+    fn without_response(&self, fleet: &fleet::Fleet, now: time::Instant) -> forward::Outcome {
         let ran = self.sub_requests.iter().any(|state| match state {
             any_sub_request::AnySubRequest::Pending(pending) => {
                 pending.state.ran + pending.state.running > 0
@@ -111,9 +120,12 @@
             any_sub_request::AnySubRequest::Failed(failed) => failed.state.ran,
         });
         match ran {
-            false => forward::Outcome::Refused {
-                retry_after: exchange::RETRY_AFTER,
-            },
+            false => {
+                let services = self.sub_requests.iter().map(|state| state.service());
+                let (required, deadline) = (self.required, self.timing.deadline);
+                let retry_after = retry_time::retry_after(services, required, fleet, deadline, now);
+                forward::Outcome::Refused { retry_after }
+            }
             true if now >= self.timing.deadline => forward::Outcome::TimedOut,
             true => forward::Outcome::Failed,
         }
--- a/crates/fireflyspool/src/forward/exchange_sends.rs
+++ b/crates/fireflyspool/src/forward/exchange_sends.rs
@@ -154,6 +154,7 @@
             token: picked.token,
             service,
             server: picked.server,
+            born: picked.born,
             address: picked.address,
             deadline: self.timing.deadline,
         }));
--- a/crates/fireflyspool/src/forward/mod.rs
+++ b/crates/fireflyspool/src/forward/mod.rs
@@ -38,6 +38,7 @@
 mod pending;
 mod request;
 mod response;
+mod retry_time;
 mod send;
 mod sub_request;
 mod timing;
--- a/crates/fireflyspool/src/forward/send.rs
+++ b/crates/fireflyspool/src/forward/send.rs
@@ -15,6 +15,8 @@
     pub service: ids::ServiceName,
     /// Backend server that gets the request.
     pub server: ids::ServerName,
+    /// Start time of its incarnation.
+    pub born: ids::BornMillis,
     /// Address of the backend server.
     pub address: net::SocketAddr,
     /// When the attempt times out; the backend server is told the time left.
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -94,7 +94,12 @@
     /// Handles observations of an entry VM about backend servers.
     pub fn observe(&mut self, reports: Vec<hub::Observation>, now: time::Instant) {
         for (server, symptom) in reports {
-            self.outliers.report(server, symptom, now);
+            match symptom {
+                hub::Symptom::Leaving { born } => {
+                    self.registry.mark_leaving(&server, born, now);
+                }
+                symptom => self.outliers.report(server, symptom, now),
+            }
         }
     }
 
--- a/crates/fireflyspool/src/hub/outliers.rs
+++ b/crates/fireflyspool/src/hub/outliers.rs
@@ -88,6 +88,8 @@
                 }
                 return;
             }
+            // The registry records departures.
+            hub::Symptom::Leaving { .. } => return,
         };
         let series = self.servers.get_or_insert_with(server, || ReportSeries {
             first: now,
--- a/crates/fireflyspool/src/hub/symptom.rs
+++ b/crates/fireflyspool/src/hub/symptom.rs
@@ -1,5 +1,7 @@
 //! What an attempt showed about its backend server.
 
+use crate::ids;
+
 /// Symptom that an entry VM reports about a backend server to its hub.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -11,4 +13,9 @@
     Failed,
     /// An attempt after a reported one was answered in the usual time.
     Recovered,
+    /// The server stated in a response that it leaves.
+    Leaving {
+        /// Start time of the incarnation that leaves.
+        born: ids::BornMillis,
+    },
 }
--- a/crates/fireflyspool/src/node/attempt_guard.rs
+++ b/crates/fireflyspool/src/node/attempt_guard.rs
@@ -37,8 +37,8 @@
         self.started = time::Instant::now();
     }
 
-    /// Records the end and the load that the backend server reported.
-    pub(super) fn end(mut self, end: &forward::AttemptEnd, load: Option<backend::Load>) {
+    /// Records the end and what the backend server stated about itself.
+    pub(super) fn end(mut self, end: &forward::AttemptEnd, condition: &backend::Condition) {
         self.ended = true;
         let elapsed = self.started.elapsed();
         let result = match end {
@@ -54,7 +54,7 @@
             }
             forward::AttemptEnd::TimedOut => fleet::AttemptResult::Abandoned { elapsed },
         };
-        self.record(result, load);
+        self.record(result, condition);
         let failed = matches!(
             result,
             fleet::AttemptResult::Failed | fleet::AttemptResult::Unreachable
@@ -70,15 +70,26 @@
         }
     }
 
-    fn record(&self, result: fleet::AttemptResult, load: Option<backend::Load>) {
+    fn record(&self, result: fleet::AttemptResult, condition: &backend::Condition) {
         let mut fleet = self.forwarding.fleet();
         let now = time::Instant::now();
         let key = (self.send.service.as_str(), self.send.server.as_str());
         fleet.record_end(key, self.send.token, &self.route, result, now);
-        if let Some(load) = load {
-            fleet.record_load(key, load, now);
-        }
+        let leaves = fleet.record_condition(key, self.send.born, condition, now);
         self.forwarding.report_observations(&mut fleet);
+        drop(fleet);
+        let logger = &self.forwarding.process.logger;
+        if leaves {
+            slog::info!(logger, "backend server stated that it leaves";
+                "request" => &self.message.id, "server" => &self.send.server,
+                "service" => &self.send.service, "born" => self.send.born);
+        }
+        if let Some(pause) = condition.pause {
+            slog::info!(logger, "backend server asked for a pause";
+                "request" => &self.message.id, "server" => &self.send.server,
+                "service" => &self.send.service, "born" => self.send.born,
+                "pause_ms" => u64::try_from(pause.as_millis()).unwrap_or(u64::MAX));
+        }
     }
 }
 
@@ -86,7 +97,8 @@
     fn drop(&mut self) {
         if !self.ended {
             let elapsed = self.started.elapsed();
-            self.record(fleet::AttemptResult::Abandoned { elapsed }, None);
+            let result = fleet::AttemptResult::Abandoned { elapsed };
+            self.record(result, &backend::Condition::default());
         }
     }
 }
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -109,7 +109,7 @@
             Some(ended) => self.end_attempt(exchange, ended),
             None => {
                 self.unwritten = false;
-                exchange.attempts_written(time::Instant::now())
+                exchange.attempts_written(&self.forwarding.fleet(), time::Instant::now())
             }
         }
     }
@@ -181,8 +181,8 @@
         self.unwritten = true;
         self.attempts.push(Box::pin(async move {
             guard.begin();
-            let (end, load) = sending.await;
-            guard.end(&end, load);
+            let (end, condition) = sending.await;
+            guard.end(&end, &condition);
             (send.attempt, end)
         }));
     }
--- a/crates/fireflyspool/src/platform/headers.rs
+++ b/crates/fireflyspool/src/platform/headers.rs
@@ -16,7 +16,10 @@
 pub(super) const NOT_EXECUTED: &str = "x-not-executed";
 
 /// Running and queued requests of a backend server, and its capacity.
-pub(super) const LOAD: &str = "x-server-load";
+pub(super) const LOAD: http::HeaderName = http::HeaderName::from_static("x-server-load");
+
+/// Present with the value 1 if a backend server is about to shut down.
+pub(super) const LEAVING: http::HeaderName = http::HeaderName::from_static("server-leaving");
 
 /// Signatures of the responses merged into an answer.
 pub(super) const PART_SIGNATURES: &str = "x-part-stamps";
@@ -56,3 +59,13 @@
     }
     forwarded
 }
+
+/// Copies the headers of a response that are forwarded to its caller.
+///
+/// What a backend server states to its client, this VM, says nothing about the tier.
+pub(super) fn forwarded_response(headers: &http::HeaderMap) -> http::HeaderMap {
+    let mut forwarded = end_to_end(headers);
+    forwarded.remove(LEAVING);
+    forwarded.remove(http::header::RETRY_AFTER);
+    forwarded
+}
--- a/crates/fireflyspool/src/platform/http_backend_client.rs
+++ b/crates/fireflyspool/src/platform/http_backend_client.rs
@@ -3,10 +3,10 @@
 use std::{net, sync, time};
 
 use crate::platform::headers;
-use crate::{backend, forward, node, rim, timer};
+use crate::{backend, forward, node, platform, rim, timer};
 
 type Response = http::Response<rim::ForwardBody>;
-type Ending = (forward::AttemptEnd, Option<backend::Load>);
+type Ending = (forward::AttemptEnd, backend::Condition);
 
 /// Sends requests to backend servers with the headers of the platform.
 pub(super) struct HttpBackendClient {
@@ -28,11 +28,11 @@
         Box::pin(async move {
             let Some(request) = encode(&send, &message) else {
                 // Nothing was sent; the failure must not count against the server.
-                return (forward::AttemptEnd::Rejected, None);
+                return (forward::AttemptEnd::Rejected, backend::Condition::default());
             };
             tokio::select! {
                 ended = exchange(&client, send.address, request, &message.id) => ended,
-                () = sleep => (forward::AttemptEnd::TimedOut, None),
+                () = sleep => (forward::AttemptEnd::TimedOut, backend::Condition::default()),
             }
         })
     }
@@ -73,28 +73,35 @@
 ) -> Ending {
     match client.send(address, request).await {
         Ok(response) => decode(response, id).await,
-        Err(rim::ForwardError::Connect(_)) => (forward::AttemptEnd::Unreachable, None),
-        Err(_) => (forward::AttemptEnd::Broken, None),
+        Err(rim::ForwardError::Connect(_)) => (
+            forward::AttemptEnd::Unreachable,
+            backend::Condition::default(),
+        ),
+        Err(_) => (forward::AttemptEnd::Broken, backend::Condition::default()),
     }
 }
 
 async fn decode(response: Response, id: &str) -> Ending {
     let (head, body) = response.into_parts();
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
-    let load = text(headers::LOAD).and_then(parse_load);
     if text(headers::REQUEST_ID).is_some_and(|echoed| echoed != id) {
         // Dropping the body closes the connection, on which responses no longer match requests.
-        return (forward::AttemptEnd::Broken, None);
+        return (forward::AttemptEnd::Broken, backend::Condition::default());
     }
     let wrong_server = head.status == http::StatusCode::MISDIRECTED_REQUEST;
+    let condition = match wrong_server {
+        // It is that of another server.
+        true => backend::Condition::default(),
+        false => platform::decode_condition(head.status, &head.headers),
+    };
     let rejected = head.headers.contains_key(headers::NOT_EXECUTED);
     let signature = text(headers::SIGNATURE).map(str::to_owned);
     let Ok(body) = body.read().await else {
         // The head arrived whole, and its status and headers tell whether the request ran.
         return match (wrong_server, rejected) {
-            (true, _) => (forward::AttemptEnd::WrongServer, load),
-            (_, true) => (forward::AttemptEnd::Rejected, load),
-            _ => (forward::AttemptEnd::Broken, load),
+            (true, _) => (forward::AttemptEnd::WrongServer, condition),
+            (_, true) => (forward::AttemptEnd::Rejected, condition),
+            _ => (forward::AttemptEnd::Broken, condition),
         };
     };
     let end = if wrong_server {
@@ -106,19 +113,10 @@
     } else {
         forward::AttemptEnd::Answered(forward::Response {
             status: head.status.as_u16(),
-            headers: headers::end_to_end(&head.headers),
+            headers: headers::forwarded_response(&head.headers),
             signature,
             body,
         })
     };
-    (end, load)
-}
-
-/// Parses the numbers of running and queued requests; ignores the third, the capacity.
-fn parse_load(text: &str) -> Option<backend::Load> {
-    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
-    Some(backend::Load {
-        running: numbers.next()??,
-        queued: numbers.next()??,
-    })
+    (end, condition)
 }
--- a/crates/fireflyspool/src/platform/mod.rs
+++ b/crates/fireflyspool/src/platform/mod.rs
@@ -9,6 +9,7 @@
 mod address_answer;
 mod bounds;
 mod caller_service;
+mod condition_wire;
 mod configuration_format;
 mod configuration_wire;
 mod control_routes;
@@ -29,6 +30,7 @@
 mod signals;
 mod split_wire;
 
+pub use condition_wire::decode_condition;
 pub use configuration_format::ConfigurationFormat;
 pub use departure_wire::DepartureWire;
 pub use heartbeat_wire::HeartbeatWire;
--- a/crates/fireflyspool/src/registry/entry.rs
+++ b/crates/fireflyspool/src/registry/entry.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Whether it accepts requests and has reported within the timeout.
+    pub(super) fn is_serving(&self) -> bool {
+        self.report.phase == registry::Phase::Serving && !self.silent
+    }
+
     /// Record of the current state for other VMs.
     pub(super) fn record(&self, now: time::Instant) -> registry::Record {
         let report = &self.report;
--- a/crates/fireflyspool/src/registry/registry.rs
+++ b/crates/fireflyspool/src/registry/registry.rs
@@ -148,6 +148,35 @@
         registry::MergeOutcome::Changed
     }
 
+    /// Marks a server as leaving because an entry VM got that statement from it.
+    ///
+    /// Only the known incarnation is marked, and never the first serving server of a
+    /// service by name: statements at second hand cannot leave a service without servers,
+    /// not even when several VMs receive them at the same time.
+    pub fn mark_leaving(
+        &mut self,
+        server: &str,
+        born: ids::BornMillis,
+        now: time::Instant,
+    ) -> registry::MergeOutcome {
+        let keeper = self.entries.get(server).and_then(|entry| {
+            let service = &entry.report.service;
+            let mut serving = self.entries.values().filter(|entry| entry.is_serving());
+            serving.find(|entry| entry.report.service == *service)
+        });
+        let is_keeper = keeper.is_none_or(|entry| entry.report.server == server);
+        let Some(entry) = self.entries.get_mut(server) else {
+            return registry::MergeOutcome::Stale;
+        };
+        if is_keeper || !entry.is_serving() || entry.report.born != born {
+            return registry::MergeOutcome::Stale;
+        }
+        entry.report.phase = registry::Phase::Leaving;
+        entry.reported_at = entry.reported_at.max(now);
+        self.log_change(server.to_owned());
+        registry::MergeOutcome::Changed
+    }
+
     /// Marks servers without a recent report as silent and removes those without any for long.
     pub fn expire(&mut self, now: time::Instant) {
         let mut silent = Vec::new();
--- a/crates/fireflyspool/tests/forward.rs
+++ b/crates/fireflyspool/tests/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use fireflyspool::{configuration, fleet, forward, registry};
+use fireflyspool::{backend, configuration, fleet, forward, registry};
 
 const OBJECTIVE: time::Duration = time::Duration::from_millis(100);
 
@@ -36,6 +36,7 @@
 /// Drives one exchange; the test ends the attempts in place of backend servers.
 struct Harness {
     fleet: fleet::Fleet,
+    route: configuration::Route,
     exchange: forward::Exchange,
     sends: Vec<forward::Send>,
     wake: Option<time::Instant>,
@@ -103,10 +104,11 @@
             target,
         };
         let timing = forward::Timing::new(&route, caller_timeout, answer_delay, now);
-        let route = sync::Arc::new(route);
-        let (exchange, actions) = forward::Exchange::start(route, timing, &mut fleet, 1, now);
+        let shared = sync::Arc::new(route.clone());
+        let (exchange, actions) = forward::Exchange::start(shared, timing, &mut fleet, 1, now);
         let mut harness = Self {
             fleet,
+            route,
             exchange,
             sends: Vec::new(),
             wake: None,
@@ -197,10 +199,14 @@
     let hedge_at = harness.wake.expect("a hedge is due");
     let delay = time::Duration::from_millis(40);
     harness.now = harness.start + delay;
-    let actions = harness.exchange.attempts_written(harness.now);
+    let actions = harness
+        .exchange
+        .attempts_written(&harness.fleet, harness.now);
     harness.execute(actions);
     assert_eq!(harness.wake, Some(hedge_at + delay));
-    let actions = harness.exchange.attempts_written(harness.now + delay);
+    let actions = harness
+        .exchange
+        .attempts_written(&harness.fleet, harness.now + delay);
     harness.execute(actions);
     assert_eq!(harness.wake, Some(hedge_at + delay), "written once");
 }
@@ -412,3 +418,116 @@
         .tests(2_000)
         .quickcheck(property as fn(Vec<Vec<u8>>, usize) -> bool);
 }
+
+fn refused_after(harness: &Harness) -> time::Duration {
+    match harness.outcome {
+        Some(forward::Outcome::Refused { retry_after }) => retry_after,
+        ref other => panic!("{other:?}"),
+    }
+}
+
+impl Harness {
+    /// Has the server of a send state something; the attempt was refused.
+    fn refuse(&mut self, send: usize, condition: &backend::Condition) {
+        let sent = &self.sends[send];
+        let key = (sent.service.as_str(), sent.server.as_str());
+        self.fleet
+            .record_condition(key, sent.born, condition, self.now);
+        self.end_attempt(send, forward::AttemptEnd::Rejected);
+    }
+
+    /// Starts another request on the same route with the servers as they are.
+    fn start_again(&mut self) {
+        let route = sync::Arc::new(self.route.clone());
+        let timing = forward::Timing::new(&route, None, time::Duration::ZERO, self.now);
+        let (exchange, actions) =
+            forward::Exchange::start(route, timing, &mut self.fleet, 1, self.now);
+        (self.exchange, self.outcome) = (exchange, None);
+        self.sends.clear();
+        self.start = self.now;
+        self.execute(actions);
+    }
+}
+
+fn pause(millis: u64) -> backend::Condition {
+    backend::Condition {
+        pause: Some(time::Duration::from_millis(millis)),
+        ..backend::Condition::default()
+    }
+}
+
+/// Guards against hedges and retries at a server that wants none, from requests that were
+/// under way when it said so.
+#[test]
+fn a_paused_server_gets_no_hedge_and_no_retry() {
+    let mut harness = Harness::single(true, 2);
+    let other = match harness.sends[0].server.as_str() {
+        "service-0" => "service-1",
+        _ => "service-0",
+    };
+    harness
+        .fleet
+        .record_condition(("service", other), 1, &pause(500), harness.now);
+    harness.advance_to(90);
+    assert_eq!(harness.sends.len(), 1, "no hedge at {other}");
+    harness.end_attempt(0, forward::AttemptEnd::Broken);
+    assert_eq!(harness.sends.len(), 1, "no retry at {other}");
+    assert_eq!(harness.outcome, Some(forward::Outcome::Failed));
+}
+
+/// Guards against callers that wait for servers which all want a pause, and against callers
+/// that come back before the first one ends.
+#[test]
+fn a_caller_is_refused_at_once_until_the_first_paused_server_is_back() {
+    let mut harness = Harness::single(false, 2);
+    harness.refuse(0, &pause(400));
+    harness.advance_to(10);
+    harness.refuse(1, &pause(200));
+    harness.advance_to(20);
+    assert_eq!(
+        refused_after(&harness),
+        time::Duration::from_millis(190),
+        "the second pause began after 10 ms"
+    );
+    harness.start_again();
+    assert!(harness.sends.is_empty());
+    assert_eq!(refused_after(&harness), time::Duration::from_millis(190));
+    harness.now += time::Duration::from_millis(190);
+    harness.start_again();
+    assert_eq!(harness.sends.len(), 1);
+}
+
+/// The route's timeout is 800 ms; a later return leaves an answer no chance.
+#[test]
+fn a_return_after_the_deadline_is_not_what_the_caller_is_told() {
+    let mut harness = Harness::single(false, 1);
+    harness.refuse(0, &pause(900));
+    harness.advance_to(10);
+    assert!(refused_after(&harness) < time::Duration::from_millis(400));
+}
+
+/// Guards against a query that waits for a shard whose servers all want a pause, and one
+/// that is refused although the others suffice.
+#[test]
+fn a_paused_shard_is_missing_from_the_start() {
+    let mut harness = Harness::gather(10, 0.89, 1);
+    harness.refuse(0, &pause(700));
+    harness.start_again();
+    assert_eq!(harness.sends.len(), 9);
+    for send in 0..9 {
+        harness.end_attempt(send, success(&[1; 16]));
+    }
+    assert!(matches!(
+        harness.outcome,
+        Some(forward::Outcome::Gathered { missing: 1, .. })
+    ));
+    harness.start_again();
+    harness.refuse(0, &pause(300));
+    harness.start_again();
+    assert!(harness.sends.is_empty(), "two shards of ten are missing");
+    assert_eq!(
+        refused_after(&harness),
+        time::Duration::from_millis(300),
+        "nine shards are back then"
+    );
+}
--- a/crates/fireflyspool/tests/forwarding.rs
+++ b/crates/fireflyspool/tests/forwarding.rs
@@ -5,7 +5,7 @@
     thread, time,
 };
 
-use fireflyspool::{configuration, fleet, forward, node, registry};
+use fireflyspool::{backend, configuration, fleet, forward, node, registry};
 
 const SHARDS: usize = 36;
 const OBJECTIVE: time::Duration = time::Duration::from_millis(200);
@@ -33,7 +33,10 @@
                 signature: Some(send.service),
                 body: bytes::Bytes::from_static(&[1; 16]),
             };
-            (forward::AttemptEnd::Answered(response), None)
+            (
+                forward::AttemptEnd::Answered(response),
+                backend::Condition::default(),
+            )
         })
     }
 }
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -324,6 +324,78 @@
     }
 }
 
+/// Serving servers of `shard-1` that a follower of hub `index` receives.
+fn serving(site: &mut Site, index: usize) -> Vec<String> {
+    let now = site.now;
+    site.hubs[index].follow(9, poll(member(100, "c", true)), now);
+    site.advance(1);
+    let records = site.replies.pop().expect("an answer").changes.records;
+    let serving = records
+        .into_iter()
+        .filter(|record| record.phase == registry::Phase::Serving);
+    serving.map(|record| record.server).collect()
+}
+
+/// Three hubs that know the servers `s1` to `s3`, each of incarnation 1.
+fn site_with_three_servers() -> Site {
+    let mut site = Site::new();
+    site.advance(10);
+    for (number, server) in (1..).zip(["s1", "s2", "s3"]) {
+        let mut serving = report(server, registry::Phase::Serving, 1);
+        serving.address = address(9_000 + number);
+        let now = site.now;
+        site.hubs[0].report(u64::from(number), serving, now);
+    }
+    site.advance(10);
+    site
+}
+
+fn observe_leaving(site: &mut Site, hub: usize, server: &str, born: u64) {
+    let observation = (server.to_owned(), hub::Symptom::Leaving { born });
+    let now = site.now;
+    site.hubs[hub].observe(vec![observation], now);
+}
+
+/// Guards against requests to a server that has told one entry VM that it leaves, also after
+/// a late heartbeat which says that it is ready.
+#[test]
+fn a_departure_that_one_entry_vm_was_told_of_reaches_all() {
+    let mut site = site_with_three_servers();
+    observe_leaving(&mut site, 1, "s2", 1);
+    site.advance(10);
+    let mut late = report("s2", registry::Phase::Serving, 5);
+    late.address = address(9_002);
+    let now = site.now;
+    site.hubs[0].report(8, late.clone(), now);
+    site.advance(10);
+    for hub in 0..3 {
+        assert_eq!(serving(&mut site, hub), ["s1", "s3"]);
+    }
+    late.born = 2;
+    let now = site.now;
+    site.hubs[0].report(9, late, now);
+    site.advance(10);
+    assert_eq!(serving(&mut site, 2), ["s1", "s2", "s3"]);
+}
+
+/// Guards against a statement of a former incarnation that takes out the next one, and
+/// against entry VMs that report all servers of a service at once, each to another hub.
+#[test]
+fn stale_and_false_departures_do_not_empty_a_service() {
+    let mut site = site_with_three_servers();
+    observe_leaving(&mut site, 0, "s2", 0);
+    observe_leaving(&mut site, 0, "unknown", 1);
+    site.advance(10);
+    assert_eq!(serving(&mut site, 1), ["s1", "s2", "s3"]);
+    for (hub, server) in ["s3", "s1", "s2"].into_iter().enumerate() {
+        observe_leaving(&mut site, hub, server, 1);
+    }
+    site.advance(10);
+    for hub in 0..3 {
+        assert_eq!(serving(&mut site, hub), ["s1"]);
+    }
+}
+
 /// Guards against requests to servers that are known to fail.
 #[test]
 fn a_server_that_fails_is_listed_after_few_failures() {
--- a/crates/fireflyspool/tests/platform_site/caller.rs
+++ b/crates/fireflyspool/tests/platform_site/caller.rs
@@ -73,7 +73,8 @@
         prefix: &str,
     ) -> (String, reqwest::Result<reqwest::Response>) {
         self.next += 1;
-        let id = format!("{}{}", self.name, self.next);
+        // The stand-in servers tell the entry VMs apart by the end of the id.
+        let id = format!("{}{}-{entry}", self.name, self.next);
         let request = self
             .http
             .get(format!("http://{entry}{prefix}{id}"))
--- a/crates/fireflyspool/tests/platform_site/mod.rs
+++ b/crates/fireflyspool/tests/platform_site/mod.rs
@@ -6,12 +6,14 @@
 mod caller;
 mod process;
 mod stand_in_server;
+mod stated_notices;
 
 use std::{net, path, time};
 
 pub(crate) use caller::Caller;
 pub(crate) use process::Process;
 pub(crate) use stand_in_server::{StandInServer, record};
+pub(crate) use stated_notices::StatedNotices;
 
 /// Longest wait for an expected event, with a margin for a busy machine.
 pub(crate) const WAIT_LIMIT: time::Duration = time::Duration::from_secs(40);
--- a/crates/fireflyspool/tests/platform_site/stand_in_server.rs
+++ b/crates/fireflyspool/tests/platform_site/stand_in_server.rs
@@ -1,14 +1,14 @@
 //! Stand-in backend server that injects faults at fixed periods.
 
 use std::{
-    collections, net,
+    collections, future, net,
     sync::{self, atomic},
     time,
 };
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
-use super::{Site, WAIT_LIMIT};
+use super::{Site, StatedNotices, WAIT_LIMIT};
 
 /// Number of requests after which each kind of fault repeats.
 const PAUSE_PERIOD: usize = 11;
@@ -24,6 +24,8 @@
     count: atomic::AtomicUsize,
     executions: sync::Mutex<collections::BTreeMap<String, usize>>,
     starts: sync::Mutex<Vec<time::Instant>>,
+    silent: atomic::AtomicBool,
+    notices: StatedNotices,
 }
 
 /// Backend server of one service on a loopback port of its own.
@@ -33,6 +35,7 @@
     pub(crate) address: net::SocketAddr,
     zone: String,
     sequence: u64,
+    born: u64,
 }
 
 /// Record number `index` that a service returns for request `id`.
@@ -66,6 +69,8 @@
             count: atomic::AtomicUsize::new(number),
             executions: sync::Mutex::default(),
             starts: sync::Mutex::default(),
+            silent: atomic::AtomicBool::default(),
+            notices: StatedNotices::default(),
         });
         let serving = sync::Arc::clone(&shared);
         tokio::spawn(async move {
@@ -78,6 +83,7 @@
             address,
             zone: zone.to_owned(),
             sequence: 0,
+            born: 5,
         }
     }
 
@@ -98,6 +104,23 @@
             .clone()
     }
 
+    /// What the server states about itself in its answers.
+    pub(crate) fn notices(&self) -> &StatedNotices {
+        &self.shared.notices
+    }
+
+    /// Has the server read requests and never answer them.
+    pub(crate) fn be_silent(&self) {
+        self.shared.silent.store(true, atomic::Ordering::Relaxed);
+    }
+
+    /// Starts a new incarnation under the same name and address.
+    pub(crate) fn restart(&mut self) {
+        self.born += 1;
+        self.sequence = 0;
+        self.shared.notices.clear();
+    }
+
     pub(crate) fn total(&self) -> usize {
         self.executions().values().sum()
     }
@@ -148,8 +171,8 @@
     ) -> bool {
         let body = format!(
             r#"{{"Backend":"{}","Address":"{}","Zone":"{}","Version":"v1","Concurrency":2,
-            "State":"{state}","WarmupLeftMs":{cold_ms},"Sequence":{},"born":5}}"#,
-            self.shared.service, self.address, self.zone, self.sequence
+            "State":"{state}","WarmupLeftMs":{cold_ms},"Sequence":{},"born":{}}}"#,
+            self.shared.service, self.address, self.zone, self.sequence, self.born
         );
         let path = format!("/fireflyspool/Instances.Heartbeat/{}", self.shared.server);
         let sent = http.post(format!("http://{control}{path}")).body(body);
@@ -205,6 +228,13 @@
     if expected != Some(&shared.server) {
         return write(stream, "421 Misdirected Request", id, "", b"").await;
     }
+    if let Some(left) = shared.notices.pause_left(id) {
+        let extra = format!(
+            "X-Not-Executed: 1\r\nRetry-After: {:.3}\r\n",
+            left.as_secs_f64()
+        );
+        return write(stream, "503 Paused", id, &extra, b"").await;
+    }
     if due(REJECT_PERIOD) {
         return write(stream, "503 Full", id, "X-Not-Executed: 1\r\n", b"").await;
     }
@@ -219,6 +249,9 @@
         .lock()
         .expect("the lock is not poisoned")
         .push(time::Instant::now());
+    if shared.silent.load(atomic::Ordering::Relaxed) {
+        return future::pending().await;
+    }
     if due(CLOSE_PERIOD) {
         return false;
     }
@@ -229,8 +262,9 @@
         .flat_map(|index| record(&shared.service, id, index))
         .collect();
     let extra = format!(
-        "X-Server-Stamp: {}.{id}\r\nX-Server-Load: 1,0,2\r\n",
-        shared.service
+        "X-Server-Stamp: {}.{id}\r\nX-Server-Load: 1,0,2\r\n{}",
+        shared.service,
+        shared.notices.leaving_header()
     );
     if !write(stream, "200 OK", id, &extra, &records).await {
         return false;
--- a/crates/fireflyspool/tests/platform_wire.rs
+++ b/crates/fireflyspool/tests/platform_wire.rs
@@ -1,7 +1,9 @@
 //! Decoding of the platform's messages and settings, and the causes of refusals.
 
+use std::time;
+
 use fireflyspool::configuration::Format as _;
-use fireflyspool::{configuration, platform, registry};
+use fireflyspool::{backend, configuration, platform, registry};
 
 const HEARTBEAT: &str = r#"{"Backend":"shard","Address":"10.0.0.9:8080","Zone":"a",
     "Version":"v1","Concurrency":3,"State":"ready","WarmupLeftMs":0,"Sequence":4,"born":17}"#;
@@ -177,3 +179,63 @@
         assert!(born(invalid).is_err());
     }
 }
+
+fn decode_condition(status: u16, fields: &[(&'static str, &str)]) -> backend::Condition {
+    let mut head = http::HeaderMap::new();
+    for (name, value) in fields {
+        let value = http::HeaderValue::from_str(value).expect("a header value");
+        head.append(*name, value);
+    }
+    let status = http::StatusCode::from_u16(status).expect("a status");
+    platform::decode_condition(status, &head)
+}
+
+/// Guards against a pause that is missed, made up or endless.
+#[test]
+fn a_pause_is_decoded_from_the_refusals_of_backend_servers() {
+    let cases = [
+        (503, vec!["2"], Some(2_000)),
+        (503, vec![" 0.25 "], Some(250)),
+        (503, vec!["1", "3", "2"], Some(3_000)),
+        (503, vec!["soon", "1"], Some(1_000)),
+        (503, vec!["1e300"], Some(3_600_000)),
+        (503, vec!["0"], None),
+        (503, vec!["-1"], None),
+        (503, vec!["NaN"], None),
+        (503, vec!["inf"], None),
+        (503, vec![""], None),
+        (503, vec!["Fri, 04 Dec 2026 21:00:00 GMT"], None),
+        (200, vec!["2"], None),
+        (429, vec!["2"], None),
+        (503, vec![], None),
+    ];
+    for (status, values, millis) in cases {
+        let fields: Vec<_> = values.iter().map(|value| ("retry-after", *value)).collect();
+        let pause = decode_condition(status, &fields).pause;
+        let expected = millis.map(time::Duration::from_millis);
+        assert_eq!(pause, expected, "{status} {values:?}");
+    }
+}
+
+/// Guards against a server that loses its requests because of a header that is not understood.
+#[test]
+fn a_departure_is_stated_by_one_value_only() {
+    let leaving = |value| decode_condition(200, &[("server-leaving", value)]).leaving;
+    assert!(leaving("1") && leaving(" 1 "));
+    for other in ["0", "", "true", "11", "1, 0"] {
+        assert!(!leaving(other), "{other:?}");
+    }
+    let both_malformed = [
+        ("server-leaving", "?"),
+        ("retry-after", "?"),
+        ("x-server-load", "?,?"),
+    ];
+    let condition = decode_condition(503, &both_malformed);
+    assert_eq!(condition, backend::Condition::default());
+    let load = decode_condition(200, &[("x-server-load", "3,1,8")]).load;
+    let expected = backend::Load {
+        running: 3,
+        queued: 1,
+    };
+    assert_eq!(load, Some(expected));
+}
