Withdraw a backend server from a service that it has left for another

Cause: found by the random test of the fleet against an oracle. A server that reports another service under the same name stayed usable in the former one as long as an attempt was running there, because its statistics are kept until then.

Change: it is kept for its running attempts only.

--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -64,8 +64,13 @@
                 let server = view.servers.get(name);
                 server.is_some_and(|server| server.record.service == *service)
             };
-            pool.servers
-                .retain(|name, state| known(name) || state.running > 0);
+            pool.servers.retain(|name, state| {
+                let known = known(name);
+                if !known {
+                    state.withdraw();
+                }
+                known || state.running > 0
+            });
             let limits = view.table.as_ref().and_then(|table| table.service(service));
             pool.connections = limits.map_or(0, |limits| limits.max_connections);
         }
--- a/crates/fireflyspool/src/fleet/server_state.rs
+++ b/crates/fireflyspool/src/fleet/server_state.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Stops its use, because it no longer belongs to the service.
+    pub(super) fn withdraw(&mut self) {
+        self.serving = false;
+    }
+
     pub(super) fn is_usable(&self, now: time::Instant) -> bool {
         self.usable_at(now) == Some(now)
     }
