Answer every request that an entry VM has taken before it stops

Cause: reports of operators: requests taken late in the grace period were cut at its end, and connections that had just been accepted were closed unread when the first half of the period was over.

Change: in the second half the listener stays open and requests are refused at once as not run. Running ones get a deadline 0.3 s before the end, at which they are answered with what they have. Connections are closed once nothing runs.

--- a/crates/fireflyspool/src/forward/exchange.rs
+++ b/crates/fireflyspool/src/forward/exchange.rs
@@ -132,6 +132,17 @@
         self.advance(fleet, now)
     }
 
+    /// Brings the deadline forward, because this VM shuts down; it is never put off.
+    pub fn limit_deadline(
+        &mut self,
+        deadline: time::Instant,
+        fleet: &fleet::Fleet,
+        now: time::Instant,
+    ) -> Vec<forward::Action> {
+        self.timing.deadline = self.timing.deadline.min(deadline);
+        self.advance(fleet, now)
+    }
+
     /// Whether the outcome is decided.
     pub fn is_finished(&self) -> bool {
         self.finished
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -5,7 +5,7 @@
     time,
 };
 
-use crate::{configuration, control, fleet, follow, forward, hub, node, telemetry};
+use crate::{configuration, control, fleet, follow, forward, hub, node, shutdown, telemetry};
 
 /// Reserve at the end of the grace period for the exit of the process.
 const EXIT_MARGIN: time::Duration = time::Duration::from_millis(700);
@@ -21,7 +21,6 @@
     process: sync::Arc<node::Process>,
     forwarding: sync::Arc<node::Forwarding>,
     grace: time::Duration,
-    draining: atomic::AtomicBool,
     dropped: telemetry::DroppedLines,
 }
 
@@ -61,7 +60,6 @@
             process,
             forwarding: sync::Arc::new(forwarding),
             grace: settings.grace,
-            draining: atomic::AtomicBool::new(false),
             dropped,
         }))
     }
@@ -100,7 +98,7 @@
 
     /// Whether the process was told to stop.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(atomic::Ordering::Relaxed)
+        self.forwarding.drain().is_leaving()
     }
 
     /// Limits on what callers may send; the default until there is a configuration.
@@ -121,27 +119,36 @@
         self.forwarding.run(request, message).await
     }
 
-    /// Withdraws this VM from the directory, and returns when new requests are to be refused.
+    /// Withdraws this VM from the directory, and returns when new requests are refused.
     ///
     /// Callers that still hold its address are served meanwhile.
     pub async fn start_drain(&self) {
-        self.draining.store(true, atomic::Ordering::Relaxed);
+        let accepting = self.grace.mul_f64(ACCEPT_SHARE);
+        let now = time::Instant::now();
+        self.forwarding
+            .update_drain(|drain| drain.announce(accepting, time::Duration::ZERO, now));
         self.process.send_event(control::Event::Leave);
         slog::info!(self.process.logger, "leaving");
-        self.process
-            .timer
-            .sleep(self.grace.mul_f64(ACCEPT_SHARE))
-            .await;
+        self.process.timer.sleep_until(now + accepting).await;
+        self.advance_drain();
     }
 
-    /// Waits for running requests as long as the grace period allows; returns how many
-    /// are cut short.
+    /// Waits until no request is running; those that still run shortly before the end of the
+    /// grace period are answered with what they have. Returns how many are cut short.
     pub async fn finish_drain(&self) -> usize {
-        let left = self.grace.mul_f64(1.0 - ACCEPT_SHARE);
-        let limit = time::Instant::now() + left.saturating_sub(EXIT_MARGIN);
-        while self.forwarding.running() > 0 && time::Instant::now() < limit {
+        loop {
+            if let shutdown::AnyDrain::Closed(drain) = self.advance_drain() {
+                return drain.aborted();
+            }
             self.process.timer.sleep(DRAIN_POLL_INTERVAL).await;
         }
-        self.forwarding.running()
+    }
+
+    fn advance_drain(&self) -> shutdown::AnyDrain {
+        let (running, now) = (self.forwarding.running(), time::Instant::now());
+        let left = self.grace.mul_f64(1.0 - ACCEPT_SHARE);
+        let left = left.saturating_sub(EXIT_MARGIN);
+        self.forwarding
+            .update_drain(|drain| drain.advance(running, left, now))
     }
 }
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -3,14 +3,18 @@
 use std::{sync, time};
 
 use futures_util::{FutureExt as _, StreamExt as _, future, stream};
-use tokio::task;
+use tokio::{sync::watch, task};
 
-use crate::{configuration, fleet, forward, ids, node, telemetry, timer};
+use crate::{configuration, fleet, forward, ids, node, shutdown, telemetry, timer};
 
 /// Time for which attempts go on after the request is answered, so that their
 /// connections can be reused. A longer one is cut: its server is slow or silent.
 const LATE_ATTEMPT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
 
+/// Time before the end of a shutdown at which running requests are answered, so that the
+/// answers are written before the process ends.
+const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(300);
+
 /// Number of an attempt and how it ended.
 type Ended = (ids::AttemptId, forward::AttemptEnd);
 
@@ -69,6 +73,7 @@
         let answer_delay = self.forwarding.answer_delay.value();
         let timeout = self.request.timeout;
         let timing = forward::Timing::new(&self.route, timeout, answer_delay, self.received);
+        let mut drain = self.forwarding.watch_drain();
         let (mut exchange, actions) = self.start(timing);
         let mut sleep = timer.sleep_until(timing.deadline);
         let mut outcome = self.execute(actions, &mut sleep);
@@ -79,6 +84,11 @@
                 tokio::select! {
                     biased;
                     Some(ended) = self.attempts.next() => self.end_attempt(&mut exchange, ended),
+                    deadline = shutdown_deadline(&mut drain) => {
+                        let limit = deadline.checked_sub(ANSWER_MARGIN).unwrap_or(deadline);
+                        let fleet = self.forwarding.fleet();
+                        exchange.limit_deadline(limit, &fleet, time::Instant::now())
+                    }
                     () = &mut sleep => {
                         // The runtime reads what has arrived meanwhile.
                         task::yield_now().await;
@@ -244,3 +254,13 @@
             "view" => view.generation, "view_age_ms" => u64::try_from(age).unwrap_or(u64::MAX));
     }
 }
+
+/// Waits until running requests have a deadline because the process shuts down.
+async fn shutdown_deadline(drain: &mut watch::Receiver<shutdown::AnyDrain>) -> time::Instant {
+    while drain.changed().await.is_ok() {
+        if let shutdown::AnyDrain::Refusing(refusing) = *drain.borrow_and_update() {
+            return refusing.deadline();
+        }
+    }
+    future::pending().await
+}
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -5,9 +5,11 @@
     time,
 };
 
-use crate::{control, fleet, forward, node, telemetry};
+use tokio::sync::watch;
 
-/// Time after which a refused caller may try again.
+use crate::{control, fleet, forward, node, shutdown, telemetry};
+
+/// Time after which a caller may try again that is refused for lack of a current view.
 const RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
 
 /// Age of the last contact with a control VM beyond which requests are refused.
@@ -24,6 +26,7 @@
     pub(super) metrics: telemetry::Metrics,
     pub(super) answer_delay: node::answer_delay::AnswerDelay,
     running: atomic::AtomicUsize,
+    drain: watch::Sender<shutdown::AnyDrain>,
 }
 
 impl Forwarding {
@@ -40,6 +43,7 @@
             metrics: telemetry::Metrics::default(),
             answer_delay: node::answer_delay::AnswerDelay::default(),
             running: atomic::AtomicUsize::new(0),
+            drain: watch::Sender::new(shutdown::AnyDrain::default()),
         }
     }
 
@@ -48,6 +52,30 @@
         self.running.load(atomic::Ordering::Relaxed)
     }
 
+    /// Phase of the shutdown.
+    pub(super) fn drain(&self) -> shutdown::AnyDrain {
+        *self.drain.borrow()
+    }
+
+    /// Watches the phase of the shutdown.
+    pub(super) fn watch_drain(&self) -> watch::Receiver<shutdown::AnyDrain> {
+        self.drain.subscribe()
+    }
+
+    /// Moves the shutdown to another phase, and returns it.
+    pub fn update_drain(
+        &self,
+        update: impl FnOnce(shutdown::AnyDrain) -> shutdown::AnyDrain,
+    ) -> shutdown::AnyDrain {
+        self.drain.send_if_modified(|drain| {
+            let next = update(*drain);
+            let modified = next != *drain;
+            *drain = next;
+            modified
+        });
+        self.drain()
+    }
+
     /// Metrics of this process.
     pub fn metrics(&self) -> &telemetry::Metrics {
         &self.metrics
@@ -63,13 +91,17 @@
     ) -> forward::Outcome {
         let _running = node::running_guard::RunningGuard::new(&self.running);
         let received = time::Instant::now();
+        if !self.drain().accepts() {
+            // Other entry VMs can serve it at once.
+            return self.refuse(&request, "stopping", time::Duration::ZERO, received);
+        }
         let view = self.process.view.load_full();
         let Some(table) = &view.table else {
-            return self.refuse(&request, "no configuration", received);
+            return self.refuse(&request, "no configuration", RETRY_AFTER, received);
         };
         let age = view.confirmed.map(|confirmed| confirmed.elapsed());
         if age.is_none_or(|age| age > MAX_VIEW_AGE) {
-            return self.refuse(&request, "stale view", received);
+            return self.refuse(&request, "stale view", RETRY_AFTER, received);
         }
         let Some(route) = table.find(&request.host, &request.path) else {
             slog::info!(self.process.logger, "no route"; "request" => &request.id,
@@ -93,14 +125,13 @@
         &self,
         request: &forward::Request,
         cause: &'static str,
+        retry_after: time::Duration,
         received: time::Instant,
     ) -> forward::Outcome {
         slog::info!(self.process.logger, "request refused"; "request" => &request.id,
             "cause" => cause, "elapsed_us" => micros(received.elapsed()));
         telemetry::Metrics::count(&self.metrics.refusals, cause);
-        forward::Outcome::Refused {
-            retry_after: RETRY_AFTER,
-        }
+        forward::Outcome::Refused { retry_after }
     }
 
     pub(super) fn fleet(&self) -> sync::MutexGuard<'_, fleet::Fleet> {
--- a/crates/fireflyspool/src/platform/run.rs
+++ b/crates/fireflyspool/src/platform/run.rs
@@ -1,6 +1,6 @@
 //! Startup and shutdown of the processes on the platform.
 
-use std::{net, sync};
+use std::{net, sync, time};
 
 use anyhow::Context as _;
 use rocket::config;
@@ -11,6 +11,10 @@
 };
 use crate::{node, platform, rim};
 
+/// Time for which the callers' connections may write their last answers; they have no
+/// running requests.
+const CLOSE_LIMIT: time::Duration = time::Duration::from_millis(300);
+
 /// Seconds that Rocket waits for open connections when the process ends.
 const CLOSE_GRACE_S: u32 = 1;
 
@@ -66,7 +70,7 @@
         (timer, logger.clone()),
         closed,
     );
-    let callers = tokio::spawn(callers);
+    let mut callers = tokio::spawn(callers);
     if let Some(address) = settings.readiness() {
         let routes = ready_routes::ready_routes();
         watch_listener(serve(address, routes, &node), "readiness", &logger);
@@ -74,11 +78,14 @@
     let metrics = serve(settings.metrics(), ready_routes::metrics_routes(), &node);
     watch_listener(metrics, "metrics", &logger);
     slog::info!(logger, "started"; "vm" => settings.name(), "role" => "entry");
-    wait_for_stop(signals, callers, &logger).await?;
+    wait_for_stop(signals, &mut callers, &logger).await?;
     node.start_drain().await;
+    let cut = node.finish_drain().await;
     // Sending fails if the listener and all connections have ended already.
     let _ = closing.send(true);
-    let cut = node.finish_drain().await;
+    if tokio::time::timeout(CLOSE_LIMIT, callers).await.is_err() {
+        slog::warn!(logger, "connections are still open"; "limit_ms" => CLOSE_LIMIT.as_millis() as u64);
+    }
     slog::info!(logger, "stopped"; "cut_requests" => cut);
     Ok(cut)
 }
@@ -89,13 +96,13 @@
     let address = own.control;
     let (logger, _guard, _) = node::start_logger(own.rpc);
     let node = node::Control::start(own, logger.clone()).await?;
-    let listener = serve(address, control_routes::control_routes(), &node);
+    let mut listener = serve(address, control_routes::control_routes(), &node);
     if let Some(address) = settings.directory() {
         let routes = directory_routes::directory_routes();
         watch_listener(serve(address, routes, &node), "addresses", &logger);
     }
     slog::info!(logger, "started"; "vm" => settings.name(), "role" => "control");
-    wait_for_stop(signals, listener, &logger).await?;
+    wait_for_stop(signals, &mut listener, &logger).await?;
     slog::info!(logger, "stopped");
     Ok(())
 }
@@ -103,7 +110,7 @@
 /// Waits for the signal to stop, or for a listener that ends by itself.
 async fn wait_for_stop<E>(
     mut signals: signals::Signals,
-    mut listener: task::JoinHandle<Result<(), E>>,
+    listener: &mut task::JoinHandle<Result<(), E>>,
     logger: &slog::Logger,
 ) -> anyhow::Result<()>
 where
@@ -114,7 +121,7 @@
             _ = signals.terminate.recv() => return Ok(()),
             // The settings that may change in the file are read only at the start.
             _ = signals.reload.recv() => slog::info!(logger, "reload"; "effect" => "at the next start"),
-            ended = &mut listener => {
+            ended = &mut *listener => {
                 ended.context("the listener panicked")??;
                 anyhow::bail!("the listener ended without a signal to stop");
             }
--- a/crates/fireflyspool/src/rim/caller_listener.rs
+++ b/crates/fireflyspool/src/rim/caller_listener.rs
@@ -9,7 +9,7 @@
 
 use hyper::{body, server::conn::http1, service};
 use hyper_util::rt;
-use tokio::sync::watch;
+use tokio::{sync::watch, task};
 
 use crate::rim::connection_activity;
 use crate::{rim, timer};
@@ -33,7 +33,8 @@
 /// Delay after a failed accept, for example when file descriptors run out.
 const ACCEPT_RETRY_DELAY: time::Duration = time::Duration::from_millis(20);
 
-/// Accepts connections until `closing` becomes true, then shuts them down gracefully.
+/// Accepts connections until `closing` becomes true, then shuts them down gracefully and
+/// returns when all have ended.
 ///
 /// # Errors
 ///
@@ -46,17 +47,19 @@
 ) -> Result<(), rim::RpcError> {
     let bound = tokio::net::TcpListener::bind(address).await;
     let listener = bound.map_err(|source| rim::RpcError::Bind { address, source })?;
+    let mut connections = task::JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|closing| *closing) => return Ok(()),
+            Some(_) = connections.join_next() => continue,
+            _ = closing.wait_for(|closing| *closing) => break,
         };
         match accepted {
             Ok((stream, _)) => {
                 // With Nagle's algorithm, small responses wait for acknowledgements.
                 let _ = stream.set_nodelay(true);
                 let handler = sync::Arc::clone(&handler);
-                tokio::spawn(serve(stream, handler, timer.clone(), closing.clone()));
+                connections.spawn(serve(stream, handler, timer.clone(), closing.clone()));
             }
             Err(error) => {
                 slog::warn!(logger, "a connection could not be accepted"; "error" => %error);
@@ -64,6 +67,9 @@
             }
         }
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+    Ok(())
 }
 
 async fn serve(
--- a/crates/fireflyspool/tests/forward.rs
+++ b/crates/fireflyspool/tests/forward.rs
@@ -531,3 +531,26 @@
         "nine shards are back then"
     );
 }
+
+/// Guards against a request that is cut without an answer when its entry VM stops.
+#[test]
+fn a_request_is_answered_when_its_deadline_is_brought_forward() {
+    let mut harness = Harness::gather(2, 0.5, 1);
+    harness.end_attempt(0, success(&[1; 16]));
+    harness.now += time::Duration::from_millis(5);
+    let actions = harness
+        .exchange
+        .limit_deadline(harness.now, &harness.fleet, harness.now);
+    harness.execute(actions);
+    assert!(matches!(
+        harness.outcome,
+        Some(forward::Outcome::Gathered { missing: 1, .. })
+    ));
+
+    let mut harness = Harness::single(false, 1);
+    let actions = harness
+        .exchange
+        .limit_deadline(harness.now, &harness.fleet, harness.now);
+    harness.execute(actions);
+    assert_eq!(harness.outcome, Some(forward::Outcome::TimedOut));
+}
--- /dev/null
+++ b/crates/fireflyspool/tests/planned_stop.rs
@@ -0,0 +1,82 @@
+//! Planned stops of entry VMs while backend servers are slow, with real processes.
+
+mod platform_site;
+
+use std::{net, sync, time};
+
+use platform_site::{Caller, SHARDS, SINGLE_SERVICE, Site, StandInServer, WAIT_LIMIT};
+use tokio::task::JoinSet;
+
+const CONTROLS: [u8; 3] = [1, 2, 3];
+
+/// Grace period of the site's settings.
+const GRACE: time::Duration = time::Duration::from_secs(4);
+
+/// Time between two requests, each on a new connection; all fit the connections of one server.
+const SPACING: time::Duration = time::Duration::from_millis(50);
+
+/// How the request of a caller ended.
+#[derive(Debug, PartialEq)]
+enum Ended {
+    Answered(u16),
+    /// No connection was made.
+    NotConnected,
+    /// The connection ended without an answer.
+    Cut,
+}
+
+async fn request(entry: net::SocketAddr, number: usize) -> Ended {
+    let mut caller = Caller::named(&format!("q{number}x"));
+    let (_, answer) = caller.send(entry, "/one/").await;
+    match answer {
+        Ok(answer) => Ended::Answered(answer.status().as_u16()),
+        Err(error) if error.is_connect() => Ended::NotConnected,
+        Err(_) => Ended::Cut,
+    }
+}
+
+/// Requests that may not be repeated were taken late in the grace period and cut at its end
+/// without an answer, and so were those that had just been accepted when it ended.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_request_is_cut_by_a_planned_stop() {
+    let site = sync::Arc::new(Site::new(70));
+    let zones = CONTROLS.iter().zip(["a", "b", "c"]);
+    let _controls: Vec<_> = zones
+        .map(|(vm, zone)| site.start(*vm, "control", zone, true))
+        .collect();
+    let entry = site.start(11, "entry", "a", true);
+    let configuration = site.configuration(7, 1_500);
+    site.order(&CONTROLS, "/fireflyspool/Config.Replace", configuration)
+        .await;
+    let mut servers = Vec::new();
+    for service in SHARDS.iter().chain([&SINGLE_SERVICE]) {
+        servers.push(StandInServer::start(service, 0, "a", false).await);
+    }
+    let mut caller = Caller::new();
+    let start = time::Instant::now();
+    let address = site.address(11, 1);
+    while caller.send_single(address).await != Some(200) {
+        assert!(start.elapsed() < WAIT_LIMIT, "no answer");
+        for server in &mut servers {
+            server.send_heartbeat(&site, &CONTROLS, "ready").await;
+        }
+    }
+    servers.last().expect("the desk").be_silent();
+
+    entry.terminate();
+    let start = time::Instant::now();
+    let mut requests = JoinSet::new();
+    let mut number = 0;
+    while start.elapsed() < GRACE + time::Duration::from_millis(200) {
+        requests.spawn(request(address, number));
+        number += 1;
+        tokio::time::sleep(SPACING).await;
+    }
+    let code = entry.wait(WAIT_LIMIT).await;
+    let ends = requests.join_all().await;
+    let count = |wanted: &Ended| ends.iter().filter(|end| *end == wanted).count();
+    assert_eq!(count(&Ended::Cut), 0, "of {} requests", ends.len());
+    assert!(count(&Ended::Answered(504)) > 10, "passed on: {ends:?}");
+    assert!(count(&Ended::Answered(503)) > 10, "refused late: {ends:?}");
+    assert_eq!(code, Some(0), "the entry VM cut requests");
+}
