Test that a response cut anywhere is no response

A report of operators: a server that stopped in the middle of its head gave callers a 200 with an empty body. It cannot happen here: the test cuts a plain and a chunked response at every byte, and each gives an error. It passes on the former code too.

--- a/crates/fireflyspool/tests/forward_client.rs
+++ b/crates/fireflyspool/tests/forward_client.rs
@@ -229,3 +229,36 @@
     );
     assert_eq!(*count.lock().expect("not poisoned"), 2);
 }
+
+/// Starts a server that writes `response` to each request and closes the connection.
+async fn start_closing_server(response: Vec<u8>) -> net::SocketAddr {
+    let (listener, address) = listen().await;
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            if read_request(&mut stream).await.is_some() {
+                // The client may have closed the connection.
+                let _ = stream.write_all(&response).await;
+            }
+        }
+    });
+    address
+}
+
+/// A server that stopped in the middle of its response gave callers a 200 with an empty or
+/// short body.
+#[tokio::test]
+async fn a_response_that_is_cut_anywhere_is_no_response() {
+    let chunked = b"HTTP/1.1 200 OK\r\nX-A: b\r\nTransfer-Encoding: chunked\r\n\r\n\
+        2\r\nok\r\n0\r\n\r\n";
+    for whole in [RESPONSE, chunked] {
+        for length in 0..whole.len() {
+            let address = start_closing_server(whole[..length].to_vec()).await;
+            let fetched = fetch(&client(), address).await;
+            let cut = String::from_utf8_lossy(&whole[..length]);
+            assert!(fetched.is_err(), "{cut:?} gave {fetched:?}");
+        }
+        let address = start_closing_server(whole.to_vec()).await;
+        let fetched = fetch(&client(), address).await;
+        assert_eq!(fetched.expect("a response").as_ref(), b"ok");
+    }
+}
