Handle all responses that have arrived before attempts count as overdue

Cause: on a VM with 0.12 of a core, handling the responses that had arrived when a hedge was due took so long that many more arrived meanwhile. They were still unread when the rest was hedged and reported as overdue.

Change: the task yields and handles what has arrived until nothing has.

--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -89,11 +89,7 @@
                         let fleet = self.forwarding.fleet();
                         exchange.limit_deadline(limit, &fleet, time::Instant::now())
                     }
-                    () = &mut sleep => {
-                        // The runtime reads what has arrived meanwhile.
-                        task::yield_now().await;
-                        self.wake(&mut exchange)
-                    }
+                    () = &mut sleep => self.wake(&mut exchange).await,
                 }
             };
             outcome = self.execute(actions, &mut sleep);
@@ -136,12 +132,24 @@
     }
 
     /// Handles the responses that have arrived, and then what is due.
-    fn wake(&mut self, exchange: &mut forward::Exchange) -> Vec<forward::Action> {
+    ///
+    /// On a VM that lacks processor time, more responses arrive while it handles some.
+    /// Nothing counts as overdue before the last one that has arrived is handled.
+    async fn wake(&mut self, exchange: &mut forward::Exchange) -> Vec<forward::Action> {
         let mut actions = Vec::new();
-        while let Some(Some(ended)) = self.attempts.next().now_or_never() {
-            actions.extend(self.end_attempt(exchange, ended));
-            if exchange.is_finished() {
-                return actions;
+        loop {
+            // The runtime reads what has arrived meanwhile.
+            task::yield_now().await;
+            let mut arrived = false;
+            while let Some(Some(ended)) = self.attempts.next().now_or_never() {
+                arrived = true;
+                actions.extend(self.end_attempt(exchange, ended));
+                if exchange.is_finished() {
+                    return actions;
+                }
+            }
+            if !arrived {
+                break;
             }
         }
         let mut fleet = self.forwarding.fleet();
