Send all records only to entry VMs of the own zone while no hub is current

Cause: an entry VM whose hub is not current moves to another one, which sends all its records.

Change: an entry VM keeps its position at each hub, asks hubs of its own zone at every second poll, and asks a hub of another zone for its records only after that one has said that it is current and none of the own zone is.

--- a/crates/fireflyspool/src/follow/follower.rs
+++ b/crates/fireflyspool/src/follow/follower.rs
@@ -2,11 +2,18 @@
 
 use std::{net, sync, time};
 
+use crate::follow::hub_choice;
 use crate::{configuration, fleet, follow, hub, ids};
 
 /// Pause after a poll that failed or that a control VM without a majority answered.
 const FAILURE_PAUSE: time::Duration = time::Duration::from_millis(100);
 
+/// Failures in a row with a pause of [`FAILURE_PAUSE`], enough to ask several hubs.
+const QUICK_FAILURES: usize = 6;
+
+/// Pause after further failures: then no control VM may be of use for seconds.
+const LONG_FAILURE_PAUSE: time::Duration = time::Duration::from_millis(200);
+
 /// Shortest time between two polls, so that changes in quick succession share a reply.
 const POLL_SPACING: time::Duration = time::Duration::from_millis(20);
 
@@ -14,15 +21,7 @@
 pub struct Follower {
     member: hub::Member,
     format: sync::Arc<dyn configuration::Format>,
-    contacts: Vec<net::SocketAddr>,
-    hubs: Vec<hub::HubInfo>,
-    /// Listener of the control VM that is polled.
-    current: net::SocketAddr,
-    /// Polls that failed or were answered by a hub that is not current; selects the next hub.
-    failures: usize,
-    /// Incarnation of the hub to which `position` belongs; 0 if there is none.
-    incarnation: ids::Incarnation,
-    position: ids::ChangePosition,
+    choice: hub_choice::HubChoice,
     outlier_revision: u64,
     view: fleet::View,
     leaving: bool,
@@ -41,18 +40,11 @@
         contacts: Vec<net::SocketAddr>,
         now: time::Instant,
     ) -> Option<Self> {
-        // Spreads the entry VMs over the control VMs.
-        let first = usize::try_from(member.incarnation % contacts.len().max(1) as u64);
-        let current = *contacts.get(first.unwrap_or(0))?;
+        let choice = hub_choice::HubChoice::new(&member, contacts)?;
         Some(Self {
             member,
             format,
-            contacts,
-            hubs: Vec::new(),
-            current,
-            failures: 0,
-            incarnation: 0,
-            position: 0,
+            choice,
             outlier_revision: 0,
             view: fleet::View::default(),
             leaving: false,
@@ -68,7 +60,7 @@
 
     /// Listener of the control VM that is polled.
     pub fn hub(&self) -> net::SocketAddr {
-        self.current
+        self.choice.current()
     }
 
     /// View built from the replies so far.
@@ -96,17 +88,19 @@
         self.in_flight = true;
         self.member.ready = self.view.table.is_some() && !self.leaving;
         let table = self.view.table.as_ref();
+        let (incarnation, position) = self.choice.position();
         let request = hub::FollowRequest {
             member: self.member.clone(),
-            incarnation: self.incarnation,
-            position: self.position,
+            incarnation,
+            position,
+            records: self.choice.wants_records(),
             version: table.map_or(0, |table| table.version()),
             revision: self.view.zones.revision,
             outlier_revision: self.outlier_revision,
-            hubs: self.hubs.len(),
+            hubs: self.choice.known_hubs(),
             suspended: suspended.to_vec(),
         };
-        let hub = self.current;
+        let hub = self.choice.current();
         Some(follow::Poll { hub, request })
     }
 
@@ -127,32 +121,46 @@
             return Ok(());
         };
         self.due = now + POLL_SPACING;
-        self.incarnation = reply.incarnation;
-        self.position = reply.changes.position;
+        let known = self.choice.position().0 == reply.incarnation;
+        let with_records = known || self.choice.wants_records();
         self.view.generation += 1;
         self.view.members = reply.members;
-        self.outlier_revision = reply.outlier_revision;
-        self.view.outliers.clone_from(&reply.outliers);
         self.merge_servers(&reply, now);
+        if with_records {
+            let position = reply.changes.position;
+            self.choice.set_position(reply.incarnation, position);
+            self.outlier_revision = reply.outlier_revision;
+            self.view.outliers.clone_from(&reply.outliers);
+        }
         if let Some(zones) = reply.zones
             && zones.revision > self.view.zones.revision
         {
             self.view.zones = zones;
         }
-        if let Some(hubs) = reply.hubs {
-            self.hubs = hubs;
-            self.prefer_own_zone();
-        }
-        if reply.current {
+        if reply.current && with_records {
             self.view.confirmed = Some(now);
-        } else {
-            self.switch_hub(now);
+        }
+        match reply.current {
+            true => self.choice.confirm(with_records),
+            false => self.switch_hub(now),
+        }
+        if let Some(hubs) = reply.hubs {
+            self.choice.set_hubs(hubs);
         }
         reply
             .document
             .map_or(Ok(()), |document| self.apply_document(&document))
     }
 
+    fn switch_hub(&mut self, now: time::Instant) {
+        self.choice.fail();
+        self.due = now
+            + match self.choice.failures() <= QUICK_FAILURES {
+                true => FAILURE_PAUSE,
+                false => LONG_FAILURE_PAUSE,
+            };
+    }
+
     fn merge_servers(&mut self, reply: &hub::FollowReply, now: time::Instant) {
         for record in &reply.changes.records {
             let known = self.view.servers.get(&record.server);
@@ -184,33 +192,4 @@
         }
         Ok(())
     }
-
-    fn switch_hub(&mut self, now: time::Instant) {
-        self.failures += 1;
-        self.due = now + FAILURE_PAUSE;
-        let known = self.hubs.iter().map(|info| info.rpc);
-        let mut all: Vec<_> = known.chain(self.contacts.iter().copied()).collect();
-        all.retain(|listener| *listener != self.current);
-        all.dedup();
-        if !all.is_empty() {
-            self.current = all[self.failures % all.len()];
-            self.incarnation = 0;
-        }
-    }
-
-    /// Switches to a control VM of the own zone if the current one is in another zone.
-    fn prefer_own_zone(&mut self) {
-        let is_local = |info: &&hub::HubInfo| info.zone == self.member.zone;
-        let own: Vec<_> = self
-            .hubs
-            .iter()
-            .filter(is_local)
-            .map(|info| info.rpc)
-            .collect();
-        if !own.is_empty() && !own.contains(&self.current) {
-            let choice = usize::try_from(self.member.incarnation % own.len() as u64);
-            self.current = own[choice.unwrap_or(0)];
-            self.incarnation = 0;
-        }
-    }
 }
--- a/crates/fireflyspool/src/hub/follow_reply.rs
+++ b/crates/fireflyspool/src/hub/follow_reply.rs
@@ -16,8 +16,8 @@
     /// Zones taken out; absent if the entry VM has this revision.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub zones: Option<hub::ZonesOut>,
-    /// Backend servers that changed since the position of the poll, or all of them if that
-    /// position belongs to another hub.
+    /// Backend servers that changed since the position of the poll. If that position belongs
+    /// to another hub, all of them, or none if the poll wants none.
     pub changes: registry::ChangeSet,
     /// Latest heartbeats of those suspended servers of the poll that serve and need no
     /// slow start.
@@ -25,7 +25,7 @@
     pub confirmations: Vec<hub::Confirmation>,
     /// Revision of the list of outliers.
     pub outlier_revision: u64,
-    /// All backend servers on the list of outliers, ascending.
+    /// All backend servers on the list of outliers, ascending; empty if the poll wants no records.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub outliers: Vec<ids::ServerName>,
     /// Number of live, ready entry VMs.
--- a/crates/fireflyspool/src/hub/follow_request.rs
+++ b/crates/fireflyspool/src/hub/follow_request.rs
@@ -13,6 +13,9 @@
     pub incarnation: ids::Incarnation,
     /// Position in the change log of that hub.
     pub position: ids::ChangePosition,
+    /// Whether the hub is to send all its backend servers if `incarnation` is not its own.
+    #[serde(default = "wants_records")]
+    pub records: bool,
     /// Version of the entry VM's configuration; 0 if it has none.
     pub version: ids::ConfigVersion,
     /// Catalog revision of its list of zones taken out.
@@ -25,3 +28,8 @@
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspended: Vec<ids::ServerName>,
 }
+
+/// Earlier releases do not send the field and expect all backend servers.
+fn wants_records() -> bool {
+    true
+}
--- a/crates/fireflyspool/src/hub/hub_followers.rs
+++ b/crates/fireflyspool/src/hub/hub_followers.rs
@@ -64,12 +64,18 @@
 
     fn reply_to(&self, request: &hub::FollowRequest, now: time::Instant) -> hub::FollowReply {
         let known = request.incarnation == self.own.incarnation;
-        let changes = match known {
-            true => self.registry.since(request.position, now),
-            false => registry::ChangeSet {
+        let changes = match (known, request.records) {
+            (true, _) => self.registry.since(request.position, now),
+            (false, true) => registry::ChangeSet {
                 position: self.registry.position(),
                 records: self.registry.records(now),
             },
+            // The entry VM asks only whether this hub is current.
+            (false, false) => registry::ChangeSet::default(),
+        };
+        let outliers = match known || request.records {
+            true => self.outliers.listed(),
+            false => Vec::new(),
         };
         let lacking = |document: &&configuration::Document| document.version > request.version;
         let suspended = request.suspended.iter();
@@ -87,9 +93,9 @@
             changes,
             confirmations,
             outlier_revision: self.outliers.revision(),
-            outliers: self.outliers.listed(),
+            outliers,
             members: self.published.members.len(),
-            hubs: (!known || hubs.len() != request.hubs).then_some(hubs),
+            hubs: (request.records && !known || hubs.len() != request.hubs).then_some(hubs),
         }
     }
 
--- a/crates/fireflyspool/src/registry/change_set.rs
+++ b/crates/fireflyspool/src/registry/change_set.rs
@@ -3,7 +3,7 @@
 use crate::{ids, registry};
 
 /// Changes since the position of a follower.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct ChangeSet {
     /// Position that the follower reaches with these records.
--- a/crates/fireflyspool/tests/follow.rs
+++ b/crates/fireflyspool/tests/follow.rs
@@ -163,3 +163,97 @@
     let poll = follower.poll(&[], now).expect("a poll is due");
     assert!(!poll.request.member.ready);
 }
+
+fn hub_info(port: u16, zone: &str) -> hub::HubInfo {
+    hub::HubInfo {
+        rpc: address(port),
+        control: address(port),
+        zone: zone.to_owned(),
+        incarnation: 1,
+    }
+}
+
+/// Ports of the hubs 1 to 6; 3 and 6 are in the zone of the follower.
+const PORTS: [u16; 6] = [1, 2, 3, 4, 5, 6];
+
+fn is_local(listener: net::SocketAddr) -> bool {
+    listener.port() % 3 == 0
+}
+
+/// Plays polls; `current` says which hubs are current. Returns the hub of each poll and
+/// whether it was asked for all its records.
+fn play(
+    follower: &mut follow::Follower,
+    now: &mut time::Instant,
+    polls: usize,
+    current: impl Fn(net::SocketAddr) -> bool,
+) -> Vec<(net::SocketAddr, bool)> {
+    let mut asked = Vec::new();
+    for _ in 0..polls {
+        *now += time::Duration::from_millis(250);
+        let poll = follower.poll(&[], *now).expect("a poll is due");
+        let incarnation = u64::from(poll.hub.port());
+        let known = poll.request.incarnation == incarnation;
+        let mut answer = reply(incarnation);
+        answer.current = current(poll.hub);
+        answer.changes.position = 7;
+        if poll.request.hubs != PORTS.len() {
+            let zone = |port: &u16| if port % 3 == 0 { "b" } else { "a" };
+            let hubs = PORTS.iter().map(|port| hub_info(*port, zone(port)));
+            answer.hubs = Some(hubs.collect());
+        }
+        asked.push((poll.hub, poll.request.records && !known));
+        follower
+            .poll_ended(Some(answer), *now)
+            .expect("nothing to decode");
+    }
+    asked
+}
+
+/// While no hub was current, for seconds after a start, each entry VM got all records from
+/// hubs of other zones again and again.
+#[test]
+fn only_hubs_of_the_own_zone_send_all_records_while_none_is_current() {
+    let mut now = time::Instant::now();
+    let mut follower = follower(now);
+    let asked = play(&mut follower, &mut now, 40, |_| false);
+    for (hub, complete) in &asked {
+        assert!(is_local(*hub) || !complete, "{hub} of another zone");
+    }
+    let complete = asked.iter().filter(|(_, complete)| *complete).count();
+    assert_eq!(complete, 2, "each hub of the own zone sends its records once");
+    let local = asked.iter().filter(|(hub, _)| is_local(*hub)).count();
+    assert!((18..=22).contains(&local), "every second poll: {local}");
+    let asked = play(&mut follower, &mut now, 3, |_| true);
+    assert!(is_local(asked[2].0), "all have become current");
+    assert!(asked.iter().all(|(_, complete)| !complete));
+}
+
+/// Guards against an entry VM that stays without a view because its zone has lost its hubs.
+#[test]
+fn a_hub_of_another_zone_is_followed_if_none_of_the_own_is_current() {
+    let mut now = time::Instant::now();
+    let mut follower = follower(now);
+    play(&mut follower, &mut now, 4, |_| true);
+    let foreign = |listener| !is_local(listener);
+    let asked = play(&mut follower, &mut now, 12, foreign);
+    let followed = asked[11].0;
+    assert!(!is_local(followed));
+    assert!(asked[8..].iter().all(|(hub, _)| *hub == followed), "{asked:?}");
+    let complete: Vec<_> = asked.iter().filter(|(_, complete)| *complete).collect();
+    assert!(complete.iter().filter(|(hub, _)| !is_local(*hub)).count() == 1);
+    assert_eq!(follower.view().confirmed, Some(now));
+}
+
+/// Guards against a view that counts as confirmed although its records were not sent.
+#[test]
+fn a_hub_that_is_only_asked_whether_it_is_current_confirms_nothing() {
+    let now = time::Instant::now();
+    let mut follower = follower(now);
+    let poll = follower.poll(&[], now).expect("a poll is due");
+    assert!(!poll.request.records, "its zone is not known");
+    follower
+        .poll_ended(Some(reply(1)), now)
+        .expect("nothing to decode");
+    assert_eq!(follower.view().confirmed, None);
+}
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -46,6 +46,7 @@
         member,
         incarnation: 0,
         position: 0,
+        records: true,
         version: 0,
         revision: 0,
         outlier_revision: 0,
@@ -396,6 +397,30 @@
     }
 }
 
+/// Guards against records that are sent to entry VMs which only look for a current hub.
+#[test]
+fn a_poll_without_records_gets_only_the_state_of_the_hub() {
+    let mut site = site_with_three_servers();
+    site.observe(hub::Symptom::Failed, 3, 110);
+    let now = site.now;
+    let mut light = poll(member(100, "b", true));
+    light.records = false;
+    site.hubs[0].follow(3, light.clone(), now);
+    site.advance(1);
+    let reply = site.replies.pop().expect("an answer");
+    assert!(reply.changes.records.is_empty() && reply.outliers.is_empty());
+    light.incarnation = reply.incarnation;
+    light.hubs = 3;
+    site.hubs[0].follow(4, light, now);
+    site.advance(1);
+    let reply = site.replies.pop().expect("an answer");
+    assert_eq!(
+        reply.changes.records.len(),
+        3,
+        "differences to a known position"
+    );
+}
+
 /// Guards against requests to servers that are known to fail.
 #[test]
 fn a_server_that_fails_is_listed_after_few_failures() {
