Open a connection to each service before its first attempt

Cause: after a start each VM opens a connection to each of 90 shards within its first query, which took 10 to 60 ms each (trial); the attempts looked overdue, were hedged, and the servers were listed as outliers on all VMs, about ten changes of the list a VM and second in calm.

--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -1,6 +1,6 @@
 //! Backend servers by service, with the statistics of this VM's attempts.
 
-use std::time;
+use std::{net, time};
 
 use crate::{backend, configuration, fleet, hub, ids, sorted};
 
@@ -138,9 +138,27 @@
         if let Some(state) = pool.servers.get_mut(&picked.server) {
             state.start();
         }
+        pool.used = true;
         Some(picked)
     }
 
+    /// Addresses of the servers that first attempts would pick, for the services that have
+    /// had no attempt; in an order that `entropy` decides.
+    pub fn unused_servers(&self, entropy: u64, now: time::Instant) -> Vec<net::SocketAddr> {
+        let unused = self.pools.values().filter(|pool| !pool.used);
+        let picked = unused.filter_map(|pool| {
+            let (_, state) = pool.pick(&[], &self.notices, self.members, entropy, now)?;
+            Some(state.address)
+        });
+        let mut addresses: Vec<_> = picked.collect();
+        if !addresses.is_empty() {
+            // Entry VMs that start together begin with different services.
+            let first = usize::try_from(entropy >> 32).unwrap_or(0) % addresses.len();
+            addresses.rotate_left(first);
+        }
+        addresses
+    }
+
     /// Whether a service has a usable server.
     pub fn is_usable(&self, service: &str, now: time::Instant) -> bool {
         self.usable_at(service, now) == Some(now)
--- a/crates/fireflyspool/src/fleet/pool.rs
+++ b/crates/fireflyspool/src/fleet/pool.rs
@@ -20,6 +20,8 @@
     pub(super) failures: fleet::failure_rate::FailureRate,
     /// Connections that one backend server accepts from all entry VMs together.
     pub(super) connections: usize,
+    /// Whether this VM has sent an attempt to the service.
+    pub(super) used: bool,
 }
 
 impl Pool {
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -56,9 +56,12 @@
             .start(drop)?;
         let fleet = fleet::Fleet::new(settings.zone, incarnation, settings.limits);
         let forwarding = node::Forwarding::new(sync::Arc::clone(&process), fleet, client);
+        let forwarding = sync::Arc::new(forwarding);
+        let opening = node::first_connections::open(sync::Arc::clone(&forwarding));
+        tokio::spawn(opening);
         Ok(sync::Arc::new(Self {
             process,
-            forwarding: sync::Arc::new(forwarding),
+            forwarding,
             grace: settings.grace,
             dropped,
         }))
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -100,12 +100,9 @@
     }
 
     fn start(&self, timing: forward::Timing) -> (forward::Exchange, Vec<forward::Action>) {
-        let mut fleet = self.forwarding.fleet();
-        let now = time::Instant::now();
-        if fleet.update(&self.view, now) {
-            self.forwarding.publish_suspended(&fleet);
-        }
+        let mut fleet = self.forwarding.updated_fleet(&self.view);
         let route = sync::Arc::clone(&self.route);
+        let now = time::Instant::now();
         forward::Exchange::start(route, timing, &mut fleet, rand::random(), now)
     }
 
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -134,6 +134,15 @@
         forward::Outcome::Refused { retry_after }
     }
 
+    /// The fleet with a view applied.
+    pub(super) fn updated_fleet(&self, view: &fleet::View) -> sync::MutexGuard<'_, fleet::Fleet> {
+        let mut fleet = self.fleet();
+        if fleet.update(view, time::Instant::now()) {
+            self.publish_suspended(&fleet);
+        }
+        fleet
+    }
+
     pub(super) fn fleet(&self) -> sync::MutexGuard<'_, fleet::Fleet> {
         // A panic under this lock leaves no change half done, so the fleet is usable
         // after one.
--- a/crates/fireflyspool/src/node/mod.rs
+++ b/crates/fireflyspool/src/node/mod.rs
@@ -15,6 +15,7 @@
 mod control_settings;
 mod entry;
 mod entry_settings;
+mod first_connections;
 mod forward_task;
 mod forwarding;
 mod logger;
@@ -27,7 +28,7 @@
 mod running_guard;
 
 pub use acknowledgement::Acknowledgement;
-pub use backend_client::{AttemptFuture, BackendClient};
+pub use backend_client::{AttemptFuture, BackendClient, OpenFuture};
 pub use command_result::CommandResult;
 pub use control::Control;
 pub use control_settings::ControlSettings;
--- a/crates/fireflyspool/src/node/process.rs
+++ b/crates/fireflyspool/src/node/process.rs
@@ -26,6 +26,8 @@
     pub addresses: arc_swap::ArcSwap<hub::AddressBook>,
     /// Configuration and backend servers; empty on control VMs.
     pub view: arc_swap::ArcSwap<fleet::View>,
+    /// Notified when `view` has changed.
+    pub view_changed: tokio::sync::Notify,
     /// Backend servers that the traffic threads do not use until their next heartbeat.
     pub suspended: arc_swap::ArcSwap<Vec<ids::ServerName>>,
 }
@@ -51,6 +53,7 @@
             control_group: arc_swap::ArcSwap::default(),
             addresses: arc_swap::ArcSwap::default(),
             view: arc_swap::ArcSwap::default(),
+            view_changed: tokio::sync::Notify::new(),
             suspended: arc_swap::ArcSwap::default(),
         };
         Ok((sync::Arc::new(process), receiver))
--- a/crates/fireflyspool/src/node/rpc_outlet.rs
+++ b/crates/fireflyspool/src/node/rpc_outlet.rs
@@ -135,6 +135,7 @@
 
     fn publish_fleet(&self, view: fleet::View) {
         self.process.view.store(sync::Arc::new(view));
+        self.process.view_changed.notify_one();
     }
 
     fn suspended_servers(&self) -> Vec<ids::ServerName> {
--- a/crates/fireflyspool/src/platform/http_backend_client.rs
+++ b/crates/fireflyspool/src/platform/http_backend_client.rs
@@ -36,6 +36,14 @@
             }
         })
     }
+
+    fn open(&self, address: net::SocketAddr) -> node::OpenFuture {
+        let client = self.client.clone();
+        Box::pin(async move {
+            // The first attempt at the server meets the same error and reports it.
+            let _ = client.open(address).await;
+        })
+    }
 }
 
 /// Adds the remaining time and the name of the server; `None` if the target has no
--- a/crates/fireflyspool/src/rim/forward_client.rs
+++ b/crates/fireflyspool/src/rim/forward_client.rs
@@ -56,6 +56,21 @@
         sent.map_err(|failure| rim::ForwardError::Broken(failure.source))
     }
 
+    /// Opens a connection and keeps it for the next request, unless one is kept already.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`rim::ForwardError`] if no connection can be opened.
+    pub async fn open(&self, address: net::SocketAddr) -> Result<(), rim::ForwardError> {
+        if self.idle.contains(address) {
+            return Ok(());
+        }
+        let connection =
+            forward_connection::ForwardConnection::connect(address, &self.timer).await?;
+        self.idle.put(address, connection.rest());
+        Ok(())
+    }
+
     async fn exchange(
         &self,
         address: net::SocketAddr,
--- a/crates/fireflyspool/src/rim/forward_connection.rs
+++ b/crates/fireflyspool/src/rim/forward_connection.rs
@@ -121,6 +121,12 @@
         })
     }
 
+    /// Keeps the connection for a later request.
+    pub(super) fn rest(self) -> ForwardConnection<Idle> {
+        let since = time::Instant::now();
+        self.with_state(Idle { since })
+    }
+
     /// Sends a request and receives the head of its response.
     pub(super) async fn send(
         mut self,
@@ -172,6 +178,13 @@
 }
 
 impl ForwardConnection<Idle> {
+    /// Whether its server has neither closed it nor sent anything.
+    pub(super) fn is_alive(&mut self) -> bool {
+        let waker = task::Waker::noop();
+        self.driver.poll(&mut task::Context::from_waker(waker));
+        self.is_open()
+    }
+
     /// When the last response ended.
     pub(super) fn idle_since(&self) -> time::Instant {
         self.state.since
--- a/crates/fireflyspool/src/rim/idle_connections.rs
+++ b/crates/fireflyspool/src/rim/idle_connections.rs
@@ -42,6 +42,16 @@
         self.lock().idle.get_mut(&address)?.pop()
     }
 
+    /// Whether a connection to a server is kept that the server has not closed.
+    pub(super) fn contains(&self, address: net::SocketAddr) -> bool {
+        let mut state = self.lock();
+        let kept = state.idle.get_mut(&address);
+        kept.is_some_and(|connections| {
+            connections.retain_mut(forward_connection::ForwardConnection::is_alive);
+            !connections.is_empty()
+        })
+    }
+
     /// Keeps a connection, unless enough of the same server are kept.
     pub(super) fn put(
         self: &sync::Arc<Self>,
--- a/crates/fireflyspool/tests/forwarding.rs
+++ b/crates/fireflyspool/tests/forwarding.rs
@@ -1,6 +1,7 @@
 //! Attempts of one request on an entry VM whose traffic thread is busy.
 
 use std::{
+    future, net,
     sync::{self, atomic},
     thread, time,
 };
@@ -39,6 +40,10 @@
             )
         })
     }
+
+    fn open(&self, _: net::SocketAddr) -> node::OpenFuture {
+        Box::pin(future::ready(()))
+    }
 }
 
 fn view(now: time::Instant) -> fleet::View {
