Give each test process a loopback address of its own

Cause: the harness looks for free ports, closes them and starts VMs on them.

Change: the VMs listen on an address that is derived from the id of the test process.

--- a/crates/bench/tests/processes.rs
+++ b/crates/bench/tests/processes.rs
@@ -5,7 +5,7 @@
 
 mod site;
 
-use std::time::Duration;
+use std::{net, time::Duration};
 
 use fireflyspool::{outcome, state, traffic};
 
@@ -54,6 +54,19 @@
     assert_eq!(history.rows.len(), 2);
 }
 
+/// A VM found its port in use: the harness had closed it after the look whether it was free,
+/// and something else had bound it before the VM did.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_site_starts_although_others_hold_its_ports() {
+    let site = site::Site::start_after(3, &ZONES, |listeners| {
+        let ports = listeners.iter().map(net::SocketAddr::port);
+        let held = ports.map(|port| net::TcpListener::bind(("127.0.0.1", port)));
+        held.collect::<Vec<_>>()
+    })
+    .await;
+    assert!(site.show("members").await.is_some());
+}
+
 /// Guards against a frozen entry VM that acts on a configuration which was
 /// replaced while it was stopped, before it has heard of the new one.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/bench/tests/site/mod.rs
+++ b/crates/bench/tests/site/mod.rs
@@ -33,6 +33,15 @@
 impl Site {
     /// Starts VMs, the first three with the control role, in the zones in turn.
     pub(crate) async fn start(vms: usize, zones: &[&str]) -> Self {
+        Self::start_after(vms, zones, |_| ()).await
+    }
+
+    /// Calls `before` with the listeners that were chosen, then starts the VMs.
+    pub(crate) async fn start_after<T>(
+        vms: usize,
+        zones: &[&str],
+        before: impl FnOnce(&[net::SocketAddr]) -> T,
+    ) -> Self {
         static COUNT: atomic::AtomicU64 = atomic::AtomicU64::new(0);
         let count = COUNT.fetch_add(1, atomic::Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("site-{}-{count}", process::id()));
@@ -47,10 +56,11 @@
             .open(&key_file);
         io::Write::write_all(&mut file.expect("a key file"), b"0123456789abcdef0123")
             .expect("a key");
-        let ports = free_ports(vms * 2);
+        let listeners = free_listeners(vms * 2);
+        let _before = before(&listeners);
         let site = Self {
-            http: ports[..vms].to_vec(),
-            rpc: ports[vms..].to_vec(),
+            http: listeners[..vms].to_vec(),
+            rpc: listeners[vms..].to_vec(),
             vms: (0..vms).map(|_| None).collect(),
             searchers: Vec::new(),
             listings: Vec::new(),
@@ -437,17 +447,20 @@
     bench.with_file_name("fireflyspool")
 }
 
-/// Ports below the range from which outgoing connections take theirs, so that
-/// none of them is taken between this look and the start of a VM.
-fn free_ports(count: usize) -> Vec<net::SocketAddr> {
+/// Listeners at an address that only this process uses: between this look and the start of
+/// a VM, no other process binds them. The ports are below the range from which outgoing
+/// connections take theirs.
+fn free_listeners(count: usize) -> Vec<net::SocketAddr> {
     const FIRST: u32 = 20_000;
     const RANGE: u32 = 12_000;
     static NEXT: atomic::AtomicU32 = atomic::AtomicU32::new(0);
     let start = process::id().wrapping_mul(97);
+    let [_, high, middle, low] = process::id().to_be_bytes();
+    let own = net::Ipv4Addr::new(127, 64 + high % 64, middle, low.clamp(1, 254));
     let candidates = std::iter::repeat_with(|| {
         let step = NEXT.fetch_add(1, atomic::Ordering::Relaxed);
         let port = FIRST + start.wrapping_add(step) % RANGE;
-        net::SocketAddr::from(([127, 0, 0, 1], u16::try_from(port).expect("a port")))
+        net::SocketAddr::from((own, u16::try_from(port).expect("a port")))
     });
     let free = |address: &net::SocketAddr| net::TcpListener::bind(address).is_ok();
     candidates.filter(free).take(count).collect()
--- a/crates/fireflyspool/tests/follow.rs
+++ b/crates/fireflyspool/tests/follow.rs
@@ -221,7 +221,10 @@
         assert!(is_local(*hub) || !complete, "{hub} of another zone");
     }
     let complete = asked.iter().filter(|(_, complete)| *complete).count();
-    assert_eq!(complete, 2, "each hub of the own zone sends its records once");
+    assert_eq!(
+        complete, 2,
+        "each hub of the own zone sends its records once"
+    );
     let local = asked.iter().filter(|(hub, _)| is_local(*hub)).count();
     assert!((18..=22).contains(&local), "every second poll: {local}");
     let asked = play(&mut follower, &mut now, 3, |_| true);
@@ -239,7 +242,10 @@
     let asked = play(&mut follower, &mut now, 12, foreign);
     let followed = asked[11].0;
     assert!(!is_local(followed));
-    assert!(asked[8..].iter().all(|(hub, _)| *hub == followed), "{asked:?}");
+    assert!(
+        asked[8..].iter().all(|(hub, _)| *hub == followed),
+        "{asked:?}"
+    );
     let complete: Vec<_> = asked.iter().filter(|(_, complete)| *complete).collect();
     assert!(complete.iter().filter(|(hub, _)| !is_local(*hub)).count() == 1);
     assert_eq!(follower.view().confirmed, Some(now));
