Spread the addresses of callers over all entry VMs if there are too many

Cause: the directory cuts its answer at 64 addresses in their order. On a site of hundreds of entry VMs, callers of a zone without enough of its own all got the lowest addresses, which are those of one zone.

Change: the 64 with the lowest hashes for the caller's zone. Callers of one zone keep the same ones, those of several zones spread over all.

Measured: addresses_spread_over_all_entry_vms_if_there_are_too_many fails without the change (all 64 in one zone of three).

--- a/crates/fireflyspool/src/hub/address_book.rs
+++ b/crates/fireflyspool/src/hub/address_book.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use crate::hub;
+use crate::{hashing, hub};
 
 /// Most addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
@@ -21,10 +21,14 @@
 
 impl AddressBook {
     /// Addresses for a caller: those of its zone, else of its region, else all.
+    ///
+    /// If there are too many, those with the lowest hashes for the caller's zone: callers of
+    /// one zone keep the same ones, and those of several zones spread over all.
     pub fn answer(&self, query: &hub::AddressQuery) -> Vec<net::SocketAddr> {
         let select = |keep: &dyn Fn(&hub::Member) -> bool| -> Vec<_> {
             let kept = self.members.iter().filter(|member| keep(member));
-            kept.map(|member| member.callers).collect()
+            kept.map(|member| (self.rank(query, member), member.callers))
+                .collect()
         };
         let mut addresses = select(&|member| member.zone == query.zone);
         if addresses.len() < MIN_ZONE_ADDRESSES {
@@ -33,7 +37,15 @@
         if addresses.is_empty() {
             addresses = select(&|_| true);
         }
-        addresses.truncate(MAX_ADDRESSES);
-        addresses
+        if addresses.len() > MAX_ADDRESSES {
+            addresses.sort_unstable();
+            addresses.truncate(MAX_ADDRESSES);
+        }
+        addresses.into_iter().map(|(_, address)| address).collect()
+    }
+
+    fn rank(&self, query: &hub::AddressQuery, member: &hub::Member) -> u64 {
+        let hasher = hashing::StableHasher::new().text(&query.zone);
+        hasher.number(member.incarnation).finish()
     }
 }
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -255,6 +255,37 @@
     assert_eq!(book.answer(&query), [address(103)], "101 has been silent");
 }
 
+/// Callers of a zone without entry VMs all got the addresses of one other zone.
+#[test]
+fn addresses_spread_over_all_entry_vms_if_there_are_too_many() {
+    let members = (0..300_u16).map(|number| {
+        let mut member = member(number, ["a", "b", "c"][usize::from(number / 100)], true);
+        member.incarnation = u64::from(number) * 7_919;
+        member
+    });
+    let book = hub::AddressBook {
+        members: members.collect(),
+    };
+    let answer = |zone: &str| {
+        book.answer(&hub::AddressQuery {
+            zone: zone.to_owned(),
+            region: "r".to_owned(),
+        })
+    };
+    let addresses = answer("d");
+    assert_eq!(addresses, answer("d"), "callers keep their connections");
+    for zone in 0..3 {
+        let range = zone * 100..(zone + 1) * 100;
+        let listed = addresses.iter().filter(|at| range.contains(&at.port()));
+        let count = listed.count();
+        assert!((12..=32).contains(&count), "{count} of 64 in zone {zone}");
+    }
+    assert_ne!(addresses, answer("e"), "callers of other zones use others");
+    let own = answer("a");
+    assert_eq!(own.len(), 64);
+    assert!(own.iter().all(|at| at.port() < 100), "{own:?}");
+}
+
 /// Guards against a restarted hub that never gets back the records it lost.
 #[test]
 fn a_restarted_hub_gets_all_records_again() {
