Check departures and pauses that servers state in the fault soak

The soak's servers now state in their answers that they leave while they drain, and at times want a pause. The check counts requests that arrive during a pause later than half a second after an entry VM was told; more than two are a violation unless a fault of that VM excuses it.

--- a/crates/fireflyspool/tests/soak/backend.rs
+++ b/crates/fireflyspool/tests/soak/backend.rs
@@ -66,6 +66,22 @@
         all.flat_map(StandInServer::executions).collect()
     }
 
+    /// Has the server refuse all requests for a while, and state for how long.
+    pub(crate) async fn pause(&self, context: &Context, pause: time::Duration) {
+        context
+            .checker
+            .log(format!("{} wants a pause of {pause:?}", self.name()));
+        self.server.notices().pause(pause);
+        tokio::time::sleep(pause).await;
+        for (entry, since, late) in self.server.notices().offenders() {
+            let line = format!("sent {late} requests to {} during its pause", self.name());
+            match context.entry_of(&entry) {
+                Some(entry) => context.checker.record_suspicion(entry, since, line),
+                None => context.checker.record_violation(format!("{entry} {line}")),
+            }
+        }
+    }
+
     /// Drains the server and replaces it by a new process that starts cold.
     pub(crate) async fn replace(&mut self, context: &Context, random: &mut Random) {
         let http = Context::client();
@@ -88,6 +104,7 @@
             return;
         }
         let since = time::Instant::now();
+        self.server.notices().leave();
         context.checker.log(format!("{} drains", self.name()));
         let end = since + DRAIN_LIMIT + random.millis(500, 1_500);
         while time::Instant::now() < end {
--- a/crates/fireflyspool/tests/soak/context.rs
+++ b/crates/fireflyspool/tests/soak/context.rs
@@ -39,6 +39,13 @@
         self.stopped.store(true, atomic::Ordering::Relaxed);
     }
 
+    /// Entry VM whose relay has this address.
+    pub(crate) fn entry_of(&self, relay: &str) -> Option<net::SocketAddr> {
+        let mut entries = self.entries.iter();
+        let found = entries.find(|(_, entry)| entry.address().to_string() == relay);
+        found.map(|(entry, _)| *entry)
+    }
+
     /// Address of the relay of a randomly drawn control VM.
     pub(crate) fn any_control(&self, random: &mut Random) -> net::SocketAddr {
         self.controls[random.index(self.controls.len())].address()
--- a/crates/fireflyspool/tests/soak/faults.rs
+++ b/crates/fireflyspool/tests/soak/faults.rs
@@ -139,6 +139,13 @@
         backend.replace(&self.context, &mut random).await;
     }
 
+    async fn pause_backend(&self, mut random: Random) {
+        let backend = &self.backends[random.index(self.backends.len())];
+        // The lock keeps link faults away, and heartbeats too: they resume before the timeout.
+        let pause = random.millis(700, 1_300);
+        backend.lock().await.pause(&self.context, pause).await;
+    }
+
     async fn evacuate_zone(&self, mut random: Random) {
         let Ok(_isolation) = self.isolation.try_lock() else {
             return;
@@ -236,6 +243,7 @@
                 54..58 => faults.lose_power(random).await,
                 58..66 => faults.replace_backend(random).await,
                 66..70 => faults.evacuate_zone(random).await,
+                70..76 => faults.pause_backend(random).await,
                 _ => faults.disrupt_link(random).await,
             }
         });
