Correct the time that a test of refusals expects

Cause: the caller is refused when it is decided not to retry, 3 ms after the second server has asked for a pause of 200 ms, so it is told 197 ms; the test expected 190.

Change: the exact time.

--- a/crates/fireflyspool/tests/forward.rs
+++ b/crates/fireflyspool/tests/forward.rs
@@ -486,8 +486,8 @@
     harness.advance_to(20);
     assert_eq!(
         refused_after(&harness),
-        time::Duration::from_millis(190),
-        "the second pause began after 10 ms"
+        time::Duration::from_millis(197),
+        "the second pause began 3 ms before it was decided not to retry"
     );
     harness.start_again();
     assert!(harness.sends.is_empty());
