Test that running work of a silent server is neither repeated nor given up

A report of operators: running work of a machine that was silent for a while was started again elsewhere, or given up. It cannot happen here: silence keeps new requests away from a server and leaves running attempts alone.

--- a/crates/fireflyspool/tests/forward.rs
+++ b/crates/fireflyspool/tests/forward.rs
@@ -36,6 +36,7 @@
 /// Drives one exchange; the test ends the attempts in place of backend servers.
 struct Harness {
     fleet: fleet::Fleet,
+    view: fleet::View,
     route: configuration::Route,
     exchange: forward::Exchange,
     sends: Vec<forward::Send>,
@@ -108,6 +109,7 @@
         let (exchange, actions) = forward::Exchange::start(shared, timing, &mut fleet, 1, now);
         let mut harness = Self {
             fleet,
+            view,
             route,
             exchange,
             sends: Vec::new(),
@@ -166,6 +168,14 @@
         self.now = until;
     }
 
+    /// Applies a view in which the server of an attempt has been silent for long.
+    fn silence_server(&mut self, send: usize) {
+        let server = self.view.servers.get_mut(&self.sends[send].server);
+        server.expect("it is known").record.silent = true;
+        self.view.generation += 1;
+        self.fleet.update(&self.view, self.now);
+    }
+
     fn servers_of(&self, service: &str) -> Vec<&str> {
         let sends = self.sends.iter().filter(|send| send.service == service);
         sends.map(|send| send.server.as_str()).collect()
@@ -231,6 +241,29 @@
     assert_eq!(harness.outcome, Some(forward::Outcome::Failed));
 }
 
+/// Guards against work that is started again or given up because its server has sent no
+/// heartbeat for a while.
+#[test]
+fn running_work_of_a_silent_server_is_neither_repeated_nor_given_up() {
+    let mut harness = Harness::single(false, 2);
+    harness.silence_server(0);
+    harness.advance_to(700);
+    assert_eq!(harness.sends.len(), 1, "it is not sent again");
+    assert_eq!(harness.outcome, None, "it is not given up");
+    harness.end_attempt(0, success(&[1; 16]));
+    assert!(matches!(harness.outcome, Some(forward::Outcome::Passed(_))));
+
+    let mut harness = Harness::gather(2, 1.0, 2);
+    harness.silence_server(0);
+    harness.end_attempt(1, success(&[1; 16]));
+    harness.end_attempt(0, success(&[2; 16]));
+    assert_eq!(harness.sends.len(), 2);
+    assert!(matches!(
+        harness.outcome,
+        Some(forward::Outcome::Gathered { missing: 0, .. })
+    ));
+}
+
 /// Guards against a refusal of a request that may have run, and against a failure
 /// for one that certainly did not run, which its caller may send again.
 #[test]
