Tell other hubs the records of entry VMs only when they change

Cause: each hub sent every other one the records of all its followers each second, some 140 bytes for each, most of them unchanged; on nine hubs over five zones nearly all of that crosses zones. A heartbeat without a change carried a field that nothing reads, and each event at a hub copied the records of all entry VMs to compare them.

Change: a follower's record is sent when it changes and until the peer has acknowledged it; otherwise its address and the age of its last poll. A restarted peer gets all records again, one of an earlier release gets them always.

New tests of hubs: sent when changed, restarted peer, earlier release; also that a restarted hub does not bring back a server that left, which passes on the former code.

--- a/crates/fireflyspool/src/hub/ack.rs
+++ b/crates/fireflyspool/src/hub/ack.rs
@@ -8,4 +8,8 @@
 pub struct Ack {
     /// Incarnation of the receiving hub; a new one needs all records again.
     pub incarnation: ids::Incarnation,
+    /// Whether it accepts sightings of entry VMs whose records it has; earlier releases
+    /// expect their records in each regular batch.
+    #[serde(default)]
+    pub sightings: bool,
 }
--- a/crates/fireflyspool/src/hub/batch.rs
+++ b/crates/fireflyspool/src/hub/batch.rs
@@ -1,5 +1,7 @@
 //! Message from one hub to another.
 
+use std::net;
+
 use crate::{hub, ids, registry};
 
 /// Changes that the receiver lacks, with a heartbeat of the sender.
@@ -23,7 +25,12 @@
     /// Outliers that the sender's own followers reported.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub outliers: Vec<ids::ServerName>,
-    /// Entry VMs that follow the sender; empty in batches sent ahead of the interval.
+    /// Entry VMs that follow the sender and that the receiver does not know as they are;
+    /// empty in batches sent ahead of the interval.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub members: Vec<hub::MemberRecord>,
+    /// The other entry VMs that follow the sender, with the age of their last poll in
+    /// milliseconds; empty in batches sent ahead of the interval.
+    #[serde(rename = "seen", default, skip_serializing_if = "Vec::is_empty")]
+    pub member_sightings: Vec<(net::SocketAddr, u64)>,
 }
--- /dev/null
+++ b/crates/fireflyspool/src/hub/covered.rs
@@ -0,0 +1,12 @@
+//! What one batch tells another hub.
+
+use crate::ids;
+
+/// Changes that the receiver of a batch has once it has acknowledged it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Covered {
+    /// Position in the changes of backend servers.
+    pub(super) position: ids::ChangePosition,
+    /// Revision of the followers; `None` if the batch lists none.
+    pub(super) followers: Option<ids::Revision>,
+}
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -11,6 +11,8 @@
     pub(super) config: hub::Config,
     pub(super) registry: registry::Registry,
     pub(super) members: sorted::SortedMap<net::SocketAddr, hub::known_member::KnownMember>,
+    /// Grows when the record of a follower changes.
+    pub(super) follower_revision: ids::Revision,
     pub(super) peers: sorted::SortedMap<net::SocketAddr, hub::peer::Peer>,
     /// Listeners of the members of the control group, including this VM's.
     pub(super) group: Vec<net::SocketAddr>,
@@ -34,6 +36,7 @@
             own,
             config,
             members: sorted::SortedMap::new(),
+            follower_revision: 0,
             peers: sorted::SortedMap::new(),
             group: contacts.to_vec(),
             document: None,
@@ -237,10 +240,11 @@
         let live = self.members.values().filter(|known| {
             known.member.ready && now.saturating_duration_since(known.last_seen) <= timeout
         });
-        let members = live.map(|known| known.member.clone()).collect();
-        let book = hub::AddressBook { members };
-        if book != self.published {
-            self.published = book.clone();
+        let live: Vec<_> = live.map(|known| &known.member).collect();
+        if !live.iter().copied().eq(&self.published.members) {
+            let members = live.into_iter().cloned().collect();
+            self.published = hub::AddressBook { members };
+            let book = self.published.clone();
             self.actions.push(hub::Action::Publish(book));
         }
     }
--- a/crates/fireflyspool/src/hub/hub_followers.rs
+++ b/crates/fireflyspool/src/hub/hub_followers.rs
@@ -29,9 +29,18 @@
         if known.is_some_and(|known| known.last_seen > last_seen) {
             return;
         }
+        let unchanged = known.filter(|known| known.follows == follows && known.member == member);
+        let revision = unchanged.map_or_else(
+            || {
+                self.follower_revision += 1;
+                self.follower_revision
+            },
+            |known| known.revision,
+        );
         let known = hub::known_member::KnownMember {
             last_seen,
             follows,
+            revision,
             member,
         };
         self.members.insert(known.member.callers, known);
--- a/crates/fireflyspool/src/hub/hub_peers.rs
+++ b/crates/fireflyspool/src/hub/hub_peers.rs
@@ -31,14 +31,22 @@
         for server in batch.outliers {
             self.outliers.merge_listed(server, now);
         }
+        let time_before = |age_ms| {
+            let age = time::Duration::from_millis(age_ms);
+            now.checked_sub(age).unwrap_or(now)
+        };
         for record in batch.members {
-            let last_seen = now
-                .checked_sub(time::Duration::from_millis(record.age_ms))
-                .unwrap_or(now);
-            self.update_member(record.member, last_seen, false);
+            self.update_member(record.member, time_before(record.age_ms), false);
+        }
+        for (callers, age_ms) in batch.member_sightings {
+            let known = self.members.get(&callers);
+            if let Some(member) = known.map(|known| known.member.clone()) {
+                self.update_member(member, time_before(age_ms), false);
+            }
         }
         hub::Ack {
             incarnation: self.own.incarnation,
+            sightings: true,
         }
     }
 
@@ -59,18 +67,20 @@
         };
         peer.paused_until = None;
         peer.last_seen = Some(now);
-        if peer
-            .incarnation
-            .is_some_and(|known| known == ack.incarnation)
-        {
-            peer.acked = peer.acked.max(covered.unwrap_or(0));
-        } else if peer.incarnation.is_none() && peer.acked == 0 {
+        let first = peer.incarnation.is_none() && peer.acked == 0;
+        if first || peer.incarnation == Some(ack.incarnation) {
             peer.incarnation = Some(ack.incarnation);
-            peer.acked = covered.unwrap_or(0);
+            let covered_position = covered.map_or(0, |covered| covered.position);
+            peer.acked = peer.acked.max(covered_position);
+            let covered_followers = covered.and_then(|covered| covered.followers);
+            if ack.sightings {
+                peer.followers = peer.followers.max(covered_followers);
+            }
         } else {
             // The peer restarted and holds only what the last batch carried.
             peer.incarnation = Some(ack.incarnation);
             peer.acked = 0;
+            peer.followers = None;
             peer.regular_sent = None;
         }
     }
@@ -100,9 +110,9 @@
         let interval = self.config.exchange_interval;
         let regular = regular.is_none_or(|sent| now.saturating_duration_since(sent) >= interval);
         // A batch sent ahead of the interval carries changes only.
-        let members = match regular {
-            true => self.followers(now),
-            false => Vec::new(),
+        let (members, member_sightings) = match regular {
+            true => self.followers(listener, now),
+            false => (Vec::new(), Vec::new()),
         };
         let Some(peer) = self.peers.get_mut(&listener) else {
             return;
@@ -115,7 +125,10 @@
         let refreshes = refreshed
             .map(|record| registry::Refresh::of(&record))
             .collect();
-        peer.in_flight = Some(changes.position);
+        peer.in_flight = Some(hub::covered::Covered {
+            position: changes.position,
+            followers: regular.then_some(self.follower_revision),
+        });
         if regular {
             peer.regular_sent = Some(now);
         }
@@ -128,6 +141,7 @@
             refreshes,
             outliers: self.outliers.own(),
             members,
+            member_sightings,
         };
         let batch = Box::new(batch);
         self.actions.push(hub::Action::Exchange {
@@ -148,15 +162,25 @@
         }
     }
 
-    fn followers(&self, now: time::Instant) -> Vec<hub::MemberRecord> {
-        let follows = self.members.values().filter(|known| known.follows);
-        let record = |known: &hub::known_member::KnownMember| {
+    /// Followers whose record a peer lacks, and the others with the age of their last poll
+    /// in milliseconds.
+    fn followers(
+        &self,
+        peer: net::SocketAddr,
+        now: time::Instant,
+    ) -> (Vec<hub::MemberRecord>, Vec<(net::SocketAddr, u64)>) {
+        let known_revision = self.peers.get(&peer).and_then(|peer| peer.followers);
+        let (mut records, mut sightings) = (Vec::new(), Vec::new());
+        for known in self.members.values().filter(|known| known.follows) {
             let age = now.saturating_duration_since(known.last_seen).as_millis();
-            hub::MemberRecord {
-                member: known.member.clone(),
-                age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+            let age_ms = u64::try_from(age).unwrap_or(u64::MAX);
+            if known_revision.is_some_and(|revision| known.revision <= revision) {
+                sightings.push((known.member.callers, age_ms));
+            } else {
+                let member = known.member.clone();
+                records.push(hub::MemberRecord { member, age_ms });
             }
-        };
-        follows.map(record).collect()
+        }
+        (records, sightings)
     }
 }
--- a/crates/fireflyspool/src/hub/mod.rs
+++ b/crates/fireflyspool/src/hub/mod.rs
@@ -24,6 +24,7 @@
 mod batch;
 mod config;
 mod confirmation;
+mod covered;
 mod follow_reply;
 mod follow_request;
 #[allow(clippy::module_inception, reason = "a file is named after its type")]
--- a/crates/fireflyspool/src/hub/peer.rs
+++ b/crates/fireflyspool/src/hub/peer.rs
@@ -19,8 +19,11 @@
     pub(super) incarnation: Option<ids::Incarnation>,
     /// Position up to which the peer has acknowledged the changes.
     pub(super) acked: ids::ChangePosition,
-    /// Position that the batch in flight covers; `None` if no batch is in flight.
-    pub(super) in_flight: Option<ids::ChangePosition>,
+    /// What the batch in flight covers; `None` if no batch is in flight.
+    pub(super) in_flight: Option<hub::covered::Covered>,
+    /// Revision of the own followers up to which the peer has their records; `None` if it
+    /// has none or does not keep them.
+    pub(super) followers: Option<ids::Revision>,
     /// When the last regular batch was sent, which lists the followers of this hub.
     pub(super) regular_sent: Option<time::Instant>,
     /// End of the pause after a failed batch.
--- a/crates/fireflyspool/src/registry/refresh.rs
+++ b/crates/fireflyspool/src/registry/refresh.rs
@@ -18,9 +18,6 @@
     /// Age of the report, in milliseconds.
     #[serde(rename = "h")]
     pub age_ms: u64,
-    /// Remaining time of its cold phase, in milliseconds; 0 if it is warm.
-    #[serde(rename = "c", default)]
-    pub cold_ms: u64,
 }
 
 impl Refresh {
@@ -31,7 +28,6 @@
             born: record.born,
             sequence: record.sequence,
             age_ms: record.age_ms,
-            cold_ms: record.cold_ms,
         }
     }
 }
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -62,6 +62,11 @@
     partitioned: Vec<usize>,
     acknowledged: Vec<(u64, bool)>,
     replies: Vec<hub::FollowReply>,
+    batches: Vec<hub::Batch>,
+    /// Addresses that each hub has published.
+    books: Vec<(usize, hub::AddressBook)>,
+    /// Whether the hubs acknowledge like those of an earlier release.
+    earlier_release: bool,
     now: time::Instant,
 }
 
@@ -81,6 +86,9 @@
             partitioned: Vec::new(),
             acknowledged: Vec::new(),
             replies: Vec::new(),
+            batches: Vec::new(),
+            books: Vec::new(),
+            earlier_release: false,
             now: time::Instant::now(),
         }
     }
@@ -120,14 +128,18 @@
                 let other = usize::from(peer.port()) - 1;
                 let lost = self.partitioned.contains(&index) || self.partitioned.contains(&other);
                 let now = self.now;
-                let ack = (!lost).then(|| self.hubs[other].receive_batch(*batch, now));
+                self.batches.push(batch.as_ref().clone());
+                let mut ack = (!lost).then(|| self.hubs[other].receive_batch(*batch, now));
+                if let Some(ack) = &mut ack {
+                    ack.sightings &= !self.earlier_release;
+                }
                 self.hubs[index].exchange_ended(peer, ack.as_ref(), now);
             }
             hub::Action::Acknowledge { ticket, accepted } => {
                 self.acknowledged.push((ticket, accepted));
             }
             hub::Action::Reply { reply, .. } => self.replies.push(*reply),
-            hub::Action::Publish(_) => {}
+            hub::Action::Publish(book) => self.books.push((index, book)),
         }
     }
 }
@@ -308,6 +320,97 @@
     assert_eq!(reply.changes.records.len(), 1);
 }
 
+/// A hub that has just restarted knows nothing of departures, and a heartbeat of a server
+/// that left may have been on its way for long.
+#[test]
+fn a_restarted_hub_does_not_bring_back_a_server_that_left() {
+    let mut site = Site::new();
+    let now = site.now;
+    site.hubs[0].report(1, report("s", registry::Phase::Serving, 1), now);
+    site.advance(1_100);
+    let now = site.now;
+    site.hubs[0].report(2, report("s", registry::Phase::Leaving, 2), now);
+    site.advance(1_100);
+    let contacts: Vec<_> = (1..4).map(address).collect();
+    let config = hub::Config::new(time::Duration::from_millis(1_200));
+    let mut restarted = origin(3, "c");
+    restarted.incarnation = 99;
+    site.hubs[2] = hub::Hub::new(restarted, config, &contacts);
+    let now = site.now;
+    site.hubs[2].report(3, report("s", registry::Phase::Serving, 1), now);
+    site.advance(1_100);
+    for index in 0..3 {
+        assert!(serving(&mut site, index).is_empty(), "hub {index}");
+    }
+}
+
+/// A hub that lists the entry VMs of another one had their records each second, most of
+/// them unchanged.
+#[test]
+fn hubs_repeat_no_records_of_entry_vms_that_have_not_changed() {
+    let mut site = Site::new();
+    site.advance(10);
+    let poll_and_count = |site: &mut Site, ready| {
+        let now = site.now;
+        site.hubs[0].follow(5, poll(member(100, "a", ready)), now);
+        site.batches.clear();
+        site.advance(1_050);
+        let batches = site.batches.iter().filter(|batch| batch.from.zone == "a");
+        batches.map(|batch| batch.members.len()).sum::<usize>()
+    };
+    assert_eq!(poll_and_count(&mut site, false), 2, "one to each other hub");
+    for _ in 0..5 {
+        assert_eq!(poll_and_count(&mut site, false), 0, "it is only seen");
+    }
+    assert_eq!(poll_and_count(&mut site, true), 2, "it has become ready");
+    assert_eq!(poll_and_count(&mut site, true), 0);
+    // The others still list it as live.
+    let book = site.books.iter().rev().find(|(hub, _)| *hub == 2);
+    let (_, book) = book.expect("the third hub has published addresses");
+    assert_eq!(book.members.len(), 1);
+}
+
+/// Guards against a restarted hub that knows entry VMs by their sightings only.
+#[test]
+fn a_restarted_hub_gets_the_records_of_all_entry_vms_again() {
+    let mut site = Site::new();
+    for _ in 0..3 {
+        let now = site.now;
+        site.hubs[0].follow(5, poll(member(100, "a", true)), now);
+        site.advance(1_050);
+    }
+    let contacts: Vec<_> = (1..4).map(address).collect();
+    let config = hub::Config::new(time::Duration::from_millis(1_200));
+    let mut restarted = origin(3, "c");
+    restarted.incarnation = 99;
+    site.hubs[2] = hub::Hub::new(restarted, config, &contacts);
+    site.books.clear();
+    for _ in 0..2 {
+        let now = site.now;
+        site.hubs[0].follow(5, poll(member(100, "a", true)), now);
+        site.advance(1_050);
+    }
+    let book = site.books.iter().rev().find(|(hub, _)| *hub == 2);
+    let (_, book) = book.expect("it has published addresses");
+    assert_eq!(book.members.len(), 1);
+}
+
+/// Guards against an earlier release that lists only the entry VMs whose records it gets.
+#[test]
+fn a_hub_that_expects_records_gets_them_with_each_regular_batch() {
+    let mut site = Site::new();
+    site.earlier_release = true;
+    site.advance(10);
+    for _ in 0..3 {
+        let now = site.now;
+        site.hubs[0].follow(5, poll(member(100, "a", true)), now);
+        site.batches.clear();
+        site.advance(1_050);
+        let records = site.batches.iter().map(|batch| batch.members.len());
+        assert_eq!(records.sum::<usize>(), 2);
+    }
+}
+
 /// Guards against entry VMs that must each detect a slow server by themselves, and
 /// against a server that is listed for all of them after a short pause.
 #[test]
