Collect the reports about a backend server at one hub

Cause: each entry VM told the hub that it follows. On the large site a slow server gets some 32 requests a second, so each of nine hubs heard of it 3.5 times a second: too seldom for the longest gap of 250 ms in a series of reports. One report to another hub even kept a server off that hub's list.

Change: the hub is chosen by rendezvous hashing of the server over the control VMs that the entry VM knows; it keeps their list current by a checksum, because with their number alone a replaced one stayed unknown.

--- a/crates/fireflyspool/src/control/follower_driver.rs
+++ b/crates/fireflyspool/src/control/follower_driver.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{control, follow, hub, ids};
+use crate::{control, follow, hub, ids, sorted};
 
 /// Polls a control VM and publishes the resulting view.
 pub struct FollowerDriver {
@@ -13,7 +13,7 @@
     version: ids::ConfigVersion,
     /// Outliers as last logged.
     outliers: Vec<ids::ServerName>,
-    /// Observations to send to the hub with the next tick.
+    /// Observations to send with the next tick.
     observations: Vec<hub::Observation>,
 }
 
@@ -37,9 +37,13 @@
 
     /// Sends the waiting observations, and a poll if one is due.
     pub fn tick(&mut self, outlet: &dyn control::Outlet, now: time::Instant) {
-        if !self.observations.is_empty() {
-            let reports = std::mem::take(&mut self.observations);
-            outlet.report_observations(self.follower.hub(), reports);
+        let mut reports = sorted::SortedMap::new();
+        for observation in self.observations.drain(..) {
+            let hub = self.follower.observer(&observation);
+            reports.get_or_insert_with(hub, Vec::new).push(observation);
+        }
+        for (hub, reports) in reports {
+            outlet.report_observations(hub, reports);
         }
         if self.follower.next_poll().is_none_or(|due| due > now) {
             return;
@@ -49,7 +53,7 @@
         }
     }
 
-    /// Queues an observation for the hub; it is sent with the next tick.
+    /// Queues an observation; it is sent with the next tick.
     pub fn note_observation(&mut self, observation: hub::Observation) {
         self.observations.push(observation);
     }
--- a/crates/fireflyspool/src/follow/follower.rs
+++ b/crates/fireflyspool/src/follow/follower.rs
@@ -63,6 +63,15 @@
         self.choice.current()
     }
 
+    /// Listener of the control VM that collects an observation.
+    pub fn observer(&self, (server, symptom): &hub::Observation) -> net::SocketAddr {
+        match symptom {
+            // The registry of any hub takes it and passes it on.
+            hub::Symptom::Leaving { .. } => self.choice.current(),
+            _ => self.choice.observer(server),
+        }
+    }
+
     /// View built from the replies so far.
     pub fn view(&self) -> &fleet::View {
         &self.view
@@ -97,7 +106,7 @@
             version: table.map_or(0, |table| table.version()),
             revision: self.view.zones.revision,
             outlier_revision: self.outlier_revision,
-            hubs: self.choice.known_hubs(),
+            hubs: self.choice.hubs_checksum(),
             suspended: suspended.to_vec(),
         };
         let hub = self.choice.current();
--- a/crates/fireflyspool/src/follow/hub_choice.rs
+++ b/crates/fireflyspool/src/follow/hub_choice.rs
@@ -12,7 +12,7 @@
 
 use std::net;
 
-use crate::{hub, ids, sorted};
+use crate::{hashing, hub, ids, sorted};
 
 /// The hub that is polled, the others, and how far each one is known.
 pub(super) struct HubChoice {
@@ -53,9 +53,22 @@
         self.current
     }
 
-    /// Number of known hubs.
-    pub(super) fn known_hubs(&self) -> usize {
-        self.hubs.len()
+    /// Checksum of the known hubs.
+    pub(super) fn hubs_checksum(&self) -> u64 {
+        hub::HubInfo::checksum(&self.hubs)
+    }
+
+    /// Hub that collects the observations of a backend server.
+    ///
+    /// All entry VMs choose the same one. Spread over all hubs, the observations of a large
+    /// site are too few at each of them to tell a slow server from one that pauses.
+    pub(super) fn observer(&self, server: &str) -> net::SocketAddr {
+        let weight = |info: &&hub::HubInfo| {
+            let hasher = hashing::StableHasher::new().text(server);
+            hasher.text(&info.rpc.to_string()).finish()
+        };
+        let observer = self.hubs.iter().max_by_key(weight);
+        observer.map_or(self.current, |info| info.rpc)
     }
 
     /// Polls since the last one that a current hub answered.
--- a/crates/fireflyspool/src/hub/batch.rs
+++ b/crates/fireflyspool/src/hub/batch.rs
@@ -22,7 +22,7 @@
     /// Backend servers that sent the sender a heartbeat without any other change.
     #[serde(rename = "sightings", default, skip_serializing_if = "Vec::is_empty")]
     pub refreshes: Vec<registry::Refresh>,
-    /// Outliers that the sender's own followers reported.
+    /// Outliers that entry VMs reported to the sender.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub outliers: Vec<ids::ServerName>,
     /// Entry VMs that follow the sender and that the receiver does not know as they are;
--- a/crates/fireflyspool/src/hub/follow_reply.rs
+++ b/crates/fireflyspool/src/hub/follow_reply.rs
@@ -30,8 +30,8 @@
     pub outliers: Vec<ids::ServerName>,
     /// Number of live, ready entry VMs.
     pub members: usize,
-    /// Reachable control VMs, the replying one included; absent if their number is the one in
-    /// the poll.
+    /// Reachable control VMs, the replying one included; absent if their checksum is the one
+    /// in the poll.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub hubs: Option<Vec<hub::HubInfo>>,
 }
--- a/crates/fireflyspool/src/hub/follow_request.rs
+++ b/crates/fireflyspool/src/hub/follow_request.rs
@@ -22,8 +22,9 @@
     pub revision: ids::Revision,
     /// Revision of its list of outliers.
     pub outlier_revision: u64,
-    /// Number of control VMs on its list.
-    pub hubs: usize,
+    /// [`hub::HubInfo::checksum`] of its list of control VMs. Earlier releases send their
+    /// number, which matches no checksum but that of an empty list.
+    pub hubs: u64,
     /// Backend servers that it does not use until their next heartbeat.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspended: Vec<ids::ServerName>,
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -140,6 +140,7 @@
     pub fn advance(&mut self, now: time::Instant) -> Vec<hub::Action> {
         self.registry.expire(now);
         self.outliers.expire(now);
+        self.outliers.publish(now);
         self.track_lag(now);
         self.exchange_due(now);
         self.acknowledge_due(now);
@@ -164,7 +165,8 @@
             });
         let polls = self.pending_polls.iter().map(|poll| poll.deadline);
         let reports = self.pending_departures.iter().map(|report| report.deadline);
-        let all = exchange.chain(polls).chain(reports);
+        let outliers = self.outliers.next_publication(now);
+        let all = exchange.chain(polls).chain(reports).chain(outliers);
         all.min().unwrap_or(now + self.config.exchange_interval)
     }
 
--- a/crates/fireflyspool/src/hub/hub_followers.rs
+++ b/crates/fireflyspool/src/hub/hub_followers.rs
@@ -83,7 +83,7 @@
             (false, false) => registry::ChangeSet::default(),
         };
         let outliers = match known || request.records {
-            true => self.outliers.listed(),
+            true => self.outliers.listed().to_vec(),
             false => Vec::new(),
         };
         let lacking = |document: &&configuration::Document| document.version > request.version;
@@ -104,7 +104,8 @@
             outlier_revision: self.outliers.revision(),
             outliers,
             members: self.published.members.len(),
-            hubs: (request.records && !known || hubs.len() != request.hubs).then_some(hubs),
+            hubs: (request.records && !known || hub::HubInfo::checksum(&hubs) != request.hubs)
+                .then_some(hubs),
         }
     }
 
--- a/crates/fireflyspool/src/hub/hub_info.rs
+++ b/crates/fireflyspool/src/hub/hub_info.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use crate::ids;
+use crate::{hashing, ids};
 
 /// Addresses and zone that a control VM reports in its batches.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -17,3 +17,16 @@
     /// Incarnation of the VM's process.
     pub incarnation: ids::Incarnation,
 }
+
+impl HubInfo {
+    /// Checksum of a list of control VMs in any order; 0 for an empty one.
+    pub fn checksum(hubs: &[Self]) -> u64 {
+        let hash = |info: &Self| {
+            let hasher = hashing::StableHasher::new().text(&info.rpc.to_string());
+            hasher.number(info.incarnation).finish()
+        };
+        let sum = hubs.iter().map(hash).fold(0, u64::wrapping_add);
+        // 53 bits, which a JSON number holds exactly in any parser.
+        sum >> 11
+    }
+}
--- a/crates/fireflyspool/tests/follow.rs
+++ b/crates/fireflyspool/tests/follow.rs
@@ -35,11 +35,15 @@
 }
 
 fn follower(now: time::Instant) -> follow::Follower {
+    follower_of(0, now)
+}
+
+fn follower_of(incarnation: u64, now: time::Instant) -> follow::Follower {
     let member = hub::Member {
         callers: address(100),
         zone: "b".to_owned(),
         region: "r".to_owned(),
-        incarnation: 0,
+        incarnation,
         ready: false,
     };
     let contacts = vec![address(1), address(2), address(3)];
@@ -177,7 +181,7 @@
 const PORTS: [u16; 6] = [1, 2, 3, 4, 5, 6];
 
 fn is_local(listener: net::SocketAddr) -> bool {
-    listener.port() % 3 == 0
+    listener.port().is_multiple_of(3)
 }
 
 /// Plays polls; `current` says which hubs are current. Returns the hub of each poll and
@@ -197,10 +201,11 @@
         let mut answer = reply(incarnation);
         answer.current = current(poll.hub);
         answer.changes.position = 7;
-        if poll.request.hubs != PORTS.len() {
-            let zone = |port: &u16| if port % 3 == 0 { "b" } else { "a" };
-            let hubs = PORTS.iter().map(|port| hub_info(*port, zone(port)));
-            answer.hubs = Some(hubs.collect());
+        let zone = |port: &u16| if port.is_multiple_of(3) { "b" } else { "a" };
+        let hubs = PORTS.iter().map(|port| hub_info(*port, zone(port)));
+        let hubs: Vec<_> = hubs.collect();
+        if poll.request.hubs != hub::HubInfo::checksum(&hubs) {
+            answer.hubs = Some(hubs);
         }
         asked.push((poll.hub, poll.request.records && !known));
         follower
@@ -263,3 +268,45 @@
         .expect("nothing to decode");
     assert_eq!(follower.view().confirmed, None);
 }
+
+/// Reports of a slow server that were spread over nine hubs were too few at each of them.
+#[test]
+fn all_entry_vms_report_a_server_to_the_same_hub() {
+    let now = time::Instant::now();
+    let make = |incarnation, current: fn(net::SocketAddr) -> bool| {
+        let mut now = now;
+        let mut follower = follower_of(incarnation, now);
+        play(&mut follower, &mut now, 4, current);
+        follower
+    };
+    // They follow different hubs.
+    let one = make(0, |_| true);
+    let other = make(1, |hub: net::SocketAddr| hub.port() == 3);
+    let observers: Vec<_> = (0..60)
+        .map(|number| {
+            let observation = (format!("i-{number}"), hub::Symptom::Overdue);
+            let observer = one.observer(&observation);
+            assert_eq!(observer, other.observer(&observation), "{number}");
+            observer.port()
+        })
+        .collect();
+    for port in PORTS {
+        let count = observers.iter().filter(|observer| **observer == port);
+        assert!(count.count() >= 3, "an even share: {observers:?}");
+    }
+    let departure = ("i-1".to_owned(), hub::Symptom::Leaving { born: 1 });
+    assert_eq!(one.observer(&departure), one.hub());
+}
+
+/// Guards against a list of hubs that stays as it was when one takes the place of another.
+#[test]
+fn the_checksum_tells_lists_of_the_same_length_apart() {
+    let hubs = |ports: [u16; 3]| ports.map(|port| hub_info(port, "a"));
+    let checksum = hub::HubInfo::checksum(&hubs([1, 2, 3]));
+    assert_eq!(checksum, hub::HubInfo::checksum(&hubs([3, 1, 2])));
+    assert_ne!(checksum, hub::HubInfo::checksum(&hubs([1, 2, 4])));
+    let mut restarted = hubs([1, 2, 3]);
+    restarted[0].incarnation += 1;
+    assert_ne!(checksum, hub::HubInfo::checksum(&restarted));
+    assert_eq!(hub::HubInfo::checksum(&[]), 0);
+}
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -442,6 +442,16 @@
     assert_eq!(site.listed(), 1);
 }
 
+/// A single report to one hub kept a server off its list although another hub listed it.
+#[test]
+fn one_report_does_not_keep_a_server_off_the_list_of_other_hubs() {
+    let mut site = Site::new();
+    site.hubs[2].observe(vec![("s".to_owned(), hub::Symptom::Overdue)], site.now);
+    site.observe(hub::Symptom::Overdue, 6, 80);
+    site.advance(100);
+    assert_eq!(site.listed(), 1);
+}
+
 /// Guards against a server that is listed for a short pause and a few unrelated
 /// overdue attempts after it: a fast answer or a gap in the reports ends a series.
 #[test]
