Open connections ahead to one server of each service

Cause: connections ahead of the first attempts were opened anew with each view, to whichever server a random choice found best, for 20 s from the first configuration.

Change: the choice is without chance, and each service is checked every 2 s, or at once when a better server becomes known. The window of 30 s counts for each service, so those of a new set of shards get their connections before a configuration names them.

--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -86,9 +86,8 @@
     ) {
         let record = &server.record;
         let origin = (self.zone.as_str(), self.incarnation);
-        let pool = self
-            .pools
-            .get_or_insert_with(record.service.clone(), fleet::pool::Pool::default);
+        let make = || fleet::pool::Pool::new(now);
+        let pool = self.pools.get_or_insert_with(record.service.clone(), make);
         let restarted = |state: &fleet::server_state::ServerState| {
             state.born != record.born || state.address != record.address
         };
@@ -138,25 +137,23 @@
         if let Some(state) = pool.servers.get_mut(&picked.server) {
             state.start();
         }
-        pool.used = true;
+        pool.mark_used();
         Some(picked)
     }
 
-    /// Addresses of the servers that first attempts would pick, for the services that have
-    /// had no attempt; in an order that `entropy` decides.
-    pub fn unused_servers(&self, entropy: u64, now: time::Instant) -> Vec<net::SocketAddr> {
-        let unused = self.pools.values().filter(|pool| !pool.used);
-        let picked = unused.filter_map(|pool| {
-            let (_, state) = pool.pick(&[], &self.notices, self.members, entropy, now)?;
-            Some(state.address)
-        });
-        let mut addresses: Vec<_> = picked.collect();
-        if !addresses.is_empty() {
+    /// Servers to which connections are to be opened ahead of the first attempts, if none is
+    /// kept; in an order that `entropy` decides.
+    pub fn servers_to_open(&mut self, entropy: u64, now: time::Instant) -> Vec<net::SocketAddr> {
+        let (notices, members) = (&self.notices, self.members);
+        let pools = self.pools.values_mut();
+        let opened = pools.filter_map(|pool| pool.server_to_open(notices, members, now));
+        let mut servers: Vec<_> = opened.collect();
+        if !servers.is_empty() {
             // Entry VMs that start together begin with different services.
-            let first = usize::try_from(entropy >> 32).unwrap_or(0) % addresses.len();
-            addresses.rotate_left(first);
+            let first = usize::try_from(entropy >> 32).unwrap_or(0) % servers.len();
+            servers.rotate_left(first);
         }
-        addresses
+        servers
     }
 
     /// Whether a service has a usable server.
--- a/crates/fireflyspool/src/fleet/pool.rs
+++ b/crates/fireflyspool/src/fleet/pool.rs
@@ -1,6 +1,6 @@
 //! Backend servers of one service.
 
-use std::time;
+use std::{net, time};
 
 use crate::{fleet, ids, sorted};
 
@@ -12,6 +12,14 @@
 /// however small its share of the server's connections.
 const MIN_CONNECTIONS: usize = 3;
 
+/// Time from when a service becomes known for which connections to it are opened ahead; an
+/// entry VM without requests for that long is not needed now.
+const OPENING_WINDOW: time::Duration = time::Duration::from_secs(30);
+
+/// Interval at which a connection that was opened ahead is checked and opened anew if its
+/// server has closed it, or had no room for it.
+const OPENING_INTERVAL: time::Duration = time::Duration::from_secs(2);
+
 /// Servers of a service, with the retry budget and failure rate of the service.
 #[derive(Debug, Default)]
 pub(super) struct Pool {
@@ -20,11 +28,55 @@
     pub(super) failures: fleet::failure_rate::FailureRate,
     /// Connections that one backend server accepts from all entry VMs together.
     pub(super) connections: usize,
+    /// When the service became known; `None` if it is not known yet.
+    known_since: Option<time::Instant>,
+    /// Server to which a connection was last opened ahead of the first attempt, and when it
+    /// is checked again.
+    opening: Option<(net::SocketAddr, time::Instant)>,
     /// Whether this VM has sent an attempt to the service.
-    pub(super) used: bool,
+    used: bool,
 }
 
 impl Pool {
+    /// Pool of a service that has become known.
+    pub(super) fn new(now: time::Instant) -> Self {
+        Self {
+            known_since: Some(now),
+            ..Self::default()
+        }
+    }
+
+    /// Server to which a connection is to be opened ahead of the first attempt; `None` if
+    /// none is.
+    ///
+    /// It is the one that a first attempt would pick: another one at once when a better one
+    /// has become known, and the same one every [`OPENING_INTERVAL`].
+    pub(super) fn server_to_open(
+        &mut self,
+        notices: &fleet::notices::Notices,
+        members: usize,
+        now: time::Instant,
+    ) -> Option<net::SocketAddr> {
+        let since = self.known_since?;
+        if self.used || now.saturating_duration_since(since) > OPENING_WINDOW {
+            return None;
+        }
+        // Without entropy the choice stays the same while the servers do.
+        let (_, server) = self.pick(&[], notices, members, 0, now)?;
+        let address = server.address;
+        let kept = |(opened, due)| opened == address && due > now;
+        if self.opening.is_some_and(kept) {
+            return None;
+        }
+        self.opening = Some((address, now + OPENING_INTERVAL));
+        Some(address)
+    }
+
+    /// Counts an attempt, after which the service keeps its connections by itself.
+    pub(super) fn mark_used(&mut self) {
+        self.used = true;
+    }
+
     /// The usable server with the lowest score that is not excluded.
     pub(super) fn pick(
         &self,
--- a/crates/fireflyspool/src/node/first_connections.rs
+++ b/crates/fireflyspool/src/node/first_connections.rs
@@ -2,22 +2,18 @@
 //!
 //! A query over many shards that has to open a connection for each of them takes several
 //! times as long as the next one, and its attempts look as if their backend servers were
-//! slow. After a start this task keeps a connection to each service that has had no
-//! attempt, to the server that a first attempt would pick. It opens one at a time, which
-//! leaves the processor to requests and spreads the load on the servers.
+//! slow. This task keeps a connection to each service that has become known and has had no
+//! attempt, to the server that a first attempt would pick: after a start to all services,
+//! and to those of a new set of shards before a configuration names them. It opens one at a
+//! time, which leaves the processor to requests and spreads the load on the servers.
 
 use std::{sync, time};
 
 use crate::node;
 
-/// Time from the first configuration after which no connections are opened ahead: an entry
-/// VM without requests for that long is not needed now.
-const OPENING_WINDOW: time::Duration = time::Duration::from_secs(20);
-
-/// Opens the connections whenever a view has been published, until the window ends.
+/// Opens the connections whenever a view has been published.
 pub(super) async fn open(forwarding: sync::Arc<node::Forwarding>) {
     let process = sync::Arc::clone(&forwarding.process);
-    let mut end = None;
     loop {
         process.view_changed.notified().await;
         let view = process.view.load_full();
@@ -26,14 +22,11 @@
             continue;
         }
         let now = time::Instant::now();
-        if now > *end.get_or_insert(now + OPENING_WINDOW) {
-            return;
-        }
-        let unused = {
-            let fleet = forwarding.updated_fleet(&view);
-            fleet.unused_servers(rand::random(), now)
+        let servers = {
+            let mut fleet = forwarding.updated_fleet(&view);
+            fleet.servers_to_open(rand::random(), now)
         };
-        for address in unused {
+        for address in servers {
             forwarding.client.open(address).await;
         }
     }
--- a/crates/fireflyspool/tests/fleet.rs
+++ b/crates/fireflyspool/tests/fleet.rs
@@ -373,3 +373,32 @@
         "2 s after a failure, a fast response is no recovery"
     );
 }
+
+/// Connections ahead of the first attempts were opened anew with each view, to one server
+/// after the other: five times as many as needed, over the limits of the servers.
+#[test]
+fn a_connection_is_opened_ahead_to_one_server_of_a_service() {
+    let mut harness = Harness::new(vec![record("s1", "b"), record("s2", "c")]);
+    let open = |harness: &mut Harness, millis| {
+        harness.now += time::Duration::from_millis(millis);
+        harness.fleet.servers_to_open(millis, harness.now)
+    };
+    let first = open(&mut harness, 1);
+    assert_eq!(first.len(), 1);
+    for _ in 0..10 {
+        for _ in 0..4 {
+            harness.publish();
+            assert!(open(&mut harness, 400).is_empty(), "it is open");
+        }
+        assert_eq!(open(&mut harness, 400), first, "it is checked");
+    }
+    let mut harness = Harness::new(vec![record("s1", "b"), record("s2", "c")]);
+    open(&mut harness, 1);
+    let local = record("s3", "a");
+    let address = local.address;
+    harness.add_report(local);
+    assert_eq!(open(&mut harness, 10), [address], "a better one is known");
+    harness.pick(1).expect("a server");
+    let later = open(&mut harness, 3_000);
+    assert!(later.is_empty(), "attempts keep connections by themselves");
+}
