Do not report the first attempt at a server as overdue

Cause: the first query of each entry VM opens connections, so its attempts look overdue at healthy servers.

Change: an attempt is reported once the server has answered this VM before.

The test fails without the change by its first assertion (one report where none is allowed; read from the code, not run).

--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -216,7 +216,10 @@
         if let Some(server) = self.server(key) {
             let ratio = elapsed.as_secs_f64() / typical;
             server.record_overdue(token, ratio, now);
-            self.observations.add(key.1, hub::Symptom::Overdue, now);
+            // The first attempt opens a connection, so its age says little about the server.
+            if server.answered {
+                self.observations.add(key.1, hub::Symptom::Overdue, now);
+            }
         }
     }
 
--- a/crates/fireflyspool/src/fleet/server_state.rs
+++ b/crates/fireflyspool/src/fleet/server_state.rs
@@ -49,6 +49,8 @@
     pub(super) running: usize,
     /// Tokens of the attempts under way that take longer than usual.
     pub(super) overdue: Vec<ids::Ticket>,
+    /// Whether it has answered an attempt of this VM.
+    pub(super) answered: bool,
     /// When an overdue or failed attempt was last reported to the control VMs.
     reported_at: Option<time::Instant>,
     /// Moving average of the latency, as a multiple of the typical one.
@@ -92,6 +94,7 @@
             suspended: None,
             running: 0,
             overdue: Vec::new(),
+            answered: false,
             reported_at: None,
             latency_ratio: 1.0,
             latency_at: now,
@@ -182,6 +185,7 @@
             |elapsed: time::Duration| elapsed.as_secs_f64() / typical.as_secs_f64().max(1e-6);
         match result {
             fleet::AttemptResult::Answered { elapsed } => {
+                self.answered = true;
                 self.latency_ratio += LATENCY_WEIGHT * (ratio(elapsed) - self.latency_ratio);
                 self.latency_at = now;
                 self.record_failure(0.0, now);
--- a/crates/fireflyspool/tests/fleet.rs
+++ b/crates/fireflyspool/tests/fleet.rs
@@ -402,3 +402,20 @@
     let later = open(&mut harness, 3_000);
     assert!(later.is_empty(), "attempts keep connections by themselves");
 }
+
+/// The first queries of all entry VMs open connections to all services. Their attempts looked
+/// overdue, and half of the healthy servers of a large site were listed as outliers.
+#[test]
+fn the_first_attempt_at_a_server_is_not_reported_as_overdue() {
+    let mut harness = Harness::new(vec![record("a-1", "a")]);
+    for reports in [0, 1] {
+        let picked = harness.pick(1).expect("a server");
+        let key = ("shard", "a-1");
+        let elapsed = time::Duration::from_millis(40);
+        let fleet = &mut harness.fleet;
+        fleet.record_overdue(key, picked.token, &route(), elapsed, harness.now);
+        assert_eq!(fleet.take_observations().len(), reports);
+        fleet.record_end(key, picked.token, &route(), FAST, harness.now);
+        fleet.take_observations();
+    }
+}
