--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -162,11 +162,16 @@
     /// Publishes the suspended backend servers to the control thread if they changed.
     pub(super) fn publish_suspended(&self, fleet: &fleet::Fleet) {
         let suspended = fleet.suspended();
-        if **self.process.suspended.load() != suspended {
-            slog::info!(self.process.logger, "backend servers suspended";
-                "servers" => ?suspended);
-            self.process.suspended.store(sync::Arc::new(suspended));
+        let former = self.process.suspended.load();
+        if **former == suspended {
+            return;
         }
+        let added = suspended.iter().filter(|name| !former.contains(name));
+        let returned = former.iter().filter(|name| !suspended.contains(name));
+        slog::info!(self.process.logger, "suspended backend servers changed";
+            "suspended" => ?added.collect::<Vec<_>>(), "returned" => ?returned.collect::<Vec<_>>(),
+            "total" => suspended.len());
+        self.process.suspended.store(sync::Arc::new(suspended));
     }
 }
 
