Test which failed connections are refusals

The decision that a reset while a connection is opened is a refusal moves to forward::AttemptEnd, apart from the platform's client, with a test. Behaviour is the same.

--- a/crates/fireflyspool/src/forward/attempt_end.rs
+++ b/crates/fireflyspool/src/forward/attempt_end.rs
@@ -1,5 +1,7 @@
 //! How an attempt ended.
 
+use std::io;
+
 use crate::forward;
 
 /// End of an attempt at a backend server.
@@ -19,3 +21,14 @@
     /// The deadline passed; the request may have run.
     TimedOut,
 }
+
+impl AttemptEnd {
+    /// End of an attempt whose connection could not be opened; nothing was sent.
+    pub fn not_connected(error: &io::Error) -> Self {
+        match error.kind() {
+            // The server lives, and has as many connections as it accepts.
+            io::ErrorKind::ConnectionReset => Self::Rejected,
+            _ => Self::Unreachable,
+        }
+    }
+}
--- a/crates/fireflyspool/src/platform/http_backend_client.rs
+++ b/crates/fireflyspool/src/platform/http_backend_client.rs
@@ -1,6 +1,6 @@
 //! HTTP client for backend servers.
 
-use std::{io, net, sync, time};
+use std::{net, sync, time};
 
 use crate::platform::headers;
 use crate::{backend, forward, node, platform, rim, timer};
@@ -81,14 +81,8 @@
 ) -> Ending {
     match client.send(address, request).await {
         Ok(response) => decode(response, id).await,
-        // A server with as many connections as it accepts resets further ones.
-        Err(rim::ForwardError::Connect(error))
-            if error.kind() == io::ErrorKind::ConnectionReset =>
-        {
-            (forward::AttemptEnd::Rejected, backend::Condition::default())
-        }
-        Err(rim::ForwardError::Connect(_)) => (
-            forward::AttemptEnd::Unreachable,
+        Err(rim::ForwardError::Connect(error)) => (
+            forward::AttemptEnd::not_connected(&error),
             backend::Condition::default(),
         ),
         Err(_) => (forward::AttemptEnd::Broken, backend::Condition::default()),
--- a/crates/fireflyspool/tests/forward.rs
+++ b/crates/fireflyspool/tests/forward.rs
@@ -1,6 +1,6 @@
 //! Forwarding of one request: attempts, hedges, retries and partial answers.
 
-use std::{sync, time};
+use std::{io, sync, time};
 
 use fireflyspool::{backend, configuration, fleet, forward, registry};
 
@@ -264,6 +264,23 @@
     ));
 }
 
+/// A server at its limit of connections was taken for one that is gone, and suspended.
+#[test]
+fn a_reset_while_a_connection_is_opened_is_a_refusal() {
+    let end = |kind: io::ErrorKind| forward::AttemptEnd::not_connected(&kind.into());
+    assert_eq!(
+        end(io::ErrorKind::ConnectionReset),
+        forward::AttemptEnd::Rejected
+    );
+    for kind in [
+        io::ErrorKind::ConnectionRefused,
+        io::ErrorKind::TimedOut,
+        io::ErrorKind::HostUnreachable,
+    ] {
+        assert_eq!(end(kind), forward::AttemptEnd::Unreachable, "{kind}");
+    }
+}
+
 /// Guards against a refusal of a request that may have run, and against a failure
 /// for one that certainly did not run, which its caller may send again.
 #[test]
