Send all records of entry VMs again after a failed exchange between hubs

Cause: since hubs repeat only sightings of entry VMs whose records the peer has, a hub that was cut off for over a minute forgot entry VMs and got no records of them after that, so its callers were not told of them.

Change: a batch without an acknowledgement makes the next one carry all records.

Measured: the test, a cut of 67 s between hubs, fails without the change.

--- a/crates/fireflyspool/src/hub/hub_peers.rs
+++ b/crates/fireflyspool/src/hub/hub_peers.rs
@@ -63,6 +63,8 @@
         let covered = peer.in_flight.take();
         let Some(ack) = ack else {
             peer.paused_until = Some(now + self.config.retry_pause);
+            // It forgets entry VMs that it does not hear of for long.
+            peer.followers = None;
             return;
         };
         peer.paused_until = None;
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -395,6 +395,28 @@
     assert_eq!(book.members.len(), 1);
 }
 
+/// A hub that was cut off for a minute has forgotten entry VMs, whose sightings alone would
+/// not bring them back.
+#[test]
+fn a_hub_that_was_cut_off_for_long_gets_the_records_of_all_entry_vms_again() {
+    let mut site = Site::new();
+    for second in 0..75 {
+        site.partitioned = match second {
+            3..70 => vec![2],
+            _ => Vec::new(),
+        };
+        let now = site.now;
+        site.hubs[0].follow(5, poll(member(100, "a", true)), now);
+        site.hubs[2].follow(6, poll(member(101, "c", true)), now);
+        site.advance(1_000);
+    }
+    for (number, name) in ["first", "second", "third"].iter().enumerate() {
+        let book = site.books.iter().rev().find(|(hub, _)| *hub == number);
+        let (_, book) = book.expect("it has published addresses");
+        assert_eq!(book.members.len(), 2, "the {name} hub");
+    }
+}
+
 /// Guards against an earlier release that lists only the entry VMs whose records it gets.
 #[test]
 fn a_hub_that_expects_records_gets_them_with_each_regular_batch() {
