--- a/crates/fireflyspool/src/hub/mod.rs
+++ b/crates/fireflyspool/src/hub/mod.rs
@@ -40,6 +40,7 @@
 mod peer;
 mod pending_departure;
 mod pending_poll;
+mod report_series;
 mod symptom;
 mod zones_out;
 
--- a/crates/fireflyspool/src/hub/outliers.rs
+++ b/crates/fireflyspool/src/hub/outliers.rs
@@ -3,29 +3,14 @@
 //! One entry VM of a large site calls a backend server too rarely to notice in
 //! time that it has become slow, but all entry VMs together do. A server is
 //! listed after a series of reports that lasts longer than a short pause, which
-//! a hedge already covers, and that no fast answer interrupts.
+//! a hedge already covers, and that no fast answer interrupts. All entry VMs report
+//! a server to the same hub, which tells the others what it lists.
 
-use std::{collections, time};
+use std::time;
 
+use crate::hub::report_series;
 use crate::{hub, ids, sorted};
 
-/// Shortest series of reports that lists a server; longer than the pauses of backend servers.
-const MIN_DURATION: time::Duration = time::Duration::from_millis(200);
-
-/// Length of a usual pause of a backend server, with the delays of its reports.
-const PAUSE: time::Duration = time::Duration::from_millis(130);
-
-/// Longest gap between two reports of a series. The reports of all entry VMs about a slow
-/// server come every 80 ms at most; those about a healthy one seldom follow a pause closer.
-const MAX_GAP: time::Duration = time::Duration::from_millis(120);
-
-/// Least total weight of the reports of a series that lists a server.
-const MIN_WEIGHT: u32 = 4;
-
-/// Weight of a failure, where an overdue attempt weighs 1: a healthy server has
-/// overdue attempts now and then, but does not fail.
-const FAILURE_WEIGHT: u32 = 2;
-
 /// Time without a report after which a server is removed from the list and tried again.
 const LISTING_LIFETIME: time::Duration = time::Duration::from_millis(1_300);
 
@@ -33,60 +18,10 @@
 /// one answers the polls of all followers, and a disturbance lists many servers in turn.
 const PUBLICATION_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
-/// Reports about one backend server without a longer gap than [`MAX_GAP`].
-#[derive(Debug)]
-struct ReportSeries {
-    /// Times of the first and the last report.
-    first: time::Instant,
-    last: time::Instant,
-    weight: u32,
-    /// Times of the reports of overdue attempts within the last [`PAUSE`].
-    recent: collections::VecDeque<time::Instant>,
-    /// Most of them at any time.
-    densest: u32,
-    listed: bool,
-    /// Whether entry VMs sent the reports to this hub, as opposed to another one.
-    own: bool,
-}
-
-impl ReportSeries {
-    fn new(weight: u32, now: time::Instant) -> Self {
-        Self {
-            first: now,
-            last: now,
-            weight,
-            recent: collections::VecDeque::new(),
-            densest: 0,
-            listed: false,
-            own: true,
-        }
-    }
-
-    fn add(&mut self, symptom: hub::Symptom, weight: u32, now: time::Instant) {
-        self.weight += weight;
-        self.last = now;
-        // No pause explains a failure.
-        if symptom == hub::Symptom::Overdue {
-            self.recent.push_back(now);
-            self.recent
-                .retain(|at| now.saturating_duration_since(*at) <= PAUSE);
-            let count = u32::try_from(self.recent.len()).unwrap_or(u32::MAX);
-            self.densest = self.densest.max(count);
-        }
-    }
-
-    /// Whether the reports are more than a pause and a few unrelated ones beside it: those
-    /// of a slow server go on at the same rate.
-    fn shows_slowness(&self) -> bool {
-        let duration = self.last.saturating_duration_since(self.first);
-        duration >= MIN_DURATION && self.weight >= MIN_WEIGHT && self.densest * 2 <= self.weight
-    }
-}
-
 /// Series of reports and the list of outliers that results from them.
 #[derive(Debug, Default)]
 pub(super) struct Outliers {
-    servers: sorted::SortedMap<ids::ServerName, ReportSeries>,
+    servers: sorted::SortedMap<ids::ServerName, report_series::ReportSeries>,
     /// Listed servers as last published, ascending.
     published: Vec<ids::ServerName>,
     published_at: Option<time::Instant>,
@@ -148,36 +83,23 @@
         symptom: hub::Symptom,
         now: time::Instant,
     ) {
-        let weight = match symptom {
-            hub::Symptom::Overdue => 1,
-            hub::Symptom::Failed => FAILURE_WEIGHT,
+        match symptom {
+            hub::Symptom::Overdue | hub::Symptom::Failed => {
+                let make = || report_series::ReportSeries::new(now);
+                let series = self.servers.get_or_insert_with(server, make);
+                let lists = series.add(symptom, now);
+                self.changed |= lists;
+                self.own_changed |= lists;
+            }
             hub::Symptom::Recovered => {
+                let known = self.servers.get(&server);
                 // A listed server gets few requests, so one fast answer is weak evidence.
-                if self
-                    .servers
-                    .get(&server)
-                    .is_some_and(|series| !series.listed)
-                {
+                if known.is_some_and(|series| !series.listed) {
                     self.servers.remove(&server);
                 }
-                return;
             }
             // The registry records departures.
-            hub::Symptom::Leaving { .. } => return,
-        };
-        let make = || ReportSeries::new(0, now);
-        let series = self.servers.get_or_insert_with(server, make);
-        if now.saturating_duration_since(series.last) > MAX_GAP {
-            let listed = series.listed;
-            *series = ReportSeries::new(0, now);
-            series.listed = listed;
-        }
-        series.own = true;
-        series.add(symptom, weight, now);
-        if !series.listed && series.shows_slowness() {
-            series.listed = true;
-            self.changed = true;
-            self.own_changed = true;
+            hub::Symptom::Leaving { .. } => {}
         }
     }
 
@@ -187,11 +109,7 @@
         if known.is_some_and(|series| series.own && series.listed) {
             return;
         }
-        let series = ReportSeries {
-            listed: true,
-            own: false,
-            ..ReportSeries::new(MIN_WEIGHT, now)
-        };
+        let series = report_series::ReportSeries::of_other_hub(now);
         let former = self.servers.insert(server, series);
         self.changed |= former.is_none_or(|former| !former.listed);
     }
@@ -207,7 +125,7 @@
         self.changed |= removed;
     }
 
-    fn names(&self, keep: impl Fn(&ReportSeries) -> bool) -> Vec<ids::ServerName> {
+    fn names(&self, keep: impl Fn(&report_series::ReportSeries) -> bool) -> Vec<ids::ServerName> {
         let kept = self.servers.iter().filter(|(_, series)| keep(series));
         kept.map(|(server, _)| server.clone()).collect()
     }
