Answer connections that a stopping entry VM gets while others end

Cause: connections without a request keep a stopping entry VM from ending at once. Its listener was closed meanwhile, so connections that waited to be accepted were reset, and one that was accepted after that was closed before its request was read.

Change: the listener accepts until the last connection has ended. A connection that it accepts then gets one answer, a refusal, and is closed.

Ruled out: a longer grace, which the platform sets.

--- a/crates/fireflyspool/src/rim/caller_listener.rs
+++ b/crates/fireflyspool/src/rim/caller_listener.rs
@@ -36,6 +36,9 @@
 /// Accepts connections until `closing` becomes true, then shuts them down gracefully and
 /// returns when all have ended.
 ///
+/// While the last ones end, new connections still get one answer each: a listener that is
+/// closed earlier resets those that wait to be accepted.
+///
 /// # Errors
 ///
 /// Returns a [`rim::RpcError`] if the address cannot be bound.
@@ -49,10 +52,15 @@
     let listener = bound.map_err(|source| rim::RpcError::Bind { address, source })?;
     let mut connections = task::JoinSet::new();
     loop {
+        let is_closing = *closing.borrow();
+        if is_closing && connections.is_empty() {
+            return Ok(());
+        }
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             Some(_) = connections.join_next() => continue,
-            _ = closing.wait_for(|closing| *closing) => break,
+            _ = closing.wait_for(|closing| *closing), if !is_closing => continue,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -67,9 +75,6 @@
             }
         }
     }
-    drop(listener);
-    while connections.join_next().await.is_some() {}
-    Ok(())
 }
 
 async fn serve(
@@ -89,21 +94,25 @@
             Ok::<_, convert::Infallible>(response)
         }
     });
+    // A connection that is accepted while the others end has not had its one answer.
+    let is_late = *closing.borrow();
     let connection = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
+        .keep_alive(!is_late)
         .serve_connection(rt::TokioIo::new(stream), service);
     let mut connection = pin::pin!(connection);
     let mut shutting_down = false;
     loop {
         let idle_at = activity.idle_at(handler.idle());
-        if !shutting_down && (*closing.borrow() || idle_at <= time::Instant::now()) {
+        let is_closing = !is_late && *closing.borrow();
+        if !shutting_down && (is_closing || idle_at <= time::Instant::now()) {
             connection.as_mut().graceful_shutdown();
             shutting_down = true;
         }
         tokio::select! {
             // The connection ended; an error could not be reported to the caller.
             _ = &mut connection => return,
-            _ = closing.changed(), if !shutting_down => {}
+            _ = closing.changed(), if !shutting_down && !is_late => {}
             () = timer.sleep_until(idle_at), if !shutting_down => {}
         }
     }
--- a/crates/fireflyspool/tests/planned_stop.rs
+++ b/crates/fireflyspool/tests/planned_stop.rs
@@ -2,10 +2,11 @@
 
 mod platform_site;
 
-use std::{net, sync, time};
+use std::{future, io::Write as _, net, sync, time};
 
+use fireflyspool::{rim, timer};
 use platform_site::{Caller, SHARDS, SINGLE_SERVICE, Site, StandInServer, WAIT_LIMIT};
-use tokio::task::JoinSet;
+use tokio::{sync::watch, task::JoinSet};
 
 const CONTROLS: [u8; 3] = [1, 2, 3];
 
@@ -80,3 +81,53 @@
     assert!(count(&Ended::Answered(503)) > 10, "refused late: {ends:?}");
     assert_eq!(code, Some(0), "the entry VM cut requests");
 }
+
+/// Connections that never send a request keep a stopping entry VM from ending at once. Its
+/// listener was closed meanwhile, which reset connections that waited to be accepted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_stopping_entry_vm_answers_new_connections_while_others_end() {
+    let timer = timer::TimerService::start().expect("a thread");
+    let port = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = port.local_addr().expect("an address");
+    drop(port);
+    let (closing, closed) = watch::channel(false);
+    let logger = slog::Logger::root(slog::Discard, slog::o!());
+    let services = (timer, logger);
+    let handler = sync::Arc::new(Refusing);
+    let listening = tokio::spawn(rim::caller_listener(address, handler, services, closed));
+    let start = time::Instant::now();
+    while !matches!(request(address, 0).await, Ended::Answered(_)) {
+        assert!(start.elapsed() < WAIT_LIMIT, "it does not listen");
+    }
+    // A request whose end never comes.
+    let mut open = net::TcpStream::connect(address).expect("it listens");
+    open.write_all(b"POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: x\r\n")
+        .expect("it reads");
+    tokio::time::sleep(SPACING).await;
+    closing.send(true).expect("it listens");
+    for number in 1..20 {
+        let ended = request(address, number).await;
+        assert_eq!(ended, Ended::Answered(503), "request {number}");
+    }
+    drop(open);
+    let ended = tokio::time::timeout(WAIT_LIMIT, listening).await;
+    ended
+        .expect("the last connection has ended")
+        .expect("no panic")
+        .expect("it could listen");
+}
+
+/// Handler that refuses all requests.
+struct Refusing;
+
+impl rim::CallerHandler for Refusing {
+    fn handle(&self, _: http::Request<hyper::body::Incoming>) -> rim::ResponseFuture {
+        let mut response = http::Response::default();
+        *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
+        Box::pin(future::ready(response))
+    }
+
+    fn idle(&self) -> time::Duration {
+        WAIT_LIMIT
+    }
+}
