--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -10,15 +10,18 @@
 /// server; they ignore a server that is no longer known.
 #[derive(Debug)]
 pub struct Fleet {
-    zone: ids::ZoneName,
+    pub(super) zone: ids::ZoneName,
     incarnation: ids::Incarnation,
     limits: fleet::RetryLimits,
     generation: u64,
     members: usize,
     next_token: ids::Ticket,
     observations: fleet::observations::Observations,
-    notices: fleet::notices::Notices,
-    pools: sorted::SortedMap<ids::ServiceName, fleet::pool::Pool>,
+    pub(super) notices: fleet::notices::Notices,
+    pub(super) delegates: fleet::delegates::Delegates,
+    /// Typical time to write [`fleet::fleet_groups::WRITTEN_BATCH`] attempts.
+    pub(super) write_time: fleet::Quantile,
+    pub(super) pools: sorted::SortedMap<ids::ServiceName, fleet::pool::Pool>,
     routes: sorted::SortedMap<String, fleet::route_latency::RouteLatency>,
     splits: sorted::SortedMap<String, fleet::split_state::SplitState>,
 }
@@ -39,6 +42,8 @@
             next_token: 0,
             observations: fleet::observations::Observations::default(),
             notices: fleet::notices::Notices::default(),
+            delegates: fleet::delegates::Delegates::default(),
+            write_time: fleet::Quantile::new(0.5, time::Duration::ZERO),
             pools: sorted::SortedMap::new(),
             routes: sorted::SortedMap::new(),
             splits: sorted::SortedMap::new(),
@@ -54,6 +59,7 @@
         self.observations.start(now);
         self.members = view.members;
         self.notices.update(view);
+        self.delegates.update(&view.delegates);
         for (name, server) in view.servers.iter() {
             let zone_out = view.zones.zones.contains(&server.record.zone);
             let outlier = view.outliers.binary_search(name).is_ok();
@@ -294,11 +300,15 @@
         self.pools.get_mut(service)?.servers.get_mut(server)
     }
 
-    fn typical(&mut self, route: &configuration::Route) -> time::Duration {
+    /// Typical latency of the attempts of a route, as estimated.
+    pub fn typical(&mut self, route: &configuration::Route) -> time::Duration {
         self.latency(route).typical.value()
     }
 
-    fn latency(&mut self, route: &configuration::Route) -> &mut fleet::route_latency::RouteLatency {
+    pub(super) fn latency(
+        &mut self,
+        route: &configuration::Route,
+    ) -> &mut fleet::route_latency::RouteLatency {
         let objective = route.objective;
         let make = || fleet::route_latency::RouteLatency::new(objective);
         self.routes.get_or_insert_with(route.name.clone(), make)
--- a/crates/fireflyspool/src/fleet/mod.rs
+++ b/crates/fireflyspool/src/fleet/mod.rs
@@ -16,16 +16,23 @@
 //!
 //! Retries and hedges to each service draw on a [`RetryBudget`], this VM's share
 //! of what all entry VMs may send together.
+//!
+//! Shards without a server in this VM's zone are delegated in groups to entry VMs of other
+//! zones; [`Fleet::plan_groups`] decides which ones go where.
 
 mod attempt_result;
+mod delegate_state;
+mod delegates;
 mod failure_rate;
 #[allow(clippy::module_inception, reason = "a file is named after its type")]
 mod fleet;
+mod fleet_groups;
 mod known_server;
 mod notice;
 mod notices;
 mod observations;
 mod picked_server;
+mod planned_group;
 mod pool;
 mod quantile;
 mod retry_budget;
@@ -40,6 +47,7 @@
 pub use fleet::Fleet;
 pub use known_server::KnownServer;
 pub use picked_server::PickedServer;
+pub use planned_group::PlannedGroup;
 pub use quantile::Quantile;
 pub use retry_budget::RetryBudget;
 pub use retry_limits::RetryLimits;
--- /dev/null
+++ b/crates/fireflyspool/src/fleet/planned_group.rs
@@ -0,0 +1,12 @@
+//! Group of shards that is to be delegated.
+
+use std::net;
+
+/// Shards for which another entry VM is nearer to the backend servers than this one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlannedGroup {
+    /// Listener of the other entry VM.
+    pub delegate: net::SocketAddr,
+    /// Indexes of the shards in the query, ascending.
+    pub shards: Vec<usize>,
+}
--- a/crates/fireflyspool/src/fleet/pool.rs
+++ b/crates/fireflyspool/src/fleet/pool.rs
@@ -8,6 +8,10 @@
 /// spreads load evenly over equal servers.
 const MAX_JITTER: f64 = 0.25;
 
+/// Difference of scores up to which a server of another zone is as good as the best one, in
+/// units of a typical latency; covers this VM's preference among those zones.
+const SCORE_TOLERANCE: f64 = 1.5;
+
 /// Concurrent attempts that one entry VM may always run on one backend server,
 /// however small its share of the server's connections.
 const MIN_CONNECTIONS: usize = 3;
@@ -105,6 +109,29 @@
         best.map(|(_, entry)| entry)
     }
 
+    /// Zones from which the service is reached best; empty if this VM's is one of them, and
+    /// `None` if no server is usable.
+    pub(super) fn best_zones(
+        &self,
+        notices: &fleet::notices::Notices,
+        now: time::Instant,
+    ) -> Option<Vec<&ids::ZoneName>> {
+        let mut scores = Vec::with_capacity(self.servers.len());
+        for (name, server) in self.servers.iter() {
+            if server.is_usable(now) && notices.allows(name, server.born, now) {
+                scores.push((server.score(now), server));
+            }
+        }
+        let by_score =
+            |(a, _): &&(f64, &fleet::server_state::ServerState), (b, _): &&(f64, _)| a.total_cmp(b);
+        let (least, best) = scores.iter().min_by(by_score)?;
+        let is_near = |(score, server): &&(f64, &fleet::server_state::ServerState)| {
+            !best.local && !server.local && *score <= least + SCORE_TOLERANCE
+        };
+        let near = scores.iter().filter(is_near);
+        Some(near.map(|(_, server)| &server.zone).collect())
+    }
+
     /// When the first server is usable, even if it has no free connection: `now` at the
     /// earliest, `None` if that is not known.
     pub(super) fn usable_at(
--- a/crates/fireflyspool/src/fleet/server_state.rs
+++ b/crates/fireflyspool/src/fleet/server_state.rs
@@ -36,6 +36,7 @@
 pub(super) struct ServerState {
     pub(super) address: net::SocketAddr,
     pub(super) local: bool,
+    pub(super) zone: ids::ZoneName,
     /// Score of its zone and of this VM's preference; constant while this process runs.
     pub(super) zone_penalty: f64,
     pub(super) born: ids::BornMillis,
@@ -82,6 +83,7 @@
         Self {
             address: record.address,
             local,
+            zone: record.zone.clone(),
             zone_penalty: match local {
                 true => 0.0,
                 false => ZONE_PENALTY + MAX_PREFERENCE * preference,
--- a/crates/fireflyspool/src/fleet/view.rs
+++ b/crates/fireflyspool/src/fleet/view.rs
@@ -17,6 +17,8 @@
     pub zones: hub::ZonesOut,
     /// Names of backend servers that all entry VMs together find slow or failing, sorted.
     pub outliers: Vec<ids::ServerName>,
+    /// Entry VMs to which groups of shards may be delegated, preferred ones first.
+    pub delegates: Vec<hub::Delegate>,
     /// Number of live entry VMs.
     pub members: usize,
     /// When a control VM that reaches a quorum last replied; `None` until then.
--- a/crates/fireflyspool/src/follow/follower.rs
+++ b/crates/fireflyspool/src/follow/follower.rs
@@ -107,6 +107,10 @@
             revision: self.view.zones.revision,
             outlier_revision: self.outlier_revision,
             hubs: self.choice.hubs_checksum(),
+            delegates: self
+                .choice
+                .wants_records()
+                .then(|| hub::Delegate::checksum(&self.view.delegates)),
             suspended: suspended.to_vec(),
         };
         let hub = self.choice.current();
@@ -153,6 +157,9 @@
             true => self.choice.confirm(with_records),
             false => self.switch_hub(now),
         }
+        if let Some(delegates) = reply.delegates {
+            self.view.delegates = delegates;
+        }
         if let Some(hubs) = reply.hubs {
             self.choice.set_hubs(hubs);
         }
--- a/crates/fireflyspool/src/forward/action.rs
+++ b/crates/fireflyspool/src/forward/action.rs
@@ -9,8 +9,14 @@
 pub enum Action {
     /// Start an attempt and report its end to [`forward::Exchange::attempt_ended`].
     Send(forward::Send),
+    /// Send a group, and report its answers to [`forward::Exchange::group_answered`] and its
+    /// end to [`forward::Exchange::group_ended`].
+    Delegate(forward::Delegation),
     /// Call [`forward::Exchange::wake`] at this time; replaces the previous one.
     WakeAt(time::Instant),
+    /// Answer the entry VM for which a group is gathered; the answer is the last one if the
+    /// exchange is finished.
+    Report(forward::GroupAnswer),
     /// Answer the caller; running attempts need not be awaited.
     Finish(forward::Outcome),
 }
--- a/crates/fireflyspool/src/forward/any_sub_request.rs
+++ b/crates/fireflyspool/src/forward/any_sub_request.rs
@@ -14,6 +14,7 @@
     /// Moves the sub-request out and leaves an empty failed one in its place.
     pub(super) fn take(&mut self) -> Self {
         let state = forward::Failed {
+            tried: Vec::new(),
             ran: false,
             skipped: false,
             failure: None,
@@ -30,6 +31,16 @@
         }
     }
 
+    /// Replaces the sub-request, in whatever state, by its share of the answer to a group.
+    pub(super) fn merge(self, signature: String) -> Self {
+        let service = match self {
+            Self::Pending(sub_request) => sub_request.service,
+            Self::Answered(sub_request) => sub_request.service,
+            Self::Failed(sub_request) => sub_request.service,
+        };
+        Self::Answered(forward::SubRequest::merged(service, signature))
+    }
+
     /// Fails a pending sub-request; others stay as they are.
     pub(super) fn fail(self, failure: Option<forward::Response>) -> Self {
         match self {
--- a/crates/fireflyspool/src/forward/exchange.rs
+++ b/crates/fireflyspool/src/forward/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use crate::forward::{any_sub_request, attempt};
+use crate::forward::{any_sub_request, attempt, gathered_group, running_group};
 use crate::{configuration, fleet, forward, ids};
 
 /// A caller request that is being forwarded.
@@ -11,6 +11,12 @@
     pub(super) timing: forward::Timing,
     pub(super) sub_requests: Vec<any_sub_request::AnySubRequest>,
     pub(super) attempts: Vec<attempt::Attempt>,
+    /// Delegated groups that have not ended.
+    pub(super) groups: Vec<running_group::RunningGroup>,
+    /// Merged records of the groups that were answered.
+    pub(super) merged: Vec<bytes::Bytes>,
+    /// Progress for the entry VM that delegated this group; `None` for a caller's request.
+    pub(super) gathered: Option<gathered_group::GatheredGroup>,
     pub(super) next_attempt: ids::AttemptId,
     /// Responses that make a sufficient answer.
     pub(super) required: usize,
@@ -37,46 +43,69 @@
             configuration::Target::Gather(gather) => (gather.shards.clone(), gather.required()),
             _ => (fleet.choose_service(&route).into_iter().collect(), 1),
         };
-        let mut exchange = Self {
-            route,
-            timing,
-            sub_requests: Vec::with_capacity(services.len()),
-            attempts: Vec::with_capacity(services.len()),
-            next_attempt: 0,
-            required,
-            finished: false,
-            hedges: 0,
-            retries: 0,
-            actions: Vec::with_capacity(services.len() + 1),
-        };
         let usable = |service: &ids::ServiceName| fleet.is_usable(service, now);
         let reachable = services.iter().filter(|service| usable(service)).count();
         let refused = reachable < required
             || services.is_empty()
             || !forward::likelihood::admits(&services, required, fleet, entropy, now);
         if refused {
-            let deadline = exchange.timing.deadline;
+            let deadline = timing.deadline;
             let retry_after =
                 forward::retry_time::retry_after(&services, required, fleet, deadline, now);
+            let mut exchange = Self::new(route, timing, Vec::new(), required);
             exchange.finish(forward::Outcome::Refused { retry_after });
             let actions = std::mem::take(&mut exchange.actions);
             return (exchange, actions);
         }
-        for service in services {
-            fleet.record_request(&service, now);
-            let pending = forward::SubRequest::new(service);
-            exchange
-                .sub_requests
-                .push(any_sub_request::AnySubRequest::Pending(pending));
+        for service in &services {
+            fleet.record_request(service, now);
         }
+        let mut exchange = Self::new(route, timing, services, required);
         exchange.skip_saturated(fleet, entropy, now);
-        for index in 0..exchange.sub_requests.len() {
-            exchange.send_first(index, fleet, entropy.rotate_left(index as u32), now);
-        }
+        exchange.delegate(fleet, entropy, now);
+        exchange.send_all(fleet, entropy, now);
         let actions = exchange.advance(fleet, now);
         (exchange, actions)
     }
 
+    pub(super) fn new(
+        route: sync::Arc<configuration::Route>,
+        timing: forward::Timing,
+        services: Vec<ids::ServiceName>,
+        required: usize,
+    ) -> Self {
+        let count = services.len();
+        let pending = services.into_iter().map(|service| {
+            any_sub_request::AnySubRequest::Pending(forward::SubRequest::new(service))
+        });
+        Self {
+            route,
+            timing,
+            sub_requests: pending.collect(),
+            attempts: Vec::with_capacity(count),
+            groups: Vec::new(),
+            merged: Vec::new(),
+            gathered: None,
+            next_attempt: 0,
+            required,
+            finished: false,
+            hedges: 0,
+            retries: 0,
+            actions: Vec::with_capacity(count + 1),
+        }
+    }
+
+    /// Sends the first attempts of the sub-requests that are not delegated.
+    pub(super) fn send_all(&mut self, fleet: &mut fleet::Fleet, entropy: u64, now: time::Instant) {
+        for index in 0..self.sub_requests.len() {
+            let pending = self.sub_requests[index].pending_mut();
+            if pending.is_some_and(|pending| pending.state.running > 0) {
+                continue;
+            }
+            self.send_first(index, fleet, entropy.rotate_left(index as u32), now);
+        }
+    }
+
     /// Handles the end of an attempt; ignores one that is unknown.
     pub fn attempt_ended(
         &mut self,
@@ -107,6 +136,7 @@
         for index in 0..self.sub_requests.len() {
             self.send_due(index, fleet, entropy.rotate_left(index as u32), now);
         }
+        self.hedge_groups(fleet, entropy, now);
         self.advance(fleet, now)
     }
 
@@ -116,19 +146,32 @@
     /// many of them, which says nothing about their backend servers.
     pub fn attempts_written(
         &mut self,
-        fleet: &fleet::Fleet,
+        fleet: &mut fleet::Fleet,
         now: time::Instant,
     ) -> Vec<forward::Action> {
+        let (mut count, mut longest) = (0, time::Duration::ZERO);
         for attempt in self.attempts.iter_mut().filter(|attempt| !attempt.written) {
             attempt.written = true;
             let delay = now.saturating_duration_since(attempt.sent);
             attempt.sent = now;
+            count += 1;
+            longest = longest.max(delay);
             if let Some(pending) = self.sub_requests[attempt.index].pending_mut()
                 && let Some(wake_at) = &mut pending.state.wake_at
             {
                 *wake_at += delay;
             }
         }
+        fleet.record_written(count, longest);
+        for group in self.groups.iter_mut().filter(|group| !group.written) {
+            group.written = true;
+            let delay = now.saturating_duration_since(group.sent);
+            group.sent = now;
+            group.hedge_at = group.hedge_at.map(|at| at + delay);
+        }
+        if let Some(group) = &mut self.gathered {
+            group.written(now);
+        }
         self.advance(fleet, now)
     }
 
@@ -158,17 +201,22 @@
         self.retries
     }
 
-    /// Finishes the request or sets the next wake-up, and returns the actions.
-    fn advance(&mut self, fleet: &fleet::Fleet, now: time::Instant) -> Vec<forward::Action> {
+    /// Answers what is due or sets the next wake-up, and returns the actions.
+    pub(super) fn advance(
+        &mut self,
+        fleet: &fleet::Fleet,
+        now: time::Instant,
+    ) -> Vec<forward::Action> {
         if !self.finished {
-            match self.decide(fleet, now) {
-                Some(outcome) => self.finish(outcome),
-                None => {
-                    let wake = self.next_wake(now);
-                    self.actions.push(forward::Action::WakeAt(wake));
-                }
+            match self.gathered.is_some() {
+                true => self.advance_group(now),
+                false => self.advance_request(fleet, now),
             }
         }
+        if !self.finished {
+            let wake = self.next_wake(now);
+            self.actions.push(forward::Action::WakeAt(wake));
+        }
         std::mem::take(&mut self.actions)
     }
 
@@ -190,6 +238,12 @@
         }
     }
 
+    fn advance_request(&mut self, fleet: &fleet::Fleet, now: time::Instant) {
+        if let Some(outcome) = self.decide(fleet, now) {
+            self.finish(outcome);
+        }
+    }
+
     fn finish(&mut self, outcome: forward::Outcome) {
         self.finished = true;
         self.actions.push(forward::Action::Finish(outcome));
@@ -206,7 +260,9 @@
             any_sub_request::AnySubRequest::Pending(pending) => pending.state.wake_at,
             _ => None,
         });
-        let first = ahead.chain(wakes).min();
+        let groups = self.groups.iter().filter_map(|group| group.hedge_at);
+        let report = self.gathered.as_ref().and_then(|group| group.report_at);
+        let first = ahead.chain(wakes).chain(groups).chain(report).min();
         first.map_or(self.timing.deadline, |first| {
             first.min(self.timing.deadline)
         })
--- a/crates/fireflyspool/src/forward/exchange_ends.rs
+++ b/crates/fireflyspool/src/forward/exchange_ends.rs
@@ -99,7 +99,8 @@
             _ => None,
         });
         let bodies = responses.clone().map(|response| response.body.as_ref());
-        let body = forward::merge_top(bodies, top_k);
+        let merged = self.merged.iter().map(|body| body.as_ref());
+        let body = forward::merge_top(bodies.chain(merged), top_k);
         let signatures: Vec<_> = responses
             .filter_map(|response| response.signature.clone())
             .collect();
--- a/crates/fireflyspool/src/forward/exchange_sends.rs
+++ b/crates/fireflyspool/src/forward/exchange_sends.rs
@@ -98,7 +98,12 @@
 
     /// Whether one more attempt may run although an earlier one may have run; takes
     /// a retry from the budget.
-    fn may_retry(&mut self, index: usize, fleet: &mut fleet::Fleet, now: time::Instant) -> bool {
+    pub(super) fn may_retry(
+        &mut self,
+        index: usize,
+        fleet: &mut fleet::Fleet,
+        now: time::Instant,
+    ) -> bool {
         let (idempotent, max_attempts) = (self.route.idempotent, self.route.max_attempts);
         let Some(pending) = self.sub_requests[index].pending_mut() else {
             return false;
--- a/crates/fireflyspool/src/forward/failed.rs
+++ b/crates/fireflyspool/src/forward/failed.rs
@@ -1,10 +1,12 @@
 //! Sub-request without a response.
 
-use crate::forward;
+use crate::{forward, ids};
 
 /// State of a sub-request that gets no further attempt.
 #[derive(Debug)]
 pub struct Failed {
+    /// Backend servers that got an attempt.
+    pub(super) tried: Vec<ids::ServerName>,
     /// Whether an attempt may have run.
     pub(super) ran: bool,
     /// Whether nothing was sent, to reduce the load of a saturated service.
--- a/crates/fireflyspool/src/forward/mod.rs
+++ b/crates/fireflyspool/src/forward/mod.rs
@@ -14,6 +14,13 @@
 //! attempt that certainly did not run may be sent to another backend server on
 //! any route, within the same budget.
 //!
+//! # Groups
+//!
+//! Shards that an entry VM of another zone reaches better are delegated to it as a
+//! [`Group`], and so is a share of the shards if there are so many that one VM takes long to
+//! query them. A [`GroupAnswer`] has their records merged. The VM that delegates hedges and
+//! retries the shards that an answer lacks; [`crate::fleet`] decides what goes where.
+//!
 //! # Partial answers
 //!
 //! A query that has enough shards is answered shortly before its latency
@@ -27,18 +34,27 @@
 mod any_sub_request;
 mod attempt;
 mod attempt_end;
+mod delegation;
 mod exchange;
 mod exchange_ends;
+mod exchange_gathering;
+mod exchange_groups;
 mod exchange_overload;
 mod exchange_sends;
 mod failed;
+mod gathered_group;
+mod group;
+mod group_answer;
+mod group_end;
 mod likelihood;
 mod merge;
+mod missing_shard;
 mod outcome;
 mod pending;
 mod request;
 mod response;
 mod retry_time;
+mod running_group;
 mod send;
 mod sub_request;
 mod timing;
@@ -46,9 +62,14 @@
 pub use action::Action;
 pub use answered::Answered;
 pub use attempt_end::AttemptEnd;
+pub use delegation::Delegation;
 pub use exchange::Exchange;
 pub use failed::Failed;
+pub use group::Group;
+pub use group_answer::GroupAnswer;
+pub use group_end::GroupEnd;
 pub use merge::{RECORD_BYTES, merge_top};
+pub use missing_shard::MissingShard;
 pub use outcome::Outcome;
 pub use pending::Pending;
 pub use request::Request;
--- a/crates/fireflyspool/src/forward/pending.rs
+++ b/crates/fireflyspool/src/forward/pending.rs
@@ -25,3 +25,14 @@
     /// Since when no backend server is free for a first attempt.
     pub(super) queued_since: Option<time::Instant>,
 }
+
+impl Pending {
+    /// Adds backend servers that are to get no further attempt.
+    pub(super) fn exclude(&mut self, servers: Vec<ids::ServerName>) {
+        for server in servers {
+            if !self.tried.contains(&server) {
+                self.tried.push(server);
+            }
+        }
+    }
+}
--- a/crates/fireflyspool/src/forward/sub_request.rs
+++ b/crates/fireflyspool/src/forward/sub_request.rs
@@ -9,6 +9,20 @@
     pub(super) state: S,
 }
 
+impl SubRequest<forward::Answered> {
+    /// Sub-request whose records are merged with those of others in the answer to a group.
+    pub(super) fn merged(service: ids::ServiceName, signature: String) -> Self {
+        let response = forward::Response {
+            status: http::StatusCode::OK.as_u16(),
+            headers: http::HeaderMap::new(),
+            signature: Some(signature),
+            body: bytes::Bytes::new(),
+        };
+        let state = forward::Answered { response };
+        Self { service, state }
+    }
+}
+
 impl SubRequest<forward::Pending> {
     pub(super) fn new(service: ids::ServiceName) -> Self {
         let state = forward::Pending::default();
@@ -28,6 +42,7 @@
         SubRequest {
             service: self.service,
             state: forward::Failed {
+                tried: self.state.tried,
                 ran: self.state.ran > 0,
                 skipped: self.state.skipped,
                 failure,
--- a/crates/fireflyspool/src/forward/timing.rs
+++ b/crates/fireflyspool/src/forward/timing.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::configuration;
+use crate::{configuration, forward};
 
 /// Share of the latency objective at which a sufficient answer is sent; the
 /// rest is for the network delay to the caller.
@@ -25,6 +25,10 @@
 /// Shortest and longest time before a hedge, as shares of the latency objective.
 const HEDGE_DELAY_SHARES: (f64, f64) = (0.1, 0.3);
 
+/// Shortest and longest time before the shards of a group are hedged, as shares of the latency
+/// objective. The other entry VM answers when its own attempts would be due for a hedge.
+const GROUP_HEDGE_DELAY_SHARES: (f64, f64) = (0.3, 0.6);
+
 /// Share of the latency objective for which a first attempt waits for a free backend server.
 const QUEUE_SHARE: f64 = 0.2;
 
@@ -78,20 +82,47 @@
         }
     }
 
+    /// Timing of a group that another entry VM has delegated; it is received `now`.
+    pub fn of_group(group: &forward::Group, now: time::Instant) -> Self {
+        Self {
+            received: now,
+            cutoff: group.cutoff.min(group.deadline),
+            objective: group.deadline,
+            late_cutoff: group.deadline,
+            deadline: group.deadline,
+            queue_timeout: group.objective.mul_f64(QUEUE_SHARE),
+        }
+    }
+
     /// Time after which an attempt is hedged: the high latency of the route, within bounds.
     pub fn hedge_delay(
         route: &configuration::Route,
         high_latency: time::Duration,
     ) -> time::Duration {
-        let (least, most) = HEDGE_DELAY_SHARES;
-        let (least, most) = (
-            route.objective.mul_f64(least),
-            route.objective.mul_f64(most),
-        );
-        high_latency.clamp(least, most.max(least))
+        clamp_to_shares(high_latency, route, HEDGE_DELAY_SHARES)
+    }
+
+    /// Time after which the shards of a group are hedged: the high latency of groups of the
+    /// route, within bounds.
+    pub fn group_hedge_delay(
+        route: &configuration::Route,
+        high_latency: time::Duration,
+    ) -> time::Duration {
+        clamp_to_shares(high_latency, route, GROUP_HEDGE_DELAY_SHARES)
     }
 }
 
+/// Limits a time to between two shares of the latency objective.
+fn clamp_to_shares(
+    value: time::Duration,
+    route: &configuration::Route,
+    (least, most): (f64, f64),
+) -> time::Duration {
+    let least = route.objective.mul_f64(least);
+    let most = route.objective.mul_f64(most);
+    value.clamp(least, most.max(least))
+}
+
 /// Time for which the caller has waited before its request was received.
 fn setup_time(
     route: &configuration::Route,
--- a/crates/fireflyspool/src/hub/follow_reply.rs
+++ b/crates/fireflyspool/src/hub/follow_reply.rs
@@ -30,6 +30,10 @@
     pub outliers: Vec<ids::ServerName>,
     /// Number of live, ready entry VMs.
     pub members: usize,
+    /// Entry VMs to which the polling one may delegate, preferred ones first; absent if their
+    /// checksum is the one in the poll.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub delegates: Option<Vec<hub::Delegate>>,
     /// Reachable control VMs, the replying one included; absent if their checksum is the one
     /// in the poll.
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/fireflyspool/src/hub/follow_request.rs
+++ b/crates/fireflyspool/src/hub/follow_request.rs
@@ -25,6 +25,10 @@
     /// [`hub::HubInfo::checksum`] of its list of control VMs. Earlier releases send their
     /// number, which matches no checksum but that of an empty list.
     pub hubs: u64,
+    /// [`hub::Delegate::checksum`] of the entry VMs to which it may delegate; `None` if it wants
+    /// none, like earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub delegates: Option<u64>,
     /// Backend servers that it does not use until their next heartbeat.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspended: Vec<ids::ServerName>,
--- a/crates/fireflyspool/src/hub/hub_followers.rs
+++ b/crates/fireflyspool/src/hub/hub_followers.rs
@@ -94,6 +94,10 @@
             .map(|record| hub::Confirmation::of(&record))
             .collect();
         let hubs = self.hubs(now);
+        let delegates = request.delegates.and_then(|checksum| {
+            let delegates = self.published.delegates(&request.member);
+            (hub::Delegate::checksum(&delegates) != checksum).then_some(delegates)
+        });
         hub::FollowReply {
             incarnation: self.own.incarnation,
             current: self.is_current(now),
@@ -104,6 +108,7 @@
             outlier_revision: self.outliers.revision(),
             outliers,
             members: self.published.members.len(),
+            delegates,
             hubs: (request.records && !known || hub::HubInfo::checksum(&hubs) != request.hubs)
                 .then_some(hubs),
         }
--- a/crates/fireflyspool/src/hub/member.rs
+++ b/crates/fireflyspool/src/hub/member.rs
@@ -10,6 +10,9 @@
 pub struct Member {
     /// Address for callers; identifies the VM.
     pub callers: net::SocketAddr,
+    /// Listener for groups of shards that others delegate; `None` in earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub listener: Option<net::SocketAddr>,
     /// Availability zone.
     pub zone: ids::ZoneName,
     /// Region that contains the zone.
--- a/crates/fireflyspool/src/hub/mod.rs
+++ b/crates/fireflyspool/src/hub/mod.rs
@@ -25,6 +25,7 @@
 mod config;
 mod confirmation;
 mod covered;
+mod delegate;
 mod follow_reply;
 mod follow_request;
 #[allow(clippy::module_inception, reason = "a file is named after its type")]
@@ -51,6 +52,7 @@
 pub use batch::Batch;
 pub use config::Config;
 pub use confirmation::Confirmation;
+pub use delegate::Delegate;
 pub use follow_reply::FollowReply;
 pub use follow_request::FollowRequest;
 pub use hub::Hub;
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -42,6 +42,7 @@
         let outlet = node::RpcOutlet::new(sync::Arc::clone(&process), runtime, settings.callers);
         let member = hub::Member {
             callers: settings.callers,
+            listener: Some(settings.listener),
             zone: settings.zone.clone(),
             region: settings.region,
             incarnation,
@@ -122,6 +123,15 @@
         self.forwarding.run(request, message).await
     }
 
+    /// Starts to gather a group of shards for another entry VM; `None` if it is refused.
+    pub fn gather(
+        &self,
+        group: &forward::Group,
+        message: node::Message,
+    ) -> Option<node::GroupTask> {
+        self.forwarding.gather(group, message)
+    }
+
     /// Withdraws this VM from the directory, and returns when new requests are refused.
     ///
     /// Callers that still hold its address are served meanwhile.
--- a/crates/fireflyspool/src/node/entry_settings.rs
+++ b/crates/fireflyspool/src/node/entry_settings.rs
@@ -9,6 +9,8 @@
 pub struct EntrySettings {
     /// Address that accepts requests of callers.
     pub callers: net::SocketAddr,
+    /// Address that accepts groups of shards from other entry VMs.
+    pub listener: net::SocketAddr,
     /// Availability zone in which the VM runs.
     pub zone: ids::ZoneName,
     /// Region in which the VM runs.
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -1,11 +1,11 @@
 //! Task that forwards one request.
 
-use std::{sync, time};
+use std::{collections, sync, time};
 
 use futures_util::{FutureExt as _, StreamExt as _, future, stream};
 use tokio::{sync::watch, task};
 
-use crate::{configuration, fleet, forward, ids, node, shutdown, telemetry, timer};
+use crate::{configuration, fleet, forward, ids, node, rim, shutdown, telemetry, timer};
 
 /// Time for which attempts go on after the request is answered, so that their
 /// connections can be reused. A longer one is cut: its server is slow or silent.
@@ -15,8 +15,15 @@
 /// answers are written before the process ends.
 const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(300);
 
-/// Number of an attempt and how it ended.
-type Ended = (ids::AttemptId, forward::AttemptEnd);
+/// End of an attempt, or an answer to a delegated group, with its number.
+enum Ended {
+    Attempt(ids::AttemptId, forward::AttemptEnd),
+    Group(
+        ids::AttemptId,
+        rim::GroupProgress,
+        node::group_guard::GroupGuard,
+    ),
+}
 
 /// Drives the exchange of one request: runs its attempts and wakes it.
 ///
@@ -32,6 +39,11 @@
     /// Service, backend server and start in milliseconds of each attempt, for the log.
     send_log: String,
     received: time::Instant,
+    sleep: timer::Sleep,
+    drain: watch::Receiver<shutdown::AnyDrain>,
+    outcome: Option<forward::Outcome>,
+    /// Answers to the entry VM that delegated a group, not yet taken.
+    reports: collections::VecDeque<forward::GroupAnswer>,
     /// Whether there are attempts that were not polled yet; polling writes them.
     unwritten: bool,
     /// When the exchange is to be woken.
@@ -52,6 +64,8 @@
         received: time::Instant,
     ) -> Self {
         Self {
+            sleep: forwarding.process.timer.sleep_until(received),
+            drain: forwarding.watch_drain(),
             forwarding,
             view,
             request,
@@ -60,6 +74,8 @@
             attempts: stream::FuturesUnordered::new(),
             send_log: String::new(),
             received,
+            outcome: None,
+            reports: collections::VecDeque::new(),
             unwritten: false,
             wake_at: received,
             wake_lag: time::Duration::ZERO,
@@ -69,63 +85,109 @@
 
     /// Runs attempts until the request is answered or refused.
     pub(super) async fn run(mut self) -> forward::Outcome {
-        let timer = self.forwarding.process.timer.clone();
         let answer_delay = self.forwarding.answer_delay.value();
         let timeout = self.request.timeout;
         let timing = forward::Timing::new(&self.route, timeout, answer_delay, self.received);
-        let mut drain = self.forwarding.watch_drain();
-        let (mut exchange, actions) = self.start(timing);
-        let mut sleep = timer.sleep_until(timing.deadline);
-        let mut outcome = self.execute(actions, &mut sleep);
-        while outcome.is_none() {
-            let actions = if self.unwritten {
-                self.write_attempts(&mut exchange)
-            } else {
-                tokio::select! {
-                    biased;
-                    Some(ended) = self.attempts.next() => self.end_attempt(&mut exchange, ended),
-                    deadline = shutdown_deadline(&mut drain) => {
-                        let limit = deadline.checked_sub(ANSWER_MARGIN).unwrap_or(deadline);
-                        let fleet = self.forwarding.fleet();
-                        exchange.limit_deadline(limit, &fleet, time::Instant::now())
-                    }
-                    () = &mut sleep => self.wake(&mut exchange).await,
-                }
-            };
-            outcome = self.execute(actions, &mut sleep);
+        let (mut exchange, actions) = {
+            let mut fleet = self.forwarding.updated_fleet(&self.view);
+            let route = sync::Arc::clone(&self.route);
+            let now = time::Instant::now();
+            forward::Exchange::start(route, timing, &mut fleet, rand::random(), now)
+        };
+        self.execute(actions);
+        while self.outcome.is_none() && !exchange.is_finished() {
+            self.step(&mut exchange).await;
         }
-        let outcome = outcome.unwrap_or(forward::Outcome::Failed);
+        let outcome = self.outcome.take().unwrap_or(forward::Outcome::Failed);
         self.finish(exchange, &outcome);
         outcome
     }
 
-    fn start(&self, timing: forward::Timing) -> (forward::Exchange, Vec<forward::Action>) {
-        let mut fleet = self.forwarding.updated_fleet(&self.view);
-        let route = sync::Arc::clone(&self.route);
-        let now = time::Instant::now();
-        forward::Exchange::start(route, timing, &mut fleet, rand::random(), now)
+    /// Sends the first attempts of a group that another entry VM has delegated.
+    pub(super) fn start_group(&mut self, group: &forward::Group) -> forward::Exchange {
+        let (exchange, actions) = {
+            let mut fleet = self.forwarding.updated_fleet(&self.view);
+            let now = time::Instant::now();
+            forward::Exchange::start_group(group, &mut fleet, rand::random(), now)
+        };
+        self.execute(actions);
+        exchange
+    }
+
+    /// Runs attempts until there is an answer to the group; `None` if the last one was taken.
+    pub(super) async fn next_report(
+        &mut self,
+        exchange: &mut forward::Exchange,
+    ) -> Option<forward::GroupAnswer> {
+        while self.reports.is_empty() && !exchange.is_finished() {
+            self.step(exchange).await;
+        }
+        self.reports.pop_front()
+    }
+
+    /// Whether there are answers to the group that were not taken.
+    pub(super) fn has_reports(&self) -> bool {
+        !self.reports.is_empty()
+    }
+
+    /// Waits for the next event and handles it.
+    async fn step(&mut self, exchange: &mut forward::Exchange) {
+        let actions = if self.unwritten {
+            self.write_attempts(exchange)
+        } else {
+            tokio::select! {
+                biased;
+                Some(ended) = self.attempts.next() => self.handle_end(exchange, ended),
+                deadline = shutdown_deadline(&mut self.drain) => {
+                    let limit = deadline.checked_sub(ANSWER_MARGIN).unwrap_or(deadline);
+                    let fleet = self.forwarding.fleet();
+                    exchange.limit_deadline(limit, &fleet, time::Instant::now())
+                }
+                () = &mut self.sleep => self.wake(exchange).await,
+            }
+        };
+        self.execute(actions);
     }
 
     /// Polls new attempts, which writes them; the poll ends early if an attempt ends.
     fn write_attempts(&mut self, exchange: &mut forward::Exchange) -> Vec<forward::Action> {
         match self.attempts.next().now_or_never().flatten() {
-            Some(ended) => self.end_attempt(exchange, ended),
+            Some(ended) => self.handle_end(exchange, ended),
             None => {
                 self.unwritten = false;
-                exchange.attempts_written(&self.forwarding.fleet(), time::Instant::now())
+                let mut fleet = self.forwarding.fleet();
+                exchange.attempts_written(&mut fleet, time::Instant::now())
             }
         }
     }
 
-    fn end_attempt(
+    fn handle_end(
         &mut self,
         exchange: &mut forward::Exchange,
-        (attempt, end): Ended,
+        ended: Ended,
     ) -> Vec<forward::Action> {
-        let mut fleet = self.forwarding.fleet();
-        let now = time::Instant::now();
+        let (now, entropy) = (time::Instant::now(), rand::random());
         self.event_at = now;
-        exchange.attempt_ended(attempt, end, &mut fleet, rand::random(), now)
+        match ended {
+            Ended::Attempt(attempt, end) => {
+                let mut fleet = self.forwarding.fleet();
+                exchange.attempt_ended(attempt, end, &mut fleet, entropy, now)
+            }
+            Ended::Group(attempt, progress, guard) => {
+                // The guard locks the fleet, so this comes first.
+                let (answer, end) = self.keep_group(attempt, progress, guard);
+                let mut fleet = self.forwarding.fleet();
+                let mut actions = Vec::new();
+                if let Some(answer) = answer {
+                    let merged = exchange.group_answered(attempt, answer, &mut fleet, entropy, now);
+                    actions.extend(merged);
+                }
+                if let Some(end) = end {
+                    actions.extend(exchange.group_ended(attempt, end, &mut fleet, entropy, now));
+                }
+                actions
+            }
+        }
     }
 
     /// Handles the responses that have arrived, and then what is due.
@@ -140,7 +202,7 @@
             let mut arrived = false;
             while let Some(Some(ended)) = self.attempts.next().now_or_never() {
                 arrived = true;
-                actions.extend(self.end_attempt(exchange, ended));
+                actions.extend(self.handle_end(exchange, ended));
                 if exchange.is_finished() {
                     return actions;
                 }
@@ -159,23 +221,19 @@
         actions
     }
 
-    fn execute(
-        &mut self,
-        actions: Vec<forward::Action>,
-        sleep: &mut timer::Sleep,
-    ) -> Option<forward::Outcome> {
-        let mut outcome = None;
+    fn execute(&mut self, actions: Vec<forward::Action>) {
         for action in actions {
             match action {
                 forward::Action::Send(send) => self.send(send),
+                forward::Action::Delegate(delegation) => self.delegate(&delegation),
                 forward::Action::WakeAt(at) => {
                     self.wake_at = at;
-                    sleep.reset(at);
+                    self.sleep.reset(at);
                 }
-                forward::Action::Finish(end) => outcome = Some(end),
+                forward::Action::Report(answer) => self.reports.push_back(answer),
+                forward::Action::Finish(end) => self.outcome = Some(end),
             }
         }
-        outcome
     }
 
     fn send(&mut self, send: forward::Send) {
@@ -198,14 +256,60 @@
             guard.begin();
             let (end, condition) = sending.await;
             guard.end(&end, &condition);
-            (send.attempt, end)
+            Ended::Attempt(send.attempt, end)
         }));
     }
 
+    fn delegate(&mut self, delegation: &forward::Delegation) {
+        use std::fmt::Write as _;
+        let elapsed = self.received.elapsed().as_millis();
+        let (delegate, shards) = (delegation.delegate, delegation.group.services.len());
+        // Writing to a string cannot fail.
+        let _ = write!(self.send_log, "{shards}_shards>{delegate}@{elapsed} ");
+        let mut guard = node::group_guard::GroupGuard::new(
+            sync::Arc::clone(&self.forwarding),
+            sync::Arc::clone(&self.route),
+            delegate,
+        );
+        let timer = self.forwarding.process.timer.clone();
+        let client = (self.forwarding.delegates.clone(), timer);
+        let call = rim::GroupCall::new(client, delegation, &self.message);
+        let (attempt, message) = (delegation.attempt, sync::Arc::clone(&self.message));
+        self.unwritten = true;
+        self.attempts.push(Box::pin(async move {
+            guard.begin();
+            let progress = call.send().await;
+            guard.record(&progress, &message.id);
+            Ended::Group(attempt, progress, guard)
+        }));
+    }
+
+    /// Waits for further answers to a delegated group; returns the present one, and how the
+    /// group ended.
+    fn keep_group(
+        &self,
+        attempt: ids::AttemptId,
+        progress: rim::GroupProgress,
+        mut guard: node::group_guard::GroupGuard,
+    ) -> (Option<forward::GroupAnswer>, Option<forward::GroupEnd>) {
+        match progress {
+            rim::GroupProgress::Answered(answer, call) => {
+                let message = sync::Arc::clone(&self.message);
+                self.attempts.push(Box::pin(async move {
+                    let progress = call.next().await;
+                    guard.record(&progress, &message.id);
+                    Ended::Group(attempt, progress, guard)
+                }));
+                (Some(answer), None)
+            }
+            rim::GroupProgress::Ended(answer, end) => (answer, Some(end)),
+        }
+    }
+
     /// Records the outcome, and lets attempts go on for [`LATE_ATTEMPT_TIMEOUT`].
     ///
     /// This takes place in a task of its own, so that the answer is written first.
-    fn finish(mut self, exchange: forward::Exchange, outcome: &forward::Outcome) {
+    fn finish(self, exchange: forward::Exchange, outcome: &forward::Outcome) {
         let elapsed = self.received.elapsed();
         let label = outcome.label();
         let gathered = matches!(outcome, forward::Outcome::Gathered { .. });
@@ -224,17 +328,45 @@
             }
             exchange.report_sub_requests(&mut self.forwarding.fleet(), time::Instant::now());
             self.log_outcome(&exchange, label, (status, missing), elapsed);
-            if self.attempts.is_empty() {
-                return;
-            }
-            let sleep = self.forwarding.process.timer.sleep(LATE_ATTEMPT_TIMEOUT);
-            tokio::select! {
-                () = sleep => {}
-                () = async { while self.attempts.next().await.is_some() {} } => {}
-            }
+            self.end_late().await;
+        });
+    }
+
+    /// Records the last answer to a group, which lacks `missing` shards, like
+    /// [`Self::finish`]; the VM that delegated the group records which services answered.
+    pub(super) fn finish_group(self, exchange: forward::Exchange, missing: usize) {
+        let elapsed = self.received.elapsed();
+        tokio::spawn(async move {
+            slog::info!(self.forwarding.process.logger, "group answered";
+                "request" => &self.request.id, "route" => &self.route.name,
+                "missing" => missing,
+                "elapsed_us" => node::forwarding::micros(elapsed),
+                "retries" => exchange.retries(), "open" => ?exchange.pending_services(),
+                "wake_lag_us" => node::forwarding::micros(self.wake_lag),
+                "sends" => self.send_log.trim_end(), "view" => self.view.generation);
+            self.end_late().await;
         });
     }
 
+    /// Lets attempts go on for [`LATE_ATTEMPT_TIMEOUT`].
+    async fn end_late(mut self) {
+        if self.attempts.is_empty() {
+            return;
+        }
+        let sleep = self.forwarding.process.timer.sleep(LATE_ATTEMPT_TIMEOUT);
+        let ends = async {
+            while let Some(ended) = self.attempts.next().await {
+                if let Ended::Group(attempt, progress, guard) = ended {
+                    self.keep_group(attempt, progress, guard);
+                }
+            }
+        };
+        tokio::select! {
+            () = sleep => {}
+            () = ends => {}
+        }
+    }
+
     fn log_outcome(
         &self,
         exchange: &forward::Exchange,
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::watch;
 
-use crate::{control, fleet, forward, node, shutdown, telemetry};
+use crate::{control, fleet, forward, node, rim, shutdown, telemetry};
 
 /// Time after which a caller may try again that is refused for lack of a current view.
 const RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
@@ -23,9 +23,11 @@
     pub(super) process: sync::Arc<node::Process>,
     fleet: sync::Mutex<fleet::Fleet>,
     pub(super) client: sync::Arc<dyn node::BackendClient>,
+    /// Connections to the entry VMs to which groups are delegated.
+    pub(super) delegates: rim::ForwardClient,
     pub(super) metrics: telemetry::Metrics,
     pub(super) answer_delay: node::answer_delay::AnswerDelay,
-    running: atomic::AtomicUsize,
+    running: sync::Arc<atomic::AtomicUsize>,
     drain: watch::Sender<shutdown::AnyDrain>,
 }
 
@@ -36,13 +38,15 @@
         fleet: fleet::Fleet,
         client: sync::Arc<dyn node::BackendClient>,
     ) -> Self {
+        let delegates = rim::ForwardClient::new(process.timer.clone());
         Self {
             process,
             fleet: sync::Mutex::new(fleet),
             client,
+            delegates,
             metrics: telemetry::Metrics::default(),
             answer_delay: node::answer_delay::AnswerDelay::default(),
-            running: atomic::AtomicUsize::new(0),
+            running: sync::Arc::default(),
             drain: watch::Sender::new(shutdown::AnyDrain::default()),
         }
     }
@@ -99,8 +103,7 @@
         let Some(table) = &view.table else {
             return self.refuse(&request, "no configuration", RETRY_AFTER, received);
         };
-        let age = view.confirmed.map(|confirmed| confirmed.elapsed());
-        if age.is_none_or(|age| age > MAX_VIEW_AGE) {
+        if is_stale(&view) {
             return self.refuse(&request, "stale view", RETRY_AFTER, received);
         }
         let Some(route) = table.find(&request.host, &request.path) else {
@@ -121,6 +124,31 @@
         task.run().await
     }
 
+    /// Starts to gather a group of shards for another entry VM; `None` if it is refused.
+    pub fn gather(
+        self: &sync::Arc<Self>,
+        group: &forward::Group,
+        message: node::Message,
+    ) -> Option<node::GroupTask> {
+        let running = node::running_guard::RunningGuard::new(&self.running);
+        let received = time::Instant::now();
+        let request = forward::Request::of_group(&message.id, group, received);
+        let view = self.process.view.load_full();
+        let cause = match self.drain().accepts() {
+            false => Some("stopping"),
+            true => is_stale(&view).then_some("stale view"),
+        };
+        if let Some(cause) = cause {
+            self.refuse(&request, cause, time::Duration::ZERO, received);
+            return None;
+        }
+        let route = sync::Arc::new(group.route());
+        let forwarding = sync::Arc::clone(self);
+        let content = (request, message);
+        let task = node::forward_task::ForwardTask::new(forwarding, view, content, route, received);
+        Some(node::GroupTask::start(task, group, running))
+    }
+
     fn refuse(
         &self,
         request: &forward::Request,
@@ -175,6 +203,12 @@
     }
 }
 
+/// Whether no control VM has confirmed a view for too long.
+fn is_stale(view: &fleet::View) -> bool {
+    let age = view.confirmed.map(|confirmed| confirmed.elapsed());
+    age.is_none_or(|age| age > MAX_VIEW_AGE)
+}
+
 /// Whole microseconds, for log lines.
 pub(super) fn micros(duration: time::Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
--- a/crates/fireflyspool/src/platform/caller_service.rs
+++ b/crates/fireflyspool/src/platform/caller_service.rs
@@ -32,7 +32,7 @@
                     .headers_mut()
                     .insert(http::header::CONNECTION, close);
             }
-            response
+            response.map(rim::ResponseBody::Left)
         })
     }
 
--- a/crates/fireflyspool/src/platform/process_settings.rs
+++ b/crates/fireflyspool/src/platform/process_settings.rs
@@ -82,6 +82,7 @@
         let callers = required("ListenAddrs.Frontend", self.listen_addrs.callers)?;
         Ok(node::EntrySettings {
             callers,
+            listener: self.rpc_listener(self.ip),
             zone: self.zone.clone(),
             region: self.region.clone(),
             contacts: self.contacts(),
--- a/crates/fireflyspool/src/platform/run.rs
+++ b/crates/fireflyspool/src/platform/run.rs
@@ -51,7 +51,7 @@
 async fn entry(settings: platform::ProcessSettings) -> anyhow::Result<usize> {
     let signals = signals::Signals::install()?;
     let own = settings.entry()?;
-    let callers = own.callers;
+    let (callers, listener) = (own.callers, own.listener);
     let (logger, _guard, dropped) = node::start_logger(own.callers);
     let timer = crate::timer::TimerService::start()?;
     let client = http_backend_client::HttpBackendClient::new(timer.clone());
@@ -67,10 +67,18 @@
     let callers = rim::caller_listener(
         callers,
         sync::Arc::new(handler),
+        (timer.clone(), logger.clone()),
+        closed.clone(),
+    );
+    let groups = rim::caller_listener(
+        listener,
+        sync::Arc::new(rim::GroupService::new(sync::Arc::clone(&node))),
         (timer, logger.clone()),
         closed,
     );
-    let mut callers = tokio::spawn(callers);
+    // Both or none: the control VMs tell others of the listener for groups.
+    let listeners = async { tokio::try_join!(callers, groups).map(drop) };
+    let mut listeners = tokio::spawn(listeners);
     if let Some(address) = settings.readiness() {
         let routes = ready_routes::ready_routes();
         watch_listener(serve(address, routes, &node), "readiness", &logger);
@@ -78,12 +86,12 @@
     let metrics = serve(settings.metrics(), ready_routes::metrics_routes(), &node);
     watch_listener(metrics, "metrics", &logger);
     slog::info!(logger, "started"; "vm" => settings.name(), "role" => "entry");
-    wait_for_stop(signals, &mut callers, &logger).await?;
+    wait_for_stop(signals, &mut listeners, &logger).await?;
     node.start_drain().await;
     let cut = node.finish_drain().await;
     // Sending fails if the listener and all connections have ended already.
     let _ = closing.send(true);
-    if tokio::time::timeout(CLOSE_LIMIT, callers).await.is_err() {
+    if tokio::time::timeout(CLOSE_LIMIT, listeners).await.is_err() {
         slog::warn!(logger, "connections are still open"; "limit_ms" => CLOSE_LIMIT.as_millis() as u64);
     }
     slog::info!(logger, "stopped"; "cut_requests" => cut);
--- a/crates/fireflyspool/src/rim/caller_listener.rs
+++ b/crates/fireflyspool/src/rim/caller_listener.rs
@@ -7,6 +7,7 @@
 
 use std::{convert, net, pin, sync, time};
 
+use futures_util::stream;
 use hyper::{body, server::conn::http1, service};
 use hyper_util::rt;
 use tokio::{sync::watch, task};
@@ -14,9 +15,16 @@
 use crate::rim::connection_activity;
 use crate::{rim, timer};
 
+/// Body of a response that is written piece by piece; dropped if the caller disconnects.
+pub type StreamedBody = http_body_util::StreamBody<
+    stream::BoxStream<'static, Result<body::Frame<bytes::Bytes>, convert::Infallible>>,
+>;
+
+/// Body of a response, whole or streamed.
+pub type ResponseBody = http_body_util::Either<http_body_util::Full<bytes::Bytes>, StreamedBody>;
+
 /// Future of the response to one request.
-pub type ResponseFuture =
-    pin::Pin<Box<dyn Future<Output = http::Response<http_body_util::Full<bytes::Bytes>>> + Send>>;
+pub type ResponseFuture = pin::Pin<Box<dyn Future<Output = http::Response<ResponseBody>> + Send>>;
 
 /// Answers the requests that a [`caller_listener()`] accepts.
 pub trait CallerHandler: Send + Sync + 'static {
--- a/crates/fireflyspool/src/rim/forward_body.rs
+++ b/crates/fireflyspool/src/rim/forward_body.rs
@@ -23,13 +23,8 @@
     /// Returns a [`rim::ForwardError`] if the body ends early or the response is too long.
     pub async fn read(mut self) -> Result<bytes::Bytes, rim::ForwardError> {
         let mut chunks = Vec::new();
-        loop {
-            let (connection, body) = (&mut self.connection, &mut self.body);
-            let frame = future::poll_fn(|context| connection.poll_frame(body, context)).await;
-            let Some(frame) = frame else { break };
-            let frame = frame.map_err(rim::ForwardError::Truncated)?;
-            // Trailers are not forwarded.
-            chunks.extend(frame.into_data().ok());
+        while let Some(chunk) = self.next_chunk().await? {
+            chunks.push(chunk);
         }
         if let Some(connection) = self.connection.finish().await {
             self.idle.put(self.address, connection);
@@ -39,4 +34,23 @@
             _ => chunks.concat().into(),
         })
     }
+
+    /// Reads the next bytes of the body; `None` at its end. [`Self::read`] then keeps the
+    /// connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`rim::ForwardError`] if the body ends early or the response is too long.
+    pub async fn next_chunk(&mut self) -> Result<Option<bytes::Bytes>, rim::ForwardError> {
+        loop {
+            let (connection, body) = (&mut self.connection, &mut self.body);
+            let frame = future::poll_fn(|context| connection.poll_frame(body, context)).await;
+            let Some(frame) = frame else { return Ok(None) };
+            let frame = frame.map_err(rim::ForwardError::Truncated)?;
+            // Trailers are not forwarded.
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
 }
--- a/crates/fireflyspool/tests/control_site/mod.rs
+++ b/crates/fireflyspool/tests/control_site/mod.rs
@@ -74,6 +74,7 @@
         let make_follower = |number: u16| {
             let member = hub::Member {
                 callers: address(1_000 + number, 8_226),
+                listener: Some(address(1_000 + number, 7_740)),
                 zone: zone(number),
                 region: "region".to_owned(),
                 incarnation: LARGE_INCARNATION + u64::from(number),
--- a/crates/fireflyspool/tests/follow.rs
+++ b/crates/fireflyspool/tests/follow.rs
@@ -30,6 +30,7 @@
         outlier_revision: 0,
         outliers: Vec::new(),
         members: 1,
+        delegates: None,
         hubs: None,
     }
 }
@@ -41,6 +42,7 @@
 fn follower_of(incarnation: u64, now: time::Instant) -> follow::Follower {
     let member = hub::Member {
         callers: address(100),
+        listener: None,
         zone: "b".to_owned(),
         region: "r".to_owned(),
         incarnation,
@@ -310,3 +312,49 @@
     assert_ne!(checksum, hub::HubInfo::checksum(&restarted));
     assert_eq!(hub::HubInfo::checksum(&[]), 0);
 }
+
+/// Guards against a list of entry VMs that is sent again and again, or asked of a hub that
+/// only says whether it is current.
+#[test]
+fn known_entry_vms_are_stated_in_polls_and_replaced_by_replies() {
+    let now = time::Instant::now();
+    let mut follower = follower(now);
+    let delegates = vec![hub::Delegate {
+        listener: address(300),
+        zone: "c".to_owned(),
+        incarnation: 9,
+    }];
+    let hubs = vec![hub::HubInfo {
+        rpc: address(4),
+        control: address(1_004),
+        zone: "b".to_owned(),
+        incarnation: 4,
+    }];
+    let poll = follower.poll(&[], now).expect("a poll is due");
+    assert_eq!(
+        poll.request.delegates, None,
+        "no hub of the own zone is known"
+    );
+    let first = hub::FollowReply {
+        hubs: Some(hubs),
+        ..reply(1)
+    };
+    follower.poll_ended(Some(first), now).expect("it is valid");
+    let now = now + time::Duration::from_millis(100);
+    let poll = follower.poll(&[], now).expect("a poll is due");
+    assert_eq!(poll.request.delegates, Some(0));
+    let second = hub::FollowReply {
+        delegates: Some(delegates.clone()),
+        ..reply(4)
+    };
+    follower.poll_ended(Some(second), now).expect("it is valid");
+    assert_eq!(follower.view().delegates, delegates);
+    let now = now + time::Duration::from_millis(100);
+    let poll = follower.poll(&[], now).expect("a poll is due");
+    let checksum = hub::Delegate::checksum(&delegates);
+    assert_eq!(poll.request.delegates, Some(checksum));
+    follower
+        .poll_ended(Some(reply(4)), now)
+        .expect("it is valid");
+    assert_eq!(follower.view().delegates, delegates, "no news");
+}
--- a/crates/fireflyspool/tests/forward.rs
+++ b/crates/fireflyspool/tests/forward.rs
@@ -137,6 +137,9 @@
             match action {
                 forward::Action::Send(send) => self.sends.push(send),
                 forward::Action::WakeAt(at) => self.wake = Some(at),
+                forward::Action::Delegate(_) | forward::Action::Report(_) => {
+                    panic!("no other entry VM is known");
+                }
                 forward::Action::Finish(outcome) => {
                     assert!(self.outcome.is_none(), "a request has one answer");
                     self.outcome = Some(outcome);
@@ -211,12 +214,12 @@
     harness.now = harness.start + delay;
     let actions = harness
         .exchange
-        .attempts_written(&harness.fleet, harness.now);
+        .attempts_written(&mut harness.fleet, harness.now);
     harness.execute(actions);
     assert_eq!(harness.wake, Some(hedge_at + delay));
     let actions = harness
         .exchange
-        .attempts_written(&harness.fleet, harness.now + delay);
+        .attempts_written(&mut harness.fleet, harness.now + delay);
     harness.execute(actions);
     assert_eq!(harness.wake, Some(hedge_at + delay), "written once");
 }
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -34,6 +34,7 @@
 fn member(port: u16, zone: &str, ready: bool) -> hub::Member {
     hub::Member {
         callers: address(port),
+        listener: None,
         zone: zone.to_owned(),
         region: "r".to_owned(),
         incarnation: 1,
@@ -51,6 +52,7 @@
         revision: 0,
         outlier_revision: 0,
         hubs: 0,
+        delegates: None,
         suspended: Vec::new(),
     }
 }
@@ -594,3 +596,53 @@
     site.observe(hub::Symptom::Failed, 3, 110);
     assert_eq!(site.listed(), 1);
 }
+
+fn gathering_member(port: u16, zone: &str) -> hub::Member {
+    hub::Member {
+        listener: Some(address(port + 2_000)),
+        incarnation: u64::from(port),
+        ..member(port, zone, true)
+    }
+}
+
+/// Lists of entry VMs that grow with the site cost each of them bytes, and a VM that has left
+/// must not be asked to gather.
+#[test]
+fn an_entry_vm_gets_a_few_others_of_each_zone_and_only_changes_of_them() {
+    let mut site = Site::new();
+    let ports: Vec<_> = (100..130).collect();
+    let zone = |port: u16| ["a", "b", "c"][usize::from(port) % 3];
+    let follow = |site: &mut Site, port: u16, ready: bool, known: Option<&[hub::Delegate]>| {
+        let member = hub::Member {
+            ready,
+            ..gathering_member(port, zone(port))
+        };
+        let request = hub::FollowRequest {
+            delegates: known.map(hub::Delegate::checksum),
+            ..poll(member)
+        };
+        let now = site.now;
+        site.hubs[0].follow(u64::from(port), request, now);
+        site.advance(1);
+        let reply = site.replies.pop().expect("an answer");
+        reply.delegates
+    };
+    for port in &ports {
+        follow(&mut site, *port, true, None);
+    }
+    assert_eq!(follow(&mut site, 100, true, None), None, "it wants none");
+    let delegates = follow(&mut site, 100, true, Some(&[])).expect("a list");
+    let count = |name: &str| delegates.iter().filter(|other| other.zone == name).count();
+    assert_eq!([count("a"), count("b"), count("c")], [4, 4, 4]);
+    let own = gathering_member(100, "b").listener;
+    assert!(delegates.iter().all(|other| Some(other.listener) != own));
+    let unchanged = follow(&mut site, 100, true, Some(&delegates));
+    assert_eq!(unchanged, None, "it has them already");
+
+    let leaving = u16::try_from(delegates[0].incarnation).expect("a port");
+    follow(&mut site, leaving, false, None);
+    let changed = follow(&mut site, 100, true, Some(&delegates)).expect("a change");
+    assert!(!changed.contains(&delegates[0]), "it is leaving");
+    let kept = changed.iter().filter(|other| delegates.contains(other));
+    assert_eq!(kept.count(), 11, "the others stay");
+}
--- a/crates/fireflyspool/tests/planned_stop.rs
+++ b/crates/fireflyspool/tests/planned_stop.rs
@@ -122,7 +122,8 @@
 
 impl rim::CallerHandler for Refusing {
     fn handle(&self, _: http::Request<hyper::body::Incoming>) -> rim::ResponseFuture {
-        let mut response = http::Response::default();
+        let body = rim::ResponseBody::Left(http_body_util::Full::default());
+        let mut response = http::Response::new(body);
         *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
         Box::pin(future::ready(response))
     }
--- a/crates/fireflyspool/tests/platform_site/caller.rs
+++ b/crates/fireflyspool/tests/platform_site/caller.rs
@@ -97,7 +97,17 @@
     ///
     /// Panics if the stamps, the number of missing parts and the body do not agree.
     pub(crate) async fn query_shards(&mut self, entry: net::SocketAddr) -> Option<usize> {
-        let (id, answer) = self.send(entry, "/all/").await;
+        self.query_route(entry, "/all/", SHARDS.len()).await
+    }
+
+    /// Queries the shards of a route like [`Self::query_shards`].
+    pub(crate) async fn query_route(
+        &mut self,
+        entry: net::SocketAddr,
+        prefix: &str,
+        shards: usize,
+    ) -> Option<usize> {
+        let (id, answer) = self.send(entry, prefix).await;
         let answer = answer.ok()?;
         if !answer.status().is_success() {
             return None;
@@ -123,7 +133,7 @@
             );
             services.push(service.to_owned());
         }
-        assert_eq!(services.len() + missing, SHARDS.len());
+        assert_eq!(services.len() + missing, shards);
         let body = answer.bytes().await.ok()?;
         let mut expected: Vec<_> = services
             .iter()
--- a/crates/fireflyspool/tests/platform_site/mod.rs
+++ b/crates/fireflyspool/tests/platform_site/mod.rs
@@ -71,6 +71,11 @@
         self.folder.join(format!("data-{vm}"))
     }
 
+    /// What a process has logged so far.
+    pub(crate) fn log(&self, vm: u8, role: &str) -> String {
+        std::fs::read_to_string(self.folder.join(format!("{role}-{vm}.log"))).unwrap_or_default()
+    }
+
     /// Writes the settings of a process and starts it; VMs 1 to 3 are the seeds.
     pub(crate) fn start(&self, vm: u8, role: &str, zone: &str, bootstrap: bool) -> Process {
         let (ip, internal) = (self.ip(vm), self.ports[0]);
