Test that an entry VM starts while its seeds are exchanged

One control VM of its settings has joined a moment ago, one is gone and one was never there. Also moves types of the groups into files of their own.

--- a/crates/fireflyspool/src/fleet/delegates.rs
+++ b/crates/fireflyspool/src/fleet/delegates.rs
@@ -14,7 +14,7 @@
 
 use std::{net, time};
 
-use crate::fleet::delegate_state;
+use crate::fleet::{delegate_state, placed_shard};
 use crate::{fleet, hub, ids, sorted};
 
 /// Fewest shards in a group. The answer to a group is about as large as two parts, and the
@@ -24,14 +24,6 @@
 /// Most shards in a group, which bounds the head of its answer.
 const MAX_SHARDS: usize = 256;
 
-/// Shard of a query, with the zones from which its service is reached best.
-pub(super) struct Shard<'a> {
-    /// Index in the query.
-    pub(super) index: usize,
-    /// Empty if it is reached best from this VM's zone.
-    pub(super) zones: Vec<&'a ids::ZoneName>,
-}
-
 /// Entry VMs to which groups may be delegated.
 #[derive(Debug, Default)]
 pub(super) struct Delegates {
@@ -68,7 +60,7 @@
     /// zones that hold the same number of shards depends on `entropy`.
     pub(super) fn plan(
         &self,
-        shards: Vec<Shard<'_>>,
+        shards: Vec<placed_shard::PlacedShard<'_>>,
         (own, limit): (&ids::ZoneName, usize),
         entropy: u64,
         now: time::Instant,
@@ -111,7 +103,7 @@
     /// Divides shards evenly among as few of the entry VMs as the limit allows.
     fn split(
         &self,
-        shards: &[Shard<'_>],
+        shards: &[placed_shard::PlacedShard<'_>],
         (delegates, limit): (Vec<net::SocketAddr>, usize),
         groups: &mut Vec<fleet::PlannedGroup>,
     ) {
--- a/crates/fireflyspool/src/fleet/fleet_groups.rs
+++ b/crates/fireflyspool/src/fleet/fleet_groups.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::fleet::delegates;
+use crate::fleet::placed_shard;
 use crate::{configuration, fleet, ids};
 
 /// Share of the latency objective that writing the attempts of one group may take. Reading
@@ -37,7 +37,7 @@
         let place = |(index, service): (usize, &ids::ServiceName)| {
             let pool = self.pools.get(service)?;
             let zones = pool.best_zones(&self.notices, now)?;
-            Some(delegates::Shard { index, zones })
+            Some(placed_shard::PlacedShard { index, zones })
         };
         let shards = shards.filter_map(place).collect();
         let seconds = route.objective.as_secs_f64() * WRITE_SHARE;
--- a/crates/fireflyspool/src/fleet/mod.rs
+++ b/crates/fireflyspool/src/fleet/mod.rs
@@ -17,8 +17,9 @@
 //! Retries and hedges to each service draw on a [`RetryBudget`], this VM's share
 //! of what all entry VMs may send together.
 //!
-//! Shards without a server in this VM's zone are delegated in groups to entry VMs of other
-//! zones; [`Fleet::plan_groups`] decides which ones go where.
+//! Shards without a good server in this VM's zone are delegated in groups to entry VMs of
+//! other zones, and so are those that are too many for one VM; [`Fleet::plan_groups`] decides
+//! which ones go where.
 
 mod attempt_result;
 mod delegate_state;
@@ -32,6 +33,7 @@
 mod notices;
 mod observations;
 mod picked_server;
+mod placed_shard;
 mod planned_group;
 mod pool;
 mod quantile;
--- a/crates/fireflyspool/src/rim/group_call.rs
+++ b/crates/fireflyspool/src/rim/group_call.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::rim::group_wire;
+use crate::rim::{group_answer_wire, group_wire};
 use crate::{forward, node, rim, timer};
 
 /// State of a call that is not sent yet.
@@ -27,20 +27,6 @@
     state: S,
 }
 
-/// What came of waiting for an answer.
-pub enum GroupProgress {
-    /// An answer after which others follow.
-    Answered(forward::GroupAnswer, Box<GroupCall<Answering>>),
-    /// The last answer, or none, and how the call ended.
-    Ended(Option<forward::GroupAnswer>, forward::GroupEnd),
-}
-
-impl GroupProgress {
-    fn failed(end: forward::GroupEnd) -> Self {
-        Self::Ended(None, end)
-    }
-}
-
 impl<S> GroupCall<S> {
     fn with_state<T>(self, state: T) -> GroupCall<T> {
         GroupCall {
@@ -76,22 +62,22 @@
     }
 
     /// Sends the group and waits for the first answer.
-    pub async fn send(mut self) -> GroupProgress {
+    pub async fn send(mut self) -> rim::GroupProgress {
         let Some(request) = self.state.request.take() else {
             // Nothing was sent; the failure must not count against the other VM for long.
-            return GroupProgress::failed(forward::GroupEnd::Refused);
+            return rim::GroupProgress::failed(forward::GroupEnd::Refused);
         };
         let sleep = self.timer.sleep_until(self.deadline);
         let sent = tokio::select! {
             sent = self.state.client.send(self.state.delegate, request) => sent,
-            () = sleep => return GroupProgress::failed(forward::GroupEnd::TimedOut),
+            () = sleep => return rim::GroupProgress::failed(forward::GroupEnd::TimedOut),
         };
         let (head, body) = match sent {
             Ok(response) => response.into_parts(),
             Err(rim::ForwardError::Connect(_)) => {
-                return GroupProgress::failed(forward::GroupEnd::Unreachable);
+                return rim::GroupProgress::failed(forward::GroupEnd::Unreachable);
             }
-            Err(_) => return GroupProgress::failed(forward::GroupEnd::Broken),
+            Err(_) => return rim::GroupProgress::failed(forward::GroupEnd::Broken),
         };
         match head.status {
             http::StatusCode::OK => {
@@ -102,41 +88,43 @@
             http::StatusCode::SERVICE_UNAVAILABLE => {
                 // Reading it whole keeps the connection.
                 let _ = body.read().await;
-                GroupProgress::failed(forward::GroupEnd::Refused)
+                rim::GroupProgress::failed(forward::GroupEnd::Refused)
             }
-            _ => GroupProgress::failed(forward::GroupEnd::Broken),
+            _ => rim::GroupProgress::failed(forward::GroupEnd::Broken),
         }
     }
 }
 
 impl GroupCall<Answering> {
     /// Waits for the next answer.
-    pub async fn next(mut self) -> GroupProgress {
+    pub async fn next(mut self) -> rim::GroupProgress {
         let mut sleep = self.timer.sleep_until(self.deadline);
         loop {
-            if let Some((description, body)) = group_wire::split_answer(&mut self.state.received) {
+            if let Some((description, body)) =
+                group_answer_wire::split_first(&mut self.state.received)
+            {
                 let expected = (self.id.as_str(), self.shards);
-                let decoded = group_wire::decode_answer((&description, body), expected);
+                let decoded = group_answer_wire::decode((&description, body), expected);
                 return match decoded {
-                    Some((answer, false)) => GroupProgress::Answered(answer, Box::new(self)),
+                    Some((answer, false)) => rim::GroupProgress::Answered(answer, Box::new(self)),
                     Some((answer, true)) => self.finish(answer).await,
-                    None => GroupProgress::failed(forward::GroupEnd::Broken),
+                    None => rim::GroupProgress::failed(forward::GroupEnd::Broken),
                 };
             }
             let chunk = tokio::select! {
                 chunk = self.state.body.next_chunk() => chunk,
-                () = &mut sleep => return GroupProgress::failed(forward::GroupEnd::TimedOut),
+                () = &mut sleep => return rim::GroupProgress::failed(forward::GroupEnd::TimedOut),
             };
             match chunk {
                 Ok(Some(chunk)) => self.state.received.extend_from_slice(&chunk),
-                Ok(None) | Err(_) => return GroupProgress::failed(forward::GroupEnd::Broken),
+                Ok(None) | Err(_) => return rim::GroupProgress::failed(forward::GroupEnd::Broken),
             }
         }
     }
 
     /// Ends the call after the last answer, and keeps the connection.
-    async fn finish(self, answer: forward::GroupAnswer) -> GroupProgress {
+    async fn finish(self, answer: forward::GroupAnswer) -> rim::GroupProgress {
         let _ = self.state.body.read().await;
-        GroupProgress::Ended(Some(answer), forward::GroupEnd::Answered)
+        rim::GroupProgress::Ended(Some(answer), forward::GroupEnd::Answered)
     }
 }
--- a/crates/fireflyspool/src/rim/group_service.rs
+++ b/crates/fireflyspool/src/rim/group_service.rs
@@ -6,7 +6,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body;
 
-use crate::rim::group_wire;
+use crate::rim::{group_answer_wire, group_wire};
 use crate::{node, rim};
 
 type Response = http::Response<rim::ResponseBody>;
@@ -68,7 +68,7 @@
 fn answers(task: node::GroupTask, id: String) -> rim::ResponseBody {
     let answers = stream::unfold((task, id), |(mut task, id)| async move {
         let (answer, last) = task.next().await?;
-        let encoded = group_wire::encode_answer(answer, &id, last);
+        let encoded = group_answer_wire::encode(answer, &id, last);
         Some((Ok(body::Frame::data(encoded)), (task, id)))
     });
     rim::ResponseBody::Right(http_body_util::StreamBody::new(answers.boxed()))
--- a/crates/fireflyspool/tests/platform_site/mod.rs
+++ b/crates/fireflyspool/tests/platform_site/mod.rs
@@ -78,11 +78,20 @@
 
     /// Writes the settings of a process and starts it; VMs 1 to 3 are the seeds.
     pub(crate) fn start(&self, vm: u8, role: &str, zone: &str, bootstrap: bool) -> Process {
+        self.start_with_seeds(vm, (role, zone), bootstrap, &[1, 2, 3])
+    }
+
+    /// Writes the settings of a process with these control VMs as seeds and starts it.
+    pub(crate) fn start_with_seeds(
+        &self,
+        vm: u8,
+        (role, zone): (&str, &str),
+        bootstrap: bool,
+        seeds: &[u8],
+    ) -> Process {
         let (ip, internal) = (self.ip(vm), self.ports[0]);
-        let seeds: Vec<_> = (1..4)
-            .map(|seed| format!("{:?}", self.control(seed)))
-            .collect();
-        let seeds: Vec<_> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let seeds = seeds.iter().map(|seed| self.control(*seed));
+        let seeds: Vec<_> = seeds.map(|seed| format!("\"{seed}\"")).collect();
         let addresses = match role {
             "control" => format!(
                 "Control = \"{}\"\ndirectory = \"{}\"",
