--- a/crates/fireflyspool/src/rim/group_wire.rs
+++ b/crates/fireflyspool/src/rim/group_wire.rs
@@ -8,8 +8,8 @@
 
 use crate::{forward, ids, node};
 
-/// Header that describes a group. Callers cannot use it: it is removed from what backend
-/// servers get.
+/// Header that describes a group; a caller's own header of this name is lost when its request
+/// is delegated.
 pub(super) const GROUP_HEADER: http::HeaderName =
     http::HeaderName::from_static("fireflyspool-group");
 
--- a/crates/fireflyspool/tests/delegation.rs
+++ b/crates/fireflyspool/tests/delegation.rs
@@ -30,6 +30,8 @@
     delegates: Vec<Process>,
     entry: net::SocketAddr,
     caller: Caller,
+    /// Has the servers of zone `b` read requests and never answer them.
+    silent: sync::Arc<tokio::sync::Notify>,
 }
 
 impl Running {
@@ -44,8 +46,9 @@
         let delegates = delegates.collect();
         site.order(&CONTROLS, "/fireflyspool/Config.Replace", configuration())
             .await;
-        start_servers(&site).await;
+        let silent = start_servers(&site).await;
         let mut running = Self {
+            silent,
             entry: site.address(OWN, 1),
             site,
             _controls: controls,
@@ -76,6 +79,22 @@
         self.caller.query_route(self.entry, "/many/", SHARDS).await
     }
 
+    /// Requests and groups that are under way at the entry VMs of zone `b`.
+    async fn running_at_delegates(&self) -> usize {
+        let mut running = 0;
+        for vm in DELEGATES {
+            let url = format!("http://{}/metrics", self.site.address(vm, 3));
+            let answer = self.site.http.get(url).send().await.expect("metrics");
+            let text = answer.text().await.expect("metrics");
+            let mut lines = text.lines();
+            let value = lines.find_map(|line| {
+                line.strip_prefix("fireflyspool_state{name=\"running_requests\"} ")
+            });
+            running += value.map_or(0, |value| value.parse().expect("a number"));
+        }
+        running
+    }
+
     /// Groups that the entry VMs of zone `b` have gathered.
     fn gathered(&self) -> usize {
         let logs = DELEGATES.iter().map(|vm| self.site.log(*vm, "entry"));
@@ -119,7 +138,7 @@
 }
 
 /// Starts one server of each shard in its zone, and one in zone `c` that anyone may use.
-async fn start_servers(site: &sync::Arc<Site>) {
+async fn start_servers(site: &sync::Arc<Site>) -> sync::Arc<tokio::sync::Notify> {
     let mut servers = Vec::new();
     for shard in 0..SHARDS {
         let zone = if shard % 2 == 0 { "a" } else { "b" };
@@ -132,14 +151,24 @@
         server.send_heartbeat(site, &CONTROLS, "ready").await;
     }
     let site = sync::Arc::clone(site);
+    let silent = sync::Arc::new(tokio::sync::Notify::new());
+    let silenced = sync::Arc::clone(&silent);
     tokio::spawn(async move {
         loop {
-            tokio::time::sleep(HEARTBEAT).await;
+            tokio::select! {
+                () = tokio::time::sleep(HEARTBEAT) => {}
+                () = silenced.notified() => {
+                    for server in servers.iter().filter(|server| server.zone() == "b") {
+                        server.be_silent();
+                    }
+                }
+            }
             for server in &mut servers {
                 server.send_heartbeat(&site, &CONTROLS, "ready").await;
             }
         }
     });
+    silent
 }
 
 /// Guards against queries that are lost with an entry VM that gathers a part of them.
@@ -210,3 +239,28 @@
     }
     assert!(running.own.is_running());
 }
+
+/// Guards against work that another entry VM goes on with after the caller has left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_caller_that_leaves_ends_the_groups_of_its_query() {
+    let mut running = Running::start(54).await;
+    running.silent.notify_one();
+    let start = time::Instant::now();
+    loop {
+        assert!(start.elapsed() < WAIT_LIMIT, "no group was under way");
+        let leaving = time::Duration::from_millis(60);
+        let left = tokio::time::timeout(leaving, running.query()).await;
+        if left.is_err() && running.running_at_delegates().await > 0 {
+            break;
+        }
+    }
+    let left = time::Instant::now();
+    while running.running_at_delegates().await > 0 {
+        // Half a second is allowed; the queries would last five times as long.
+        assert!(
+            left.elapsed() < time::Duration::from_millis(500),
+            "it goes on"
+        );
+        tokio::time::sleep(time::Duration::from_millis(10)).await;
+    }
+}
