--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -19,7 +19,7 @@
     observations: fleet::observations::Observations,
     pub(super) notices: fleet::notices::Notices,
     pub(super) delegates: fleet::delegates::Delegates,
-    /// Typical time to write [`fleet::fleet_groups::WRITTEN_BATCH`] attempts.
+    /// Typical time to write as many attempts as `fleet_groups` counts in a batch.
     pub(super) write_time: fleet::Quantile,
     pub(super) pools: sorted::SortedMap<ids::ServiceName, fleet::pool::Pool>,
     routes: sorted::SortedMap<String, fleet::route_latency::RouteLatency>,
--- a/crates/fireflyspool/src/fleet/planned_group.rs
+++ b/crates/fireflyspool/src/fleet/planned_group.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-/// Shards for which another entry VM is nearer to the backend servers than this one.
+/// Shards of a query that another entry VM is to gather.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlannedGroup {
     /// Listener of the other entry VM.
--- a/crates/fireflyspool/src/fleet/route_latency.rs
+++ b/crates/fireflyspool/src/fleet/route_latency.rs
@@ -13,7 +13,7 @@
 /// Quantile of the latency after which an attempt counts as overdue.
 const HIGH_QUANTILE: f64 = 0.95;
 
-/// Initial latency of groups, as a share of the route's latency objective.
+/// Initial high latency of groups, as a share of the route's latency objective.
 const INITIAL_GROUP_SHARE: f64 = 0.45;
 
 /// Estimates of the median and of a high quantile.
@@ -21,7 +21,7 @@
 pub(super) struct RouteLatency {
     pub(super) typical: fleet::Quantile,
     pub(super) high: fleet::Quantile,
-    /// High quantile of the time until another entry VM answers a group.
+    /// High quantile of the time until another entry VM first answers a group.
     pub(super) group: fleet::Quantile,
 }
 
--- a/crates/fireflyspool/src/rim/mod.rs
+++ b/crates/fireflyspool/src/rim/mod.rs
@@ -1,7 +1,7 @@
 //! Listeners and clients: the only place where messages are encoded.
 //!
 //! Callers, operators and backend servers use HTTP; processes of the tier use
-//! JSON-RPC over WebSocket among themselves. This module only converts typed
+//! JSON-RPC over WebSocket among themselves, and HTTP for groups of shards. This module only converts typed
 //! messages to bytes and back. Decisions are made elsewhere, so another front
 //! end can be added without changing them.
 
