Do not count refusals during a stated pause as overload

Cause: a request that meets servers which all want a pause is refused, and counted as a failure of its service. The rate is the chance with which later requests are refused, so a caller that came back when it was told to could be refused although the server was free: 7.5% after a pause of 200 ms, 1.6 to 1.8% after 1.2 s (calculated).

Change: a failure does not count while it is known when the service is back; callers are refused until then anyway.

Measured: the new test fails without the change (rate 0.075) and passes with it.

Ruled out: delegated groups, which a route to one service never has.

--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -197,7 +197,14 @@
     }
 
     /// Records whether the sub-request to a service was answered.
+    ///
+    /// A failure does not count while it is known when the service has a usable server again:
+    /// it says nothing about its load, and callers are refused until then anyway.
     pub fn record_sub_request(&mut self, service: &str, answered: bool, now: time::Instant) {
+        let usable_at = self.usable_at(service, now);
+        if !answered && usable_at.is_some_and(|at| at > now) {
+            return;
+        }
         if let Some(pool) = self.pools.get_mut(service) {
             pool.failures.add(answered, now);
         }
--- a/crates/fireflyspool/tests/forward.rs
+++ b/crates/fireflyspool/tests/forward.rs
@@ -639,3 +639,32 @@
         "a start that takes longer is not polled"
     );
 }
+
+/// A caller that came back when it was told to was refused by chance, because the refusals
+/// during the pause counted as if the service were overloaded.
+#[test]
+fn refusals_during_a_stated_pause_do_not_count_as_overload() {
+    let mut harness = Harness::single(false, 2);
+    harness.refuse(0, &pause(400));
+    harness.advance_to(10);
+    harness.refuse(1, &pause(200));
+    harness.advance_to(20);
+    assert!(matches!(
+        harness.outcome,
+        Some(forward::Outcome::Refused { .. })
+    ));
+    harness
+        .exchange
+        .report_sub_requests(&mut harness.fleet, harness.now);
+    let back = harness.now + time::Duration::from_millis(200);
+    assert_eq!(harness.fleet.failure_rate("service", back), 0.0);
+
+    // Refusals without a known end do count.
+    let mut harness = Harness::single(false, 1);
+    harness.end_attempt(0, forward::AttemptEnd::Rejected);
+    harness.advance_to(10);
+    harness
+        .exchange
+        .report_sub_requests(&mut harness.fleet, harness.now);
+    assert!(harness.fleet.failure_rate("service", harness.now) > 0.0);
+}
