Log contents of requests, and which servers ended under them

A broken attempt now checks whether the server still listens and is logged as crashed if it does not; attempts and answers are logged with a hash of method, host, target and body, which all repeats share. Nothing else is decided by either yet.

--- a/crates/fireflyspool/src/forward/attempt_end.rs
+++ b/crates/fireflyspool/src/forward/attempt_end.rs
@@ -18,11 +18,27 @@
     /// The connection broke or the response does not match the request; the
     /// request may have run.
     Broken,
+    /// The connection broke without a response and the server accepts no further one: it has
+    /// ended, and the request may have run.
+    Crashed,
     /// The deadline passed; the request may have run.
     TimedOut,
 }
 
 impl AttemptEnd {
+    /// Name in log lines.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::Rejected => "rejected",
+            Self::WrongServer => "wrong_server",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+            Self::Crashed => "crashed",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
     /// End of an attempt whose connection could not be opened; nothing was sent.
     pub fn not_connected(error: &io::Error) -> Self {
         match error.kind() {
--- a/crates/fireflyspool/src/forward/exchange_ends.rs
+++ b/crates/fireflyspool/src/forward/exchange_ends.rs
@@ -33,7 +33,9 @@
                 pending.state.rejected += 1;
                 self.send_again(index, None, fleet, entropy, now);
             }
-            forward::AttemptEnd::Broken | forward::AttemptEnd::TimedOut => {
+            forward::AttemptEnd::Broken
+            | forward::AttemptEnd::Crashed
+            | forward::AttemptEnd::TimedOut => {
                 pending.state.ran += 1;
                 self.send_again(index, None, fleet, entropy, now);
             }
--- a/crates/fireflyspool/src/hashing/stable_hasher.rs
+++ b/crates/fireflyspool/src/hashing/stable_hasher.rs
@@ -30,8 +30,14 @@
     /// Adds a text and its length, so that the boundary between two texts affects the hash.
     #[must_use]
     pub fn text(self, text: &str) -> Self {
-        let hashed = text.bytes().fold(self, Self::byte);
-        hashed.number(text.len() as u64)
+        self.bytes(text.as_bytes())
+    }
+
+    /// Adds bytes and their number, like [`Self::text`].
+    #[must_use]
+    pub fn bytes(self, bytes: &[u8]) -> Self {
+        let hashed = bytes.iter().copied().fold(self, Self::byte);
+        hashed.number(bytes.len() as u64)
     }
 
     /// Adds the little-endian bytes of a number.
--- a/crates/fireflyspool/src/node/attempt_guard.rs
+++ b/crates/fireflyspool/src/node/attempt_guard.rs
@@ -45,9 +45,9 @@
             forward::AttemptEnd::Answered(response) if response.status < 500 => {
                 fleet::AttemptResult::Answered { elapsed }
             }
-            forward::AttemptEnd::Answered(_) | forward::AttemptEnd::Broken => {
-                fleet::AttemptResult::Failed
-            }
+            forward::AttemptEnd::Answered(_)
+            | forward::AttemptEnd::Broken
+            | forward::AttemptEnd::Crashed => fleet::AttemptResult::Failed,
             forward::AttemptEnd::Rejected => fleet::AttemptResult::Rejected,
             forward::AttemptEnd::WrongServer | forward::AttemptEnd::Unreachable => {
                 fleet::AttemptResult::Unreachable
@@ -66,7 +66,8 @@
             slog::info!(self.forwarding.process.logger, "attempt failed";
                 "request" => &self.message.id,
                 "server" => &self.send.server, "service" => &self.send.service,
-                "result" => ?result, "elapsed_us" => node::forwarding::micros(elapsed));
+                "result" => ?result, "end" => end.label(),
+                "content" => self.message.fingerprint(), "elapsed_us" => node::forwarding::micros(elapsed));
         }
     }
 
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -383,6 +383,7 @@
         slog::info!(self.forwarding.process.logger, "request answered";
             "request" => &request.id, "route" => &self.route.name,
             "outcome" => label, "status" => status, "missing" => missing,
+            "content" => self.message.fingerprint(),
             "elapsed_us" => node::forwarding::micros(elapsed), "hedges" => exchange.hedges(),
             "retries" => exchange.retries(), "open" => ?exchange.pending_services(),
             "caller_timeout_ms" => u64::try_from(caller_timeout).unwrap_or(u64::MAX),
--- a/crates/fireflyspool/src/node/message.rs
+++ b/crates/fireflyspool/src/node/message.rs
@@ -1,6 +1,6 @@
 //! Content of a request that is forwarded.
 
-use crate::ids;
+use crate::{hashing, ids};
 
 /// Parts of a request that backend servers get unchanged.
 #[derive(Clone, Debug)]
@@ -16,3 +16,21 @@
     /// Complete body.
     pub body: bytes::Bytes,
 }
+
+impl Message {
+    /// Hash of what a request has in common with all its repeats: method, host, target and body,
+    /// but not its id.
+    pub fn fingerprint(&self) -> ids::Fingerprint {
+        let host = self.headers.get(http::header::HOST);
+        let host = host.map_or(&[][..], |host| host.as_bytes());
+        let target = self.target.path_and_query();
+        let hash = hashing::StableHasher::new()
+            .text(self.method.as_str())
+            .bytes(host)
+            .text(target.map_or("", |target| target.as_str()))
+            .bytes(&self.body)
+            .finish();
+        // 53 bits, which a JSON number holds exactly in any parser.
+        hash >> 11
+    }
+}
--- a/crates/fireflyspool/src/platform/http_backend_client.rs
+++ b/crates/fireflyspool/src/platform/http_backend_client.rs
@@ -85,7 +85,14 @@
             forward::AttemptEnd::not_connected(&error),
             backend::Condition::default(),
         ),
-        Err(_) => (forward::AttemptEnd::Broken, backend::Condition::default()),
+        Err(_) => {
+            // A server that goes on after a reset still listens.
+            let end = match client.is_refused(address).await {
+                true => forward::AttemptEnd::Crashed,
+                false => forward::AttemptEnd::Broken,
+            };
+            (end, backend::Condition::default())
+        }
     }
 }
 
--- a/crates/fireflyspool/src/rim/forward_client.rs
+++ b/crates/fireflyspool/src/rim/forward_client.rs
@@ -5,11 +5,14 @@
 //! pooled client runs a task of its own for each connection. A request is sent
 //! again only if none of it was written because its idle connection had been closed.
 
-use std::{net, sync};
+use std::{io, net, sync, time};
 
 use crate::rim::{forward_connection, idle_connections};
 use crate::{rim, timer};
 
+/// Time limit of the check whether a process still accepts connections; its caller waits.
+const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
 /// Client with a pool of idle connections, which leaves requests unchanged.
 #[derive(Clone)]
 pub struct ForwardClient {
@@ -71,6 +74,27 @@
         Ok(())
     }
 
+    /// Whether no process accepts connections at an address; `false` if that is not known.
+    ///
+    /// A connection that is opened is kept for the next request.
+    pub async fn is_refused(&self, address: net::SocketAddr) -> bool {
+        let connecting = forward_connection::ForwardConnection::connect(address, &self.timer);
+        let connected = tokio::select! {
+            connected = connecting => connected,
+            () = self.timer.sleep(CHECK_TIMEOUT) => return false,
+        };
+        match connected {
+            Ok(connection) => {
+                self.idle.put(address, connection.rest());
+                false
+            }
+            Err(rim::ForwardError::Connect(error)) => {
+                error.kind() == io::ErrorKind::ConnectionRefused
+            }
+            Err(_) => false,
+        }
+    }
+
     async fn exchange(
         &self,
         address: net::SocketAddr,
--- a/crates/fireflyspool/tests/forward_client.rs
+++ b/crates/fireflyspool/tests/forward_client.rs
@@ -262,3 +262,12 @@
         assert_eq!(fetched.expect("a response").as_ref(), b"ok");
     }
 }
+
+/// An attempt at a server that crashed could not be told from one whose connection was reset.
+#[tokio::test]
+async fn only_an_address_without_a_listener_is_refused() {
+    let (listener, address) = listen().await;
+    assert!(!client().is_refused(address).await);
+    drop(listener);
+    assert!(client().is_refused(address).await);
+}
