Refuse contents under which backend servers crash

Cause: on the platform's path nothing connected two requests of the same content. Each attempt of a caller has an id of its own, an exchange retried a broken attempt whatever had broken it, and neither other entry VMs nor those that gather groups learned of it. The class of fault: a retry policy that takes each failure for one of the server.

Change: attempts whose server has ended while nothing else has responded are recorded by content (method, host, target and body). Then one server at a time gets that content, and others only once it has responded; three ended servers, one of them in such a probe, and it is refused at all entry VMs with Retry-After, for a minute first and ten times as long after each further probe that fails. Entry VMs report crashes to their control VM at once and again in their polls until it replies; control VMs pass them on with their batches. The module containment derives verdicts from sets of crashes that merge by union, so the way they arrive on does not matter. A VM that gathers a group says which shards met a crash, and probes nothing itself.

Servers that crash by chance, with their zone or beside a reset are kept apart by three things: a server that still listens has not crashed, any response to the request shows that it is harmless, and without a failed probe nothing is refused.

Ruled out: the retry budget. It was kept, and bounds repeats of all contents together, so it neither stops one content nor should.

--- /dev/null
+++ b/crates/fireflyspool/src/containment/suspect.rs
@@ -0,0 +1,80 @@
+//! Content under which backend servers crashed.
+
+use std::time;
+
+use crate::containment;
+
+/// Crashes after which a content is refused, if one of them happened during a probe.
+const CRASH_LIMIT: usize = 3;
+
+/// Most crashes kept of attempts that were no probes, and of probes; further ones would not
+/// change a verdict.
+const MAX_CRASHES: usize = CRASH_LIMIT;
+const MAX_PROBES: usize = 4;
+
+/// Time for which a content is refused after its first failed probe; each further one
+/// multiplies it by [`REFUSAL_FACTOR`].
+const FIRST_REFUSAL: time::Duration = time::Duration::from_secs(60);
+const REFUSAL_FACTOR: u32 = 10;
+
+/// Time after the last refusal, or the last crash, after which a content is forgotten.
+const RETENTION: time::Duration = time::Duration::from_secs(600);
+
+/// Crashes under one content.
+#[derive(Clone, Debug)]
+pub(super) struct Suspect {
+    /// Ascending.
+    pub(super) crashes: Vec<containment::Crash>,
+    /// When the latest one that counts was noticed.
+    pub(super) latest: time::Instant,
+    /// Position of the latest change in the ledger.
+    pub(super) changed: u64,
+}
+
+impl Suspect {
+    pub(super) fn new(now: time::Instant) -> Self {
+        Self {
+            crashes: Vec::new(),
+            latest: now,
+            changed: 0,
+        }
+    }
+
+    /// Adds a crash that was noticed at `noticed`; returns whether it may change the verdict.
+    pub(super) fn add(&mut self, crash: containment::Crash, noticed: time::Instant) -> bool {
+        let alike = self
+            .crashes
+            .iter()
+            .filter(|known| known.probe == crash.probe);
+        let full = alike.count() >= if crash.probe { MAX_PROBES } else { MAX_CRASHES };
+        let Err(position) = self.crashes.binary_search(&crash) else {
+            return false;
+        };
+        if full {
+            return false;
+        }
+        self.crashes.insert(position, crash);
+        self.latest = self.latest.max(noticed);
+        true
+    }
+
+    /// When requests are no longer refused; `None` if they are not.
+    pub(super) fn refused_until(&self) -> Option<time::Instant> {
+        let probes = self.crashes.iter().filter(|crash| crash.probe).count();
+        let further = u32::try_from(probes.checked_sub(1)?).unwrap_or(u32::MAX);
+        let refusal = FIRST_REFUSAL * REFUSAL_FACTOR.saturating_pow(further);
+        (self.ended() >= CRASH_LIMIT).then(|| self.latest + refusal)
+    }
+
+    /// Number of incarnations that ended; several attempts may have seen the same one end.
+    fn ended(&self) -> usize {
+        let mut ended: Vec<_> = self.crashes.iter().map(|c| (&c.server, c.born)).collect();
+        ended.dedup();
+        ended.len()
+    }
+
+    /// When the content is forgotten.
+    pub(super) fn forgotten_at(&self) -> time::Instant {
+        self.refused_until().unwrap_or(self.latest) + RETENTION
+    }
+}
--- a/crates/fireflyspool/src/control/control_thread.rs
+++ b/crates/fireflyspool/src/control/control_thread.rs
@@ -215,7 +215,7 @@
             }
             control::Event::Observed(observation) => {
                 if let Some(follow) = &mut self.follow {
-                    follow.note_observation(observation);
+                    follow.note_observation(observation, now);
                 }
             }
             control::Event::Leave => {
--- a/crates/fireflyspool/src/control/follower_driver.rs
+++ b/crates/fireflyspool/src/control/follower_driver.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{control, follow, hub, ids, sorted};
+use crate::{containment, control, follow, hub, ids, sorted};
 
 /// Polls a control VM and publishes the resulting view.
 pub struct FollowerDriver {
@@ -54,7 +54,26 @@
     }
 
     /// Queues an observation; it is sent with the next tick.
-    pub fn note_observation(&mut self, observation: hub::Observation) {
+    pub fn note_observation(&mut self, observation: hub::Observation, now: time::Instant) {
+        if let (
+            server,
+            hub::Symptom::Crashed {
+                born,
+                content,
+                probe,
+            },
+        ) = &observation
+        {
+            let (server, born, probe) = (server.clone(), *born, *probe);
+            slog::warn!(self.logger, "backend server ended under a request";
+                "server" => &server, "born" => born, "content" => content, "probe" => probe);
+            let crash = containment::Crash {
+                server,
+                born,
+                probe,
+            };
+            self.follower.note_crash(*content, crash, now);
+        }
         self.observations.push(observation);
     }
 
--- a/crates/fireflyspool/src/control/hub_driver.rs
+++ b/crates/fireflyspool/src/control/hub_driver.rs
@@ -113,7 +113,10 @@
             control::HubEvent::ExchangeEnded { peer, ack } => {
                 self.hub.exchange_ended(peer, ack.as_ref(), now);
             }
-            control::HubEvent::Observed(reports) => self.hub.observe(reports, now),
+            control::HubEvent::Observed(reports) => {
+                self.log_crashes(&reports);
+                self.hub.observe(reports, now);
+            }
             control::HubEvent::Follow { request, reply } => {
                 let ticket = self.ticket();
                 self.pending_polls.insert(ticket, reply);
@@ -141,6 +144,20 @@
         self.log_reachable(now);
     }
 
+    fn log_crashes(&self, reports: &[hub::Observation]) {
+        for (server, symptom) in reports {
+            if let hub::Symptom::Crashed {
+                born,
+                content,
+                probe,
+            } = symptom
+            {
+                slog::warn!(self.logger, "backend server ended under a request";
+                    "server" => server, "born" => born, "content" => content, "probe" => probe);
+            }
+        }
+    }
+
     fn log_reachable(&mut self, now: time::Instant) {
         let reachable = self.hub.reachable_peers(now);
         if reachable != self.reachable {
--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::{backend, configuration, fleet, hub, ids, sorted};
+use crate::{backend, configuration, fleet, hashing, hub, ids, sorted};
 
 /// Backend servers, retry budgets and latencies as the traffic threads see them.
 ///
@@ -16,7 +16,10 @@
     generation: u64,
     members: usize,
     next_token: ids::Ticket,
-    observations: fleet::observations::Observations,
+    pub(super) observations: fleet::observations::Observations,
+    pub(super) suspects: fleet::suspects::Suspects,
+    /// 0 to 1; differs between the VMs of a site.
+    pub(super) spread: f64,
     pub(super) notices: fleet::notices::Notices,
     pub(super) delegates: fleet::delegates::Delegates,
     /// Typical time to write as many attempts as `fleet_groups` counts in a batch.
@@ -41,6 +44,9 @@
             members: 0,
             next_token: 0,
             observations: fleet::observations::Observations::default(),
+            suspects: fleet::suspects::Suspects::default(),
+            spread: (hashing::StableHasher::new().number(incarnation).finish() >> 40) as f64
+                / f64::from(1 << 24),
             notices: fleet::notices::Notices::default(),
             delegates: fleet::delegates::Delegates::default(),
             write_time: fleet::Quantile::new(0.5, time::Duration::ZERO),
@@ -60,6 +66,7 @@
         self.members = view.members;
         self.notices.update(view);
         self.delegates.update(&view.delegates);
+        self.suspects.merge(&view.contents, now);
         for (name, server) in view.servers.iter() {
             let zone_out = view.zones.zones.contains(&server.record.zone);
             let outlier = view.outliers.binary_search(name).is_ok();
--- a/crates/fireflyspool/src/fleet/view.rs
+++ b/crates/fireflyspool/src/fleet/view.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use crate::{configuration, fleet, hub, ids, sorted};
+use crate::{configuration, containment, fleet, hub, ids, sorted};
 
 /// Immutable snapshot of the configuration, the backend servers and the zones.
 #[derive(Clone, Debug, Default)]
@@ -19,6 +19,8 @@
     pub outliers: Vec<ids::ServerName>,
     /// Entry VMs to which groups of shards may be delegated, preferred ones first.
     pub delegates: Vec<hub::Delegate>,
+    /// Crashes of backend servers by content of the requests.
+    pub contents: sync::Arc<containment::Ledger>,
     /// Number of live entry VMs.
     pub members: usize,
     /// When a control VM that reaches a quorum last replied; `None` until then.
--- a/crates/fireflyspool/src/follow/follower.rs
+++ b/crates/fireflyspool/src/follow/follower.rs
@@ -2,8 +2,8 @@
 
 use std::{net, sync, time};
 
-use crate::follow::hub_choice;
-use crate::{configuration, fleet, follow, hub, ids};
+use crate::follow::{contents, hub_choice};
+use crate::{configuration, containment, fleet, follow, hub, ids};
 
 /// Pause after a poll that failed or that a control VM without a majority answered.
 const FAILURE_PAUSE: time::Duration = time::Duration::from_millis(100);
@@ -23,6 +23,7 @@
     format: sync::Arc<dyn configuration::Format>,
     choice: hub_choice::HubChoice,
     outlier_revision: u64,
+    contents: contents::Contents,
     view: fleet::View,
     leaving: bool,
     in_flight: bool,
@@ -46,6 +47,7 @@
             format,
             choice,
             outlier_revision: 0,
+            contents: contents::Contents::default(),
             view: fleet::View::default(),
             leaving: false,
             in_flight: false,
@@ -66,8 +68,8 @@
     /// Listener of the control VM that collects an observation.
     pub fn observer(&self, (server, symptom): &hub::Observation) -> net::SocketAddr {
         match symptom {
-            // The registry of any hub takes it and passes it on.
-            hub::Symptom::Leaving { .. } => self.choice.current(),
+            // Any hub takes it and passes it on.
+            hub::Symptom::Leaving { .. } | hub::Symptom::Crashed { .. } => self.choice.current(),
             _ => self.choice.observer(server),
         }
     }
@@ -77,6 +79,19 @@
         &self.view
     }
 
+    /// Records a crash that an attempt of this VM has seen, for the view and the next polls.
+    pub fn note_crash(
+        &mut self,
+        content: ids::Fingerprint,
+        crash: containment::Crash,
+        now: time::Instant,
+    ) {
+        let ledger = sync::Arc::make_mut(&mut self.view.contents);
+        if ledger.add(content, crash, now) {
+            self.contents.note(content);
+        }
+    }
+
     /// Has the next poll, due now, report that callers must no longer be sent to this VM.
     pub fn leave(&mut self, now: time::Instant) {
         self.leaving = true;
@@ -98,6 +113,7 @@
         self.member.ready = self.view.table.is_some() && !self.leaving;
         let table = self.view.table.as_ref();
         let (incarnation, position) = self.choice.position();
+        let contents = self.contents.next_records(&self.view.contents, now);
         let request = hub::FollowRequest {
             member: self.member.clone(),
             incarnation,
@@ -106,6 +122,8 @@
             version: table.map_or(0, |table| table.version()),
             revision: self.view.zones.revision,
             outlier_revision: self.outlier_revision,
+            content_position: self.contents.position(incarnation),
+            contents,
             hubs: self.choice.hubs_checksum(),
             delegates: self
                 .choice
@@ -144,6 +162,7 @@
             self.choice.set_position(reply.incarnation, position);
             self.outlier_revision = reply.outlier_revision;
             self.view.outliers.clone_from(&reply.outliers);
+            self.merge_contents(&reply, now);
         }
         if let Some(zones) = reply.zones
             && zones.revision > self.view.zones.revision
@@ -168,6 +187,17 @@
             .map_or(Ok(()), |document| self.apply_document(&document))
     }
 
+    fn merge_contents(&mut self, reply: &hub::FollowReply, now: time::Instant) {
+        if !reply.contents.is_empty() {
+            let ledger = sync::Arc::make_mut(&mut self.view.contents);
+            for record in &reply.contents {
+                ledger.merge(record.clone(), now);
+            }
+            ledger.expire(now);
+        }
+        self.contents.replied(reply, &self.view.contents);
+    }
+
     fn switch_hub(&mut self, now: time::Instant) {
         self.choice.fail();
         self.due = now
--- a/crates/fireflyspool/src/follow/mod.rs
+++ b/crates/fireflyspool/src/follow/mod.rs
@@ -10,6 +10,7 @@
 //!
 //! When no control VM replies, the last view stays in use.
 
+mod contents;
 mod follower;
 mod hub_choice;
 mod poll;
--- a/crates/fireflyspool/src/forward/any_sub_request.rs
+++ b/crates/fireflyspool/src/forward/any_sub_request.rs
@@ -16,6 +16,7 @@
         let state = forward::Failed {
             tried: Vec::new(),
             ran: false,
+            crashed: false,
             skipped: false,
             failure: None,
         };
--- a/crates/fireflyspool/src/forward/attempt.rs
+++ b/crates/fireflyspool/src/forward/attempt.rs
@@ -13,6 +13,10 @@
     /// Index of the sub-request in its exchange.
     pub(super) index: usize,
     pub(super) server: ids::ServerName,
+    /// Start time of the server's incarnation.
+    pub(super) born: ids::BornMillis,
+    /// Whether it probes a content under which servers may crash.
+    pub(super) probe: bool,
     /// When it was started, and once it is written, when that was done.
     pub(super) sent: time::Instant,
     pub(super) written: bool,
--- a/crates/fireflyspool/src/forward/exchange.rs
+++ b/crates/fireflyspool/src/forward/exchange.rs
@@ -2,13 +2,15 @@
 
 use std::{sync, time};
 
-use crate::forward::{any_sub_request, attempt, gathered_group, running_group};
-use crate::{configuration, fleet, forward, ids};
+use crate::forward::{any_sub_request, attempt, caution, gathered_group, running_group};
+use crate::{configuration, containment, fleet, forward, ids};
 
 /// A caller request that is being forwarded.
 pub struct Exchange {
     pub(super) route: sync::Arc<configuration::Route>,
     pub(super) timing: forward::Timing,
+    pub(super) content: ids::Fingerprint,
+    pub(super) caution: caution::Caution,
     pub(super) sub_requests: Vec<any_sub_request::AnySubRequest>,
     pub(super) attempts: Vec<attempt::Attempt>,
     /// Delegated groups that have not ended.
@@ -30,15 +32,25 @@
 impl Exchange {
     /// Starts a request on its route.
     ///
-    /// Refuses it if too few services have a usable backend server or, at
-    /// random, if under overload it is unlikely to get enough responses.
+    /// Refuses it if servers crash under its content, if too few services have a usable
+    /// backend server or, at random, if under overload it is unlikely to get enough responses.
     pub fn start(
         route: sync::Arc<configuration::Route>,
+        content: ids::Fingerprint,
         timing: forward::Timing,
         fleet: &mut fleet::Fleet,
         entropy: u64,
         now: time::Instant,
     ) -> (Self, Vec<forward::Action>) {
+        let verdict = fleet.verdict(content, now);
+        if let containment::Verdict::Refused { until } = verdict {
+            let retry_after = until.saturating_duration_since(now);
+            let mut exchange = Self::new(route, (content, timing), Vec::new(), 0);
+            exchange.caution = caution::Caution::Refused;
+            exchange.finish(forward::Outcome::Refused { retry_after });
+            let actions = std::mem::take(&mut exchange.actions);
+            return (exchange, actions);
+        }
         let (services, required) = match &route.target {
             configuration::Target::Gather(gather) => (gather.shards.clone(), gather.required()),
             _ => (fleet.choose_service(&route).into_iter().collect(), 1),
@@ -52,7 +64,7 @@
             let deadline = timing.deadline;
             let retry_after =
                 forward::retry_time::retry_after(&services, required, fleet, deadline, now);
-            let mut exchange = Self::new(route, timing, Vec::new(), required);
+            let mut exchange = Self::new(route, (content, timing), Vec::new(), required);
             exchange.finish(forward::Outcome::Refused { retry_after });
             let actions = std::mem::take(&mut exchange.actions);
             return (exchange, actions);
@@ -60,17 +72,22 @@
         for service in &services {
             fleet.record_request(service, now);
         }
-        let mut exchange = Self::new(route, timing, services, required);
+        let mut exchange = Self::new(route, (content, timing), services, required);
         exchange.skip_saturated(fleet, entropy, now);
-        exchange.delegate(fleet, entropy, now);
-        exchange.send_all(fleet, entropy, now);
+        if verdict == containment::Verdict::Probe {
+            exchange.start_suspected();
+            exchange.probe(fleet, entropy, now);
+        } else {
+            exchange.delegate(fleet, entropy, now);
+            exchange.send_all(fleet, entropy, now);
+        }
         let actions = exchange.advance(fleet, now);
         (exchange, actions)
     }
 
     pub(super) fn new(
         route: sync::Arc<configuration::Route>,
-        timing: forward::Timing,
+        (content, timing): (ids::Fingerprint, forward::Timing),
         services: Vec<ids::ServiceName>,
         required: usize,
     ) -> Self {
@@ -81,6 +98,8 @@
         Self {
             route,
             timing,
+            content,
+            caution: caution::Caution::Unknown,
             sub_requests: pending.collect(),
             attempts: Vec::with_capacity(count),
             groups: Vec::new(),
@@ -122,6 +141,7 @@
         if let Some(position) = position {
             let attempt = self.attempts.swap_remove(position);
             self.handle_end(&attempt, end, fleet, entropy, now);
+            self.probe(fleet, entropy, now);
         }
         self.advance(fleet, now)
     }
@@ -137,6 +157,7 @@
             self.send_due(index, fleet, entropy.rotate_left(index as u32), now);
         }
         self.hedge_groups(fleet, entropy, now);
+        self.probe(fleet, entropy, now);
         self.advance(fleet, now)
     }
 
--- a/crates/fireflyspool/src/forward/exchange_ends.rs
+++ b/crates/fireflyspool/src/forward/exchange_ends.rs
@@ -19,6 +19,14 @@
             return;
         };
         pending.state.running = pending.state.running.saturating_sub(1);
+        if matches!(end, forward::AttemptEnd::Answered(_)) {
+            self.responded(fleet, entropy, now);
+        } else if end == forward::AttemptEnd::Crashed {
+            self.crashed(attempt);
+        }
+        let Some(pending) = self.sub_requests[index].pending_mut() else {
+            return;
+        };
         match end {
             forward::AttemptEnd::Answered(response) if response.is_success() => {
                 self.sub_requests[index] = self.sub_requests[index].take().complete(response);
--- a/crates/fireflyspool/src/forward/exchange_gathering.rs
+++ b/crates/fireflyspool/src/forward/exchange_gathering.rs
@@ -9,7 +9,7 @@
 use std::{sync, time};
 
 use crate::forward::{any_sub_request, gathered_group};
-use crate::{configuration, fleet, forward};
+use crate::{configuration, containment, fleet, forward};
 
 impl forward::Exchange {
     /// Starts to gather a group. It is not refused, and sends nothing again that may have run.
@@ -22,14 +22,29 @@
         let route = sync::Arc::new(group.route());
         let wait = forward::Timing::hedge_delay(&route, fleet.high_latency(&route));
         let timing = forward::Timing::of_group(group, now);
-        let mut exchange = Self::new(route, timing, group.services.clone(), 0);
+        let mut exchange = Self::new(route, (group.content, timing), group.services.clone(), 0);
         let shards = group.services.len();
         exchange.gathered = Some(gathered_group::GatheredGroup::new(wait, shards));
-        exchange.send_all(fleet, entropy, now);
+        if fleet.verdict(group.content, now) == containment::Verdict::Accepted {
+            exchange.send_all(fleet, entropy, now);
+        } else {
+            // The VM that delegates decides on probes.
+            for index in 0..shards {
+                exchange.fail_suspected(index);
+            }
+        }
         let actions = exchange.advance(fleet, now);
         (exchange, actions)
     }
 
+    /// Fails a sub-request without an attempt, because its content is suspect.
+    fn fail_suspected(&mut self, index: usize) {
+        if let Some(pending) = self.sub_requests[index].pending_mut() {
+            pending.state.crashed = true;
+        }
+        self.fail(index, None);
+    }
+
     /// Answers the group if that is due.
     pub(super) fn advance_group(&mut self, now: time::Instant) {
         let Some(group) = &mut self.gathered else {
@@ -71,7 +86,7 @@
             return answer;
         };
         for (position, state) in self.sub_requests.iter().enumerate() {
-            let (tried, running, ran) = match state {
+            let (tried, running, ran, crashed) = match state {
                 any_sub_request::AnySubRequest::Answered(sub_request) => {
                     let response = &sub_request.state.response;
                     if let Some(signature) = &response.signature
@@ -85,10 +100,12 @@
                 }
                 any_sub_request::AnySubRequest::Pending(pending) => {
                     let state = &pending.state;
-                    (&state.tried, true, state.ran + state.running > 0)
+                    let ran = state.ran + state.running > 0;
+                    (&state.tried, !state.parked, ran, state.crashed)
                 }
                 any_sub_request::AnySubRequest::Failed(failed) => {
-                    (&failed.state.tried, false, failed.state.ran)
+                    let state = &failed.state;
+                    (&state.tried, false, state.ran, state.crashed)
                 }
             };
             answer.missing.push(forward::MissingShard {
@@ -96,6 +113,7 @@
                 tried: tried.clone(),
                 running,
                 ran,
+                crashed,
             });
         }
         answer.body = forward::merge_top(bodies, top_k).into();
--- a/crates/fireflyspool/src/forward/exchange_groups.rs
+++ b/crates/fireflyspool/src/forward/exchange_groups.rs
@@ -73,6 +73,7 @@
                 objective: self.route.objective,
                 cutoff: cutoff.checked_sub(RETURN_TIME).unwrap_or(cutoff),
                 deadline: self.timing.deadline,
+                content: self.content,
                 top_k,
                 services,
             },
@@ -94,6 +95,7 @@
             group.hedge_at = None;
             self.merge_answer(&mut group, answer, fleet, entropy, now);
             self.groups.push(group);
+            self.probe(fleet, entropy, now);
         }
         self.advance(fleet, now)
     }
@@ -122,6 +124,7 @@
                     false => self.send_directly(index, fleet, entropy, now),
                 }
             }
+            self.probe(fleet, entropy, now);
         }
         self.advance(fleet, now)
     }
@@ -163,6 +166,14 @@
         entropy: u64,
         now: time::Instant,
     ) {
+        if answer.answered.is_empty() {
+            if answer.missing.iter().any(|shard| shard.crashed) {
+                // The other VM reports the crashes.
+                self.suspect(None);
+            }
+        } else {
+            self.responded(fleet, entropy, now);
+        }
         for (position, signature) in answer.answered {
             if let Some(index) = group.indexes.get_mut(position).and_then(Option::take) {
                 self.sub_requests[index] = self.sub_requests[index].take().merge(signature);
@@ -200,6 +211,7 @@
         let unhedged = pending.is_some_and(|pending| pending.state.running == 1);
         let futile = self.is_sufficient() && now + fleet.typical(&self.route) >= self.timing.cutoff;
         if unhedged
+            && !self.caution.is_suspected()
             && !futile
             && self.may_retry(index, fleet, now)
             && self.send(index, fleet, entropy, now)
@@ -250,7 +262,7 @@
             return;
         };
         pending.state.running = pending.state.running.saturating_sub(1);
-        if pending.state.running == 0 {
+        if pending.state.running == 0 && !self.park(index) {
             self.send_first(index, fleet, entropy, now);
         }
     }
--- a/crates/fireflyspool/src/forward/exchange_sends.rs
+++ b/crates/fireflyspool/src/forward/exchange_sends.rs
@@ -53,13 +53,23 @@
             return;
         }
         pending.state.wake_at = None;
+        let idle = pending.state.running == 0;
+        if idle && self.park(index) {
+            return;
+        }
+        let Some(pending) = self.sub_requests[index].pending_mut() else {
+            return;
+        };
         if pending.state.retry_pending {
             self.retry_rejected(index, fleet, entropy, now);
         } else if pending.state.running == 0 {
             self.send_first(index, fleet, entropy, now);
         } else {
             self.report_overdue(index, fleet, now);
-            if self.may_retry(index, fleet, now) && self.send(index, fleet, entropy, now) {
+            if !self.caution.is_suspected()
+                && self.may_retry(index, fleet, now)
+                && self.send(index, fleet, entropy, now)
+            {
                 self.hedges += 1;
             }
         }
@@ -80,9 +90,12 @@
         let Some(pending) = self.sub_requests[index].pending_mut() else {
             return;
         };
-        if pending.state.running > 0 {
+        if pending.state.running > 0 || self.park(index) {
             return;
         }
+        let Some(pending) = self.sub_requests[index].pending_mut() else {
+            return;
+        };
         if pending.state.ran == 0 {
             pending.state.retry_pending = true;
             pending.state.wake_at = Some(now + REJECTION_WAIT);
@@ -150,6 +163,8 @@
             token: picked.token,
             index,
             server: picked.server.clone(),
+            born: picked.born,
+            probe: false,
             sent: now,
             written: false,
             overdue: false,
--- a/crates/fireflyspool/src/forward/failed.rs
+++ b/crates/fireflyspool/src/forward/failed.rs
@@ -9,6 +9,8 @@
     pub(super) tried: Vec<ids::ServerName>,
     /// Whether an attempt may have run.
     pub(super) ran: bool,
+    /// Whether a server crashed during an attempt.
+    pub(super) crashed: bool,
     /// Whether nothing was sent, to reduce the load of a saturated service.
     pub(super) skipped: bool,
     /// Last unsuccessful response of a backend server.
--- a/crates/fireflyspool/src/forward/group.rs
+++ b/crates/fireflyspool/src/forward/group.rs
@@ -15,6 +15,8 @@
     pub cutoff: time::Instant,
     /// When attempts time out.
     pub deadline: time::Instant,
+    /// Content of the request.
+    pub content: ids::Fingerprint,
     /// Most records in the answer; the greatest ones are kept.
     pub top_k: usize,
     /// One service for each shard.
--- a/crates/fireflyspool/src/forward/missing_shard.rs
+++ b/crates/fireflyspool/src/forward/missing_shard.rs
@@ -14,4 +14,7 @@
     pub running: bool,
     /// Whether an attempt may have run.
     pub ran: bool,
+    /// Whether a server crashed during an attempt, or may crash under the content.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub crashed: bool,
 }
--- a/crates/fireflyspool/src/forward/mod.rs
+++ b/crates/fireflyspool/src/forward/mod.rs
@@ -21,6 +21,12 @@
 //! query them. A [`GroupAnswer`] has their records merged. The VM that delegates hedges and
 //! retries the shards that an answer lacks; [`crate::fleet`] decides what goes where.
 //!
+//! # Contents that crash servers
+//!
+//! If a server crashes during an attempt and none has responded yet, the request itself may be
+//! the cause. Nothing is hedged or retried then before a server responds; [`crate::containment`]
+//! decides which contents are refused.
+//!
 //! # Partial answers
 //!
 //! A query that has enough shards is answered shortly before its latency
@@ -34,8 +40,10 @@
 mod any_sub_request;
 mod attempt;
 mod attempt_end;
+mod caution;
 mod delegation;
 mod exchange;
+mod exchange_caution;
 mod exchange_ends;
 mod exchange_gathering;
 mod exchange_groups;
--- a/crates/fireflyspool/src/forward/pending.rs
+++ b/crates/fireflyspool/src/forward/pending.rs
@@ -22,6 +22,10 @@
     pub(super) skipped: bool,
     /// Whether the decision to retry a rejected attempt is pending.
     pub(super) retry_pending: bool,
+    /// Whether it waits for the response of a server to another attempt of the content.
+    pub(super) parked: bool,
+    /// Whether a server crashed during an attempt.
+    pub(super) crashed: bool,
     /// Since when no backend server is free for a first attempt.
     pub(super) queued_since: Option<time::Instant>,
 }
--- a/crates/fireflyspool/src/forward/sub_request.rs
+++ b/crates/fireflyspool/src/forward/sub_request.rs
@@ -44,6 +44,7 @@
             state: forward::Failed {
                 tried: self.state.tried,
                 ran: self.state.ran > 0,
+                crashed: self.state.crashed,
                 skipped: self.state.skipped,
                 failure,
             },
--- a/crates/fireflyspool/src/hub/batch.rs
+++ b/crates/fireflyspool/src/hub/batch.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use crate::{hub, ids, registry};
+use crate::{containment, hub, ids, registry};
 
 /// Changes that the receiver lacks, with a heartbeat of the sender.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,6 +25,9 @@
     /// Outliers that entry VMs reported to the sender.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub outliers: Vec<ids::ServerName>,
+    /// Contents that crash servers, with what the receiver has not acknowledged.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub contents: Vec<containment::Record>,
     /// Entry VMs that follow the sender and that the receiver does not know as they are;
     /// empty in batches sent ahead of the interval.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/crates/fireflyspool/src/hub/covered.rs
+++ b/crates/fireflyspool/src/hub/covered.rs
@@ -7,6 +7,8 @@
 pub(super) struct Covered {
     /// Position in the changes of backend servers.
     pub(super) position: ids::ChangePosition,
+    /// Position in the contents that crash servers.
+    pub(super) contents: u64,
     /// Revision of the followers; `None` if the batch lists none.
     pub(super) followers: Option<ids::Revision>,
 }
--- a/crates/fireflyspool/src/hub/follow_reply.rs
+++ b/crates/fireflyspool/src/hub/follow_reply.rs
@@ -1,6 +1,6 @@
 //! Reply to the poll of an entry VM.
 
-use crate::{configuration, hub, ids, registry};
+use crate::{configuration, containment, hub, ids, registry};
 
 /// Changes that an entry VM lacks, and the current state of its hub.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,6 +28,12 @@
     /// All backend servers on the list of outliers, ascending; empty if the poll wants no records.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub outliers: Vec<ids::ServerName>,
+    /// Position in the hub's contents that crash servers.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub content_position: u64,
+    /// Those that changed since the position of the poll, or all like `changes`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub contents: Vec<containment::Record>,
     /// Number of live, ready entry VMs.
     pub members: usize,
     /// Entry VMs to which the polling one may delegate, preferred ones first; absent if their
@@ -39,3 +45,7 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub hubs: Option<Vec<hub::HubInfo>>,
 }
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
--- a/crates/fireflyspool/src/hub/follow_request.rs
+++ b/crates/fireflyspool/src/hub/follow_request.rs
@@ -1,6 +1,6 @@
 //! Poll of an entry VM.
 
-use crate::{hub, ids};
+use crate::{containment, hub, ids};
 
 /// Heartbeat of an entry VM with the versions that it holds, so that the hub sends only
 /// what it lacks.
@@ -22,6 +22,12 @@
     pub revision: ids::Revision,
     /// Revision of its list of outliers.
     pub outlier_revision: u64,
+    /// Position in the hub's contents that crash servers; 0 if it has none of them.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub content_position: u64,
+    /// Contents that crash servers, which the hub may lack.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub contents: Vec<containment::Record>,
     /// [`hub::HubInfo::checksum`] of its list of control VMs. Earlier releases send their
     /// number, which matches no checksum but that of an empty list.
     pub hubs: u64,
@@ -38,3 +44,7 @@
 fn wants_records() -> bool {
     true
 }
+
+fn is_zero(value: &u64) -> bool {
+    *value == 0
+}
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::{configuration, hub, ids, registry, sorted};
+use crate::{configuration, containment, hub, ids, registry, sorted};
 
 /// Tracks backend servers and entry VMs for one control VM and exchanges changes with
 /// the other hubs.
@@ -22,6 +22,8 @@
     pub(super) behind_since: Option<time::Instant>,
     /// Backend servers that entry VMs found slow or failing.
     pub(super) outliers: hub::outliers::Outliers,
+    /// Contents under which backend servers crashed.
+    pub(super) contents: containment::Ledger,
     pub(super) pending_polls: Vec<hub::pending_poll::PendingPoll>,
     pub(super) pending_departures: Vec<hub::pending_departure::PendingDeparture>,
     pub(super) published: hub::AddressBook,
@@ -43,6 +45,7 @@
             zones: hub::ZonesOut::default(),
             behind_since: None,
             outliers: hub::outliers::Outliers::default(),
+            contents: containment::Ledger::default(),
             pending_polls: Vec::new(),
             pending_departures: Vec::new(),
             published: hub::AddressBook::default(),
@@ -101,6 +104,18 @@
                 hub::Symptom::Leaving { born } => {
                     self.registry.mark_leaving(&server, born, now);
                 }
+                hub::Symptom::Crashed {
+                    born,
+                    content,
+                    probe,
+                } => {
+                    let crash = containment::Crash {
+                        server,
+                        born,
+                        probe,
+                    };
+                    self.contents.add(content, crash, now);
+                }
                 symptom => self.outliers.report(server, symptom, now),
             }
         }
@@ -141,6 +156,7 @@
         self.registry.expire(now);
         self.outliers.expire(now);
         self.outliers.publish(now);
+        self.contents.expire(now);
         self.track_lag(now);
         self.exchange_due(now);
         self.acknowledge_due(now);
--- a/crates/fireflyspool/src/hub/hub_followers.rs
+++ b/crates/fireflyspool/src/hub/hub_followers.rs
@@ -9,7 +9,15 @@
 
 impl hub::Hub {
     /// Handles the poll of an entry VM; [`hub::Action::Reply`] with the ticket answers it.
-    pub fn follow(&mut self, ticket: ids::Ticket, request: hub::FollowRequest, now: time::Instant) {
+    pub fn follow(
+        &mut self,
+        ticket: ids::Ticket,
+        mut request: hub::FollowRequest,
+        now: time::Instant,
+    ) {
+        for record in std::mem::take(&mut request.contents) {
+            self.contents.merge(record, now);
+        }
         self.update_member(request.member.clone(), now, true);
         let deadline = now + self.config.poll_hold;
         self.pending_polls.push(hub::pending_poll::PendingPoll {
@@ -67,6 +75,7 @@
         request.incarnation != self.own.incarnation
             || request.position != self.registry.position()
             || request.outlier_revision != self.outliers.revision()
+            || request.content_position != self.contents.position()
             || self.version() > request.version
             || self.zones.revision > request.revision
     }
@@ -86,6 +95,11 @@
             true => self.outliers.listed().to_vec(),
             false => Vec::new(),
         };
+        let contents = match (known, request.records) {
+            (true, _) => self.contents.since(request.content_position, now),
+            (false, true) => self.contents.since(0, now),
+            (false, false) => Vec::new(),
+        };
         let lacking = |document: &&configuration::Document| document.version > request.version;
         let suspended = request.suspended.iter();
         let confirmations = suspended
@@ -107,6 +121,8 @@
             confirmations,
             outlier_revision: self.outliers.revision(),
             outliers,
+            content_position: self.contents.position(),
+            contents,
             members: self.published.members.len(),
             delegates,
             hubs: (request.records && !known || hub::HubInfo::checksum(&hubs) != request.hubs)
--- a/crates/fireflyspool/src/hub/hub_peers.rs
+++ b/crates/fireflyspool/src/hub/hub_peers.rs
@@ -31,6 +31,9 @@
         for server in batch.outliers {
             self.outliers.merge_listed(server, now);
         }
+        for record in batch.contents {
+            self.contents.merge(record, now);
+        }
         let time_before = |age_ms| {
             let age = time::Duration::from_millis(age_ms);
             now.checked_sub(age).unwrap_or(now)
@@ -74,6 +77,8 @@
             peer.incarnation = Some(ack.incarnation);
             let covered_position = covered.map_or(0, |covered| covered.position);
             peer.acked = peer.acked.max(covered_position);
+            let covered_contents = covered.map_or(0, |covered| covered.contents);
+            peer.acked_contents = peer.acked_contents.max(covered_contents);
             let covered_followers = covered.and_then(|covered| covered.followers);
             if ack.sightings {
                 peer.followers = peer.followers.max(covered_followers);
@@ -82,6 +87,7 @@
             // The peer restarted and holds only what the last batch carried.
             peer.incarnation = Some(ack.incarnation);
             peer.acked = 0;
+            peer.acked_contents = 0;
             peer.followers = None;
             peer.regular_sent = None;
         }
@@ -91,8 +97,9 @@
         let position = self.registry.position();
         let interval = self.config.exchange_interval;
         let ready = |peer: &hub::peer::Peer| {
-            let behind =
-                peer.acked < position || peer.sent_outliers != self.outliers.own_revision();
+            let behind = peer.acked < position
+                || peer.acked_contents < self.contents.position()
+                || peer.sent_outliers != self.outliers.own_revision();
             let urgent = behind && peer.is_reachable(self.config.peer_timeout, now);
             peer.may_send(now) && (urgent || peer.due(interval).is_none_or(|due| due <= now))
         };
@@ -129,11 +136,13 @@
             .collect();
         peer.in_flight = Some(hub::covered::Covered {
             position: changes.position,
+            contents: self.contents.position(),
             followers: regular.then_some(self.follower_revision),
         });
         if regular {
             peer.regular_sent = Some(now);
         }
+        let contents = self.contents.since(peer.acked_contents, now);
         peer.sent_outliers = self.outliers.own_revision();
         let batch = hub::Batch {
             from: self.own.clone(),
@@ -142,6 +151,7 @@
             records: changes.records,
             refreshes,
             outliers: self.outliers.own(),
+            contents,
             members,
             member_sightings,
         };
--- a/crates/fireflyspool/src/hub/outliers.rs
+++ b/crates/fireflyspool/src/hub/outliers.rs
@@ -98,8 +98,8 @@
                     self.servers.remove(&server);
                 }
             }
-            // The registry records departures.
-            hub::Symptom::Leaving { .. } => {}
+            // The registry records departures, the ledger of contents crashes.
+            hub::Symptom::Leaving { .. } | hub::Symptom::Crashed { .. } => {}
         }
     }
 
--- a/crates/fireflyspool/src/hub/peer.rs
+++ b/crates/fireflyspool/src/hub/peer.rs
@@ -19,6 +19,8 @@
     pub(super) incarnation: Option<ids::Incarnation>,
     /// Position up to which the peer has acknowledged the changes.
     pub(super) acked: ids::ChangePosition,
+    /// Position up to which the peer has acknowledged the contents that crash servers.
+    pub(super) acked_contents: u64,
     /// What the batch in flight covers; `None` if no batch is in flight.
     pub(super) in_flight: Option<hub::covered::Covered>,
     /// Revision of the own followers up to which the peer has their records; `None` if it
--- a/crates/fireflyspool/src/hub/symptom.rs
+++ b/crates/fireflyspool/src/hub/symptom.rs
@@ -13,6 +13,15 @@
     Failed,
     /// An attempt after a reported one was answered in the usual time.
     Recovered,
+    /// The server ended during an attempt to which nothing else has responded.
+    Crashed {
+        /// Start time of the incarnation that ended.
+        born: ids::BornMillis,
+        /// Content of the request.
+        content: ids::Fingerprint,
+        /// Whether the attempt was a probe of that content.
+        probe: bool,
+    },
     /// The server stated in a response that it leaves.
     Leaving {
         /// Start time of the incarnation that leaves.
--- a/crates/fireflyspool/src/lib.rs
+++ b/crates/fireflyspool/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod cli;
 pub mod configuration;
 pub mod consensus;
+pub mod containment;
 pub mod control;
 pub mod directory;
 pub mod dispatch;
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -35,6 +35,7 @@
     request: forward::Request,
     route: sync::Arc<configuration::Route>,
     message: sync::Arc<node::Message>,
+    content: ids::Fingerprint,
     attempts: stream::FuturesUnordered<future::BoxFuture<'static, Ended>>,
     /// Service, backend server and start in milliseconds of each attempt, for the log.
     send_log: String,
@@ -70,6 +71,7 @@
             view,
             request,
             route,
+            content: message.fingerprint(),
             message: sync::Arc::new(message),
             attempts: stream::FuturesUnordered::new(),
             send_log: String::new(),
@@ -92,7 +94,8 @@
             let mut fleet = self.forwarding.updated_fleet(&self.view);
             let route = sync::Arc::clone(&self.route);
             let now = time::Instant::now();
-            forward::Exchange::start(route, timing, &mut fleet, rand::random(), now)
+            let entropy = rand::random();
+            forward::Exchange::start(route, self.content, timing, &mut fleet, entropy, now)
         };
         self.execute(actions);
         while self.outcome.is_none() && !exchange.is_finished() {
@@ -171,7 +174,9 @@
         match ended {
             Ended::Attempt(attempt, end) => {
                 let mut fleet = self.forwarding.fleet();
-                exchange.attempt_ended(attempt, end, &mut fleet, entropy, now)
+                let actions = exchange.attempt_ended(attempt, end, &mut fleet, entropy, now);
+                self.forwarding.report_observations(&mut fleet);
+                actions
             }
             Ended::Group(attempt, progress, guard) => {
                 // The guard locks the fleet, so this comes first.
@@ -309,7 +314,7 @@
     /// Records the outcome, and lets attempts go on for [`LATE_ATTEMPT_TIMEOUT`].
     ///
     /// This takes place in a task of its own, so that the answer is written first.
-    fn finish(self, exchange: forward::Exchange, outcome: &forward::Outcome) {
+    fn finish(self, mut exchange: forward::Exchange, outcome: &forward::Outcome) {
         let elapsed = self.received.elapsed();
         let label = outcome.label();
         let gathered = matches!(outcome, forward::Outcome::Gathered { .. });
@@ -326,6 +331,7 @@
                 let delay = self.event_at.elapsed();
                 self.forwarding.answer_delay.record(delay);
             }
+            self.end_caution(&mut exchange);
             exchange.report_sub_requests(&mut self.forwarding.fleet(), time::Instant::now());
             self.log_outcome(&exchange, label, (status, missing), elapsed);
             self.end_late().await;
@@ -334,13 +340,14 @@
 
     /// Records the last answer to a group, which lacks `missing` shards, like
     /// [`Self::finish`]; the VM that delegated the group records which services answered.
-    pub(super) fn finish_group(self, exchange: forward::Exchange, missing: usize) {
+    pub(super) fn finish_group(self, mut exchange: forward::Exchange, missing: usize) {
         let elapsed = self.received.elapsed();
         tokio::spawn(async move {
+            self.end_caution(&mut exchange);
             slog::info!(self.forwarding.process.logger, "group answered";
                 "request" => &self.request.id, "route" => &self.route.name,
-                "missing" => missing,
-                "elapsed_us" => node::forwarding::micros(elapsed),
+                "missing" => missing, "content" => self.content,
+                "caution" => exchange.caution(), "elapsed_us" => node::forwarding::micros(elapsed),
                 "retries" => exchange.retries(), "open" => ?exchange.pending_services(),
                 "wake_lag_us" => node::forwarding::micros(self.wake_lag),
                 "sends" => self.send_log.trim_end(), "view" => self.view.generation);
@@ -348,6 +355,13 @@
         });
     }
 
+    /// Reports the crashes that the exchange has seen and not reported.
+    fn end_caution(&self, exchange: &mut forward::Exchange) {
+        let mut fleet = self.forwarding.fleet();
+        exchange.end_caution(&mut fleet, time::Instant::now());
+        self.forwarding.report_observations(&mut fleet);
+    }
+
     /// Lets attempts go on for [`LATE_ATTEMPT_TIMEOUT`].
     async fn end_late(mut self) {
         if self.attempts.is_empty() {
@@ -378,12 +392,15 @@
         let metrics = &self.forwarding.metrics;
         telemetry::Metrics::count(&metrics.outcomes, label);
         metrics.observe(&self.route.name, elapsed);
+        if exchange.is_refused_content() {
+            telemetry::Metrics::count(&metrics.refusals, "content crashes servers");
+        }
         let caller_timeout = request.timeout.map_or(0, |timeout| timeout.as_millis());
         let age = view.confirmed.map_or(0, |at| at.elapsed().as_millis());
         slog::info!(self.forwarding.process.logger, "request answered";
             "request" => &request.id, "route" => &self.route.name,
             "outcome" => label, "status" => status, "missing" => missing,
-            "content" => self.message.fingerprint(),
+            "content" => self.content, "caution" => exchange.caution(),
             "elapsed_us" => node::forwarding::micros(elapsed), "hedges" => exchange.hedges(),
             "retries" => exchange.retries(), "open" => ?exchange.pending_services(),
             "caller_timeout_ms" => u64::try_from(caller_timeout).unwrap_or(u64::MAX),
--- a/crates/fireflyspool/src/rim/group_wire.rs
+++ b/crates/fireflyspool/src/rim/group_wire.rs
@@ -28,6 +28,9 @@
     cutoff_us: u64,
     /// Time until the attempts time out.
     deadline_us: u64,
+    /// 0 in requests of earlier releases.
+    #[serde(default)]
+    content: ids::Fingerprint,
     top_k: usize,
     services: Vec<ids::ServiceName>,
 }
@@ -42,6 +45,7 @@
             objective_us: micros(group.objective),
             cutoff_us: left(group.cutoff),
             deadline_us: left(group.deadline),
+            content: group.content,
             top_k: group.top_k,
             services: group.services.clone(),
         }
@@ -60,6 +64,7 @@
             objective: limited(self.objective_us),
             cutoff: now + limited(self.cutoff_us),
             deadline: now + limited(self.deadline_us),
+            content: self.content,
             top_k: self.top_k,
             services: self.services,
         }
--- a/crates/fireflyspool/tests/crashing_requests.rs
+++ b/crates/fireflyspool/tests/crashing_requests.rs
@@ -98,6 +98,7 @@
     /// Checks how many repeats reached servers after the content could be known.
     async fn check_late_repeats(&self) {
         let crashes = self.crashes().await;
+        println!("{} servers crashed", crashes.len());
         let Some((_, known)) = crashes.get(KNOWN_CRASHES - 1) else {
             return;
         };
--- a/crates/fireflyspool/tests/follow.rs
+++ b/crates/fireflyspool/tests/follow.rs
@@ -28,6 +28,8 @@
         },
         confirmations: Vec::new(),
         outlier_revision: 0,
+        content_position: 0,
+        contents: Vec::new(),
         outliers: Vec::new(),
         members: 1,
         delegates: None,
--- a/crates/fireflyspool/tests/forward.rs
+++ b/crates/fireflyspool/tests/forward.rs
@@ -4,6 +4,9 @@
 
 use fireflyspool::{backend, configuration, fleet, forward, registry};
 
+/// Fingerprint of the requests.
+const CONTENT: u64 = 7;
+
 const OBJECTIVE: time::Duration = time::Duration::from_millis(100);
 
 fn success(body: &[u8]) -> forward::AttemptEnd {
@@ -106,7 +109,8 @@
         };
         let timing = forward::Timing::new(&route, caller_timeout, answer_delay, now);
         let shared = sync::Arc::new(route.clone());
-        let (exchange, actions) = forward::Exchange::start(shared, timing, &mut fleet, 1, now);
+        let (exchange, actions) =
+            forward::Exchange::start(shared, CONTENT, timing, &mut fleet, 1, now);
         let mut harness = Self {
             fleet,
             view,
@@ -494,7 +498,7 @@
         let route = sync::Arc::new(self.route.clone());
         let timing = forward::Timing::new(&route, None, time::Duration::ZERO, self.now);
         let (exchange, actions) =
-            forward::Exchange::start(route, timing, &mut self.fleet, 1, self.now);
+            forward::Exchange::start(route, CONTENT, timing, &mut self.fleet, 1, self.now);
         (self.exchange, self.outcome) = (exchange, None);
         self.sends.clear();
         self.start = self.now;
--- a/crates/fireflyspool/tests/group_call.rs
+++ b/crates/fireflyspool/tests/group_call.rs
@@ -63,6 +63,7 @@
             objective: timeout,
             cutoff: now + timeout,
             deadline: now + timeout,
+            content: 7,
             top_k: 2,
             services: (0..SHARDS).map(|shard| format!("shard{shard}")).collect(),
         },
--- a/crates/fireflyspool/tests/groups.rs
+++ b/crates/fireflyspool/tests/groups.rs
@@ -5,6 +5,9 @@
 
 use fireflyspool::{configuration, fleet, forward, hub, ids, registry};
 
+/// Fingerprint of the requests.
+const CONTENT: u64 = 7;
+
 const OBJECTIVE: time::Duration = time::Duration::from_millis(100);
 
 /// Most records in an answer; fewer than the shards of the tests have together.
@@ -70,6 +73,7 @@
             tried: vec![format!("{}-b", group.services[position])],
             running: true,
             ran: true,
+            crashed: false,
         });
     forward::GroupAnswer {
         missing: missing.collect(),
@@ -181,7 +185,7 @@
         let timing = forward::Timing::new(&route, None, time::Duration::ZERO, self.now);
         let route = sync::Arc::new(route);
         let (exchange, actions) =
-            forward::Exchange::start(route, timing, &mut self.fleet, 1, self.now);
+            forward::Exchange::start(route, CONTENT, timing, &mut self.fleet, 1, self.now);
         self.run(exchange, actions);
     }
 
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -51,6 +51,8 @@
         version: 0,
         revision: 0,
         outlier_revision: 0,
+        content_position: 0,
+        contents: Vec::new(),
         hubs: 0,
         delegates: None,
         suspended: Vec::new(),
