Limit the cold phase that a backend server can report

Another operator's machines ended, or stopped following the list of servers, after one odd entry among those of the searchers. Here a heartbeat with a finite but huge WarmupLeftMs overflowed the clock in Registry::merge: the control thread of the hub that got it panicked, and that VM answered nothing any more while its process ran.

--- a/crates/fireflyspool/src/registry/registry.rs
+++ b/crates/fireflyspool/src/registry/registry.rs
@@ -12,6 +12,9 @@
 /// does not revive one that is gone.
 const TOMBSTONE_LIFETIME: time::Duration = time::Duration::from_secs(600);
 
+/// Longest cold phase; a report may state any number.
+const MAX_COLD: time::Duration = time::Duration::from_secs(24 * 3_600);
+
 /// Added to the reported end of the cold phase to allow for message delays.
 const COLD_MARGIN: time::Duration = time::Duration::from_millis(150);
 
@@ -60,7 +63,7 @@
         }
         let cold_until = match report.cold_left.is_zero() {
             true => reported_at,
-            false => reported_at + report.cold_left + COLD_MARGIN,
+            false => reported_at + report.cold_left.min(MAX_COLD) + COLD_MARGIN,
         };
         let incoming = entry::Entry {
             reported_at,
