--- a/crates/fireflyspool/tests/simulation/mem_disk.rs
+++ b/crates/fireflyspool/tests/simulation/mem_disk.rs
@@ -40,6 +40,11 @@
         self.content().fail_after = operations;
     }
 
+    /// Removes all files, as before a folder is made anew.
+    pub(crate) fn clear(&self) {
+        self.content().names.clear();
+    }
+
     /// Applies a crash; `cut` chooses how much of a torn tail is left.
     pub(crate) fn crash(&self, tail: Tail, cut: u64) {
         let mut content = self.content();
