Bound what contents that crash servers cost in control traffic

Only failed probes are passed on at once. Other crashes wait for the next regular poll and batch, a VM adds four contents without a failed probe a second, and reports no crash that changes no verdict. Servers that end under many contents at a time do not end for the contents, and a content that does end them meets a probe at its first return.

--- a/crates/fireflyspool/src/containment/ledger.rs
+++ b/crates/fireflyspool/src/containment/ledger.rs
@@ -8,6 +8,12 @@
 /// Most contents kept; the one that would be forgotten first makes room.
 const MAX_SUSPECTS: usize = 256;
 
+/// Most contents without a failed probe that are added in [`ADMISSION_INTERVAL`]. If servers
+/// end under many contents at a time, it is not for the contents; and VMs tell each other of
+/// each one.
+const MAX_ADMISSIONS: usize = 4;
+const ADMISSION_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 /// Largest part of a refusal by which a VM prolongs it. VMs of a site prolong it by different
 /// parts, so that the first one that probes tells the others of the result.
 const MAX_DELAY: time::Duration = time::Duration::from_secs(30);
@@ -17,6 +23,10 @@
 pub struct Ledger {
     suspects: sorted::SortedMap<ids::Fingerprint, suspect::Suspect>,
     position: u64,
+    /// Position of the latest change of a content with a failed probe.
+    urgent: u64,
+    /// When contents without a failed probe were added lately.
+    admitted: Vec<time::Instant>,
 }
 
 impl Ledger {
@@ -25,6 +35,11 @@
         self.position
     }
 
+    /// Position of the latest change that others need at once: a probe has failed.
+    pub fn urgent_position(&self) -> u64 {
+        self.urgent
+    }
+
     /// Whether no crash is known.
     pub fn is_empty(&self) -> bool {
         self.suspects.is_empty()
@@ -102,6 +117,17 @@
             .retain(|_, suspect| now < suspect.forgotten_at());
     }
 
+    /// Whether one more content without a failed probe may be added now.
+    fn admit(&mut self, now: time::Instant) -> bool {
+        let age = |at: &time::Instant| now.saturating_duration_since(*at);
+        self.admitted.retain(|at| age(at) < ADMISSION_INTERVAL);
+        let admitted = self.admitted.len() < MAX_ADMISSIONS;
+        if admitted {
+            self.admitted.push(now);
+        }
+        admitted
+    }
+
     fn add_all(
         &mut self,
         content: ids::Fingerprint,
@@ -110,6 +136,7 @@
         now: time::Instant,
     ) -> bool {
         let known = self.suspects.get(&content).cloned();
+        let is_new = known.is_none();
         let mut suspect = known.unwrap_or_else(|| suspect::Suspect::new(noticed));
         let mut changed = false;
         for crash in crashes {
@@ -118,8 +145,15 @@
         if !changed || suspect.forgotten_at() <= now {
             return false;
         }
+        let is_probed = suspect.is_probed();
+        if is_new && !is_probed && !self.admit(now) {
+            return false;
+        }
         self.position += 1;
         suspect.changed = self.position;
+        if is_probed {
+            self.urgent = self.position;
+        }
         self.suspects.insert(content, suspect);
         if self.suspects.len() > MAX_SUSPECTS {
             let first = self.suspects.iter().min_by_key(|(_, s)| s.forgotten_at());
--- a/crates/fireflyspool/src/containment/mod.rs
+++ b/crates/fireflyspool/src/containment/mod.rs
@@ -15,6 +15,10 @@
 //! A verdict is a function of a set of crashes, and ledgers merge by the union of their sets, so
 //! it does not matter on which way and in which order VMs learn of them. Entry VMs record what
 //! their attempts see and tell a control VM; control VMs tell each other and all entry VMs.
+//! What a failed probe adds is passed on at once; other crashes wait for the next regular
+//! message, and few contents are added in a second, so that the loss of many servers causes few
+//! messages.
+//!
 //! Nothing is durable: the ledger of a VM that restarts is filled by the others.
 
 mod crash;
--- a/crates/fireflyspool/src/containment/suspect.rs
+++ b/crates/fireflyspool/src/containment/suspect.rs
@@ -17,9 +17,12 @@
 const FIRST_REFUSAL: time::Duration = time::Duration::from_secs(60);
 const REFUSAL_FACTOR: u32 = 10;
 
-/// Time after the last refusal, or the last crash, after which a content is forgotten.
+/// Time after the last refusal after which a content is forgotten.
 const RETENTION: time::Duration = time::Duration::from_secs(600);
 
+/// Time after the last crash after which a content is forgotten that no probe speaks against.
+const UNPROBED_RETENTION: time::Duration = time::Duration::from_secs(60);
+
 /// Crashes under one content.
 #[derive(Clone, Debug)]
 pub(super) struct Suspect {
@@ -75,6 +78,14 @@
 
     /// When the content is forgotten.
     pub(super) fn forgotten_at(&self) -> time::Instant {
-        self.refused_until().unwrap_or(self.latest) + RETENTION
+        match self.is_probed() {
+            true => self.refused_until().unwrap_or(self.latest) + RETENTION,
+            false => self.latest + UNPROBED_RETENTION,
+        }
+    }
+
+    /// Whether a server ended during a probe.
+    pub(super) fn is_probed(&self) -> bool {
+        self.crashes.iter().any(|crash| crash.probe)
     }
 }
--- a/crates/fireflyspool/src/fleet/fleet_suspects.rs
+++ b/crates/fireflyspool/src/fleet/fleet_suspects.rs
@@ -31,7 +31,7 @@
         self.suspects.clear(content);
     }
 
-    /// Records a crash under a content, also for the control VMs.
+    /// Records a crash under a content; the control VMs are told if it may change a verdict.
     pub fn record_crash(
         &mut self,
         content: ids::Fingerprint,
@@ -43,7 +43,9 @@
             content,
             probe: crash.probe,
         };
-        self.observations.add(&crash.server, symptom, now);
-        self.suspects.add(content, crash, now);
+        let server = crash.server.clone();
+        if self.suspects.add(content, crash, now) {
+            self.observations.add(&server, symptom, now);
+        }
     }
 }
--- a/crates/fireflyspool/src/fleet/suspects.rs
+++ b/crates/fireflyspool/src/fleet/suspects.rs
@@ -30,14 +30,14 @@
         self.probes.retain(|_, until| now < *until);
     }
 
-    /// Adds a crash that this VM noticed.
+    /// Adds a crash that this VM noticed; returns whether that may change a verdict.
     pub(super) fn add(
         &mut self,
         content: ids::Fingerprint,
         crash: containment::Crash,
         now: time::Instant,
-    ) {
-        self.ledger.add(content, crash, now);
+    ) -> bool {
+        self.ledger.add(content, crash, now)
     }
 
     /// Decision on a new request.
--- a/crates/fireflyspool/src/follow/follower.rs
+++ b/crates/fireflyspool/src/follow/follower.rs
@@ -79,17 +79,20 @@
         &self.view
     }
 
-    /// Records a crash that an attempt of this VM has seen, for the view and the next polls.
+    /// Records a crash that an attempt of this VM has seen, for the view and the next polls;
+    /// returns whether it may change a verdict.
     pub fn note_crash(
         &mut self,
         content: ids::Fingerprint,
         crash: containment::Crash,
         now: time::Instant,
-    ) {
+    ) -> bool {
         let ledger = sync::Arc::make_mut(&mut self.view.contents);
-        if ledger.add(content, crash, now) {
+        let changed = ledger.add(content, crash, now);
+        if changed {
             self.contents.note(content);
         }
+        changed
     }
 
     /// Has the next poll, due now, report that callers must no longer be sent to this VM.
--- a/crates/fireflyspool/src/hub/hub_followers.rs
+++ b/crates/fireflyspool/src/hub/hub_followers.rs
@@ -75,7 +75,7 @@
         request.incarnation != self.own.incarnation
             || request.position != self.registry.position()
             || request.outlier_revision != self.outliers.revision()
-            || request.content_position != self.contents.position()
+            || request.content_position < self.contents.urgent_position()
             || self.version() > request.version
             || self.zones.revision > request.revision
     }
--- a/crates/fireflyspool/src/hub/hub_peers.rs
+++ b/crates/fireflyspool/src/hub/hub_peers.rs
@@ -98,7 +98,7 @@
         let interval = self.config.exchange_interval;
         let ready = |peer: &hub::peer::Peer| {
             let behind = peer.acked < position
-                || peer.acked_contents < self.contents.position()
+                || peer.acked_contents < self.contents.urgent_position()
                 || peer.sent_outliers != self.outliers.own_revision();
             let urgent = behind && peer.is_reachable(self.config.peer_timeout, now);
             peer.may_send(now) && (urgent || peer.due(interval).is_none_or(|due| due <= now))
