--- a/crates/fireflyspool/tests/crashing_requests.rs
+++ b/crates/fireflyspool/tests/crashing_requests.rs
@@ -65,8 +65,8 @@
             }
         }
         Self {
-            site: site,
-            controls: controls,
+            site,
+            controls,
             _entries: entries,
             addresses,
             servers,
