Show that the departure of an unknown server is acknowledged and forgotten

Cause: a hub acknowledges the deregistration of a server that it does not know and keeps no trace of it, so a report that was sent before puts the server into service.

--- a/review/support/cases.rs
+++ b/review/support/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod early_departure;
 mod stale_order;
 
 use std::io;
@@ -16,6 +17,7 @@
 /// Plays a case; returns whether the rule held.
 pub fn play(name: &str, site: &site::Site, record: &record::Record, trouble: bool) -> io::Result<bool> {
     match name {
+        "early-departure" => early_departure::play(site, record, trouble),
         "stale-order" => stale_order::play(site, record, trouble),
         _ => Err(io::Error::other("unknown case")),
     }
