Show that control VMs whose disks were lost cannot rejoin

Cause: a control VM that joins asks the seeds and itself only and does not follow the hint that names the leader, so it never rejoins while the leader is no seed. Three disks lost one after the other, each within what is to be borne, take the majority for good.

--- a/review/support/cases.rs
+++ b/review/support/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod early_departure;
+mod lost_disks;
 mod stale_order;
 
 use std::io;
@@ -18,6 +19,7 @@
 pub fn play(name: &str, site: &site::Site, record: &record::Record, trouble: bool) -> io::Result<bool> {
     match name {
         "early-departure" => early_departure::play(site, record, trouble),
+        "lost-disks" => lost_disks::play(site, record, trouble),
         "stale-order" => stale_order::play(site, record, trouble),
         _ => Err(io::Error::other("unknown case")),
     }
--- a/review/support/site.rs
+++ b/review/support/site.rs
@@ -230,9 +230,28 @@
         Ok(())
     }
 
-    /// What the process of a VM has logged.
-    pub fn log(&self, vm: u8) -> String {
-        fs::read_to_string(self.folder.join(format!("{vm}.log"))).unwrap_or_default()
+    /// Control VM that leads, as far as the logs tell.
+    pub fn leader(&self) -> io::Result<u8> {
+        let elected = |vm: &u8| {
+            let log = fs::read_to_string(self.folder.join(format!("{vm}.log"))).unwrap_or_default();
+            let lines = log.lines().filter(|line| line.contains("\"role\":\"Leader\""));
+            let terms = lines.filter_map(|line| {
+                let term = line.split("\"term\":").nth(1)?;
+                let digits = term.split(|one: char| !one.is_ascii_digit()).next()?;
+                digits.parse::<u64>().ok()
+            });
+            terms.max()
+        };
+        let elected = |vm: u8| Some((elected(&vm)?, vm));
+        let newest = self.controls().into_iter().filter_map(elected).max();
+        let newest = newest.map(|(_, vm)| vm);
+        newest.ok_or_else(|| io::Error::other("no control VM leads"))
+    }
+
+    /// Removes the disk of a control VM that does not run.
+    pub fn lose_disk(&self, vm: u8) -> io::Result<()> {
+        self.record.note(format!("VM {vm} loses its disk"));
+        fs::remove_dir_all(self.folder.join(format!("data-{vm}")))
     }
 
     /// Ends all processes and removes the folder.
