Show that a request that crashes servers midway is sent to them without end

Cause: an attempt whose answer breaks off after its head never counts as a crash, so contents that crash servers while they answer are never suspected.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 set -uo pipefail
 cd "$(dirname "$0")"
 [ -x ../../target/review/cases ] || { echo "build.sh has not run" >&2; exit 2; }
-exec ../../target/review/cases early-departure .
+exec ../../target/review/cases crash-midway .
--- a/review/support/cases.rs
+++ b/review/support/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod crash_midway;
 mod early_departure;
 mod lost_disks;
 mod stale_order;
@@ -18,6 +19,7 @@
 /// Plays a case; returns whether the rule held.
 pub fn play(name: &str, site: &site::Site, record: &record::Record, trouble: bool) -> io::Result<bool> {
     match name {
+        "crash-midway" => crash_midway::play(site, record, trouble),
         "early-departure" => early_departure::play(site, record, trouble),
         "lost-disks" => lost_disks::play(site, record, trouble),
         "stale-order" => stale_order::play(site, record, trouble),
--- a/review/support/server.rs
+++ b/review/support/server.rs
@@ -22,13 +22,20 @@
     pub path: String,
 }
 
+/// Requests under which a server crashes: its process is gone for some seconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Crashing {
+    /// Part of the path that these requests have in common.
+    pub path: &'static str,
+    /// Whether the server crashes while it answers, not before.
+    pub midway: bool,
+}
+
 /// What a server does with a request that it has read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Behaviour {
-    /// Runs it and answers.
-    Serve,
-    /// Crashes: the process is gone for some seconds.
-    Crash,
+enum Reply {
+    Answer(Vec<u8>),
+    /// It crashes after these bytes.
+    Crash(Vec<u8>),
 }
 
 /// Time for which a crashed server is down.
@@ -54,8 +61,7 @@
     /// Grows with each crash, so that the threads of earlier connections end.
     life: AtomicU64,
     pub runs: Mutex<Vec<Run>>,
-    /// Path part that makes it crash.
-    crash_on: Option<&'static str>,
+    crash_on: Option<Crashing>,
 }
 
 /// Unix milliseconds.
@@ -71,7 +77,7 @@
         record: &record::Record,
         number: u8,
         (service, zone): (&str, &str),
-        crash_on: Option<&'static str>,
+        crash_on: Option<Crashing>,
     ) -> io::Result<Arc<Self>> {
         let server = Self::create(site, record, number, (service, zone), crash_on)?;
         let reporting = Arc::clone(&server);
@@ -92,7 +98,7 @@
         record: &record::Record,
         number: u8,
         (service, zone): (&str, &str),
-        crash_on: Option<&'static str>,
+        crash_on: Option<Crashing>,
     ) -> io::Result<Arc<Self>> {
         let address = site.server(number);
         let server = Arc::new(Self {
@@ -237,32 +243,45 @@
             if self.life.load(Ordering::Relaxed) != life {
                 return;
             }
-            let Some(answer) = self.answer(&message) else {
-                return;
-            };
-            if stream.write_all(&answer).is_err() {
-                return;
+            match self.answer(&message) {
+                Reply::Answer(answer) if stream.write_all(&answer).is_ok() => {}
+                Reply::Answer(_) => return,
+                Reply::Crash(bytes) => {
+                    // The connection may have been closed by the caller.
+                    let _ = stream.write_all(&bytes);
+                    thread::sleep(WORK);
+                    self.crash();
+                    return;
+                }
             }
         }
     }
 
-    /// Answer to a request; `None` if the server crashes.
-    fn answer(&self, message: &http::Message) -> Option<Vec<u8>> {
+    fn crash(&self) {
+        self.record.note(format!("{} crashes", self.name));
+        self.life.fetch_add(1, Ordering::Relaxed);
+        self.up.store(false, Ordering::Relaxed);
+        // The listener is closed before the connections are.
+        thread::sleep(time::Duration::from_millis(10));
+    }
+
+    /// Reply to a request.
+    fn answer(&self, message: &http::Message) -> Reply {
         let path = message.start.split(' ').nth(1).unwrap_or_default();
         if path == "/health" {
             let status = match self.draining.load(Ordering::Relaxed) {
                 true => "503 Service Unavailable",
                 false => "200 OK",
             };
-            return Some(response(status, &format!("X-Instance-Id: {}\r\n", self.name), b""));
+            return Reply::Answer(response(status, &format!("X-Instance-Id: {}\r\n", self.name), b""));
         }
         let Some(id) = message.header("x-request-id") else {
-            return Some(response("400 Bad Request", "X-Not-Executed: 1\r\n", b""));
+            return Reply::Answer(response("400 Bad Request", "X-Not-Executed: 1\r\n", b""));
         };
         let expected = message.header("x-expect-instance");
         if expected.is_some_and(|expected| expected != self.name) {
             let extra = format!("X-Request-Id: {id}\r\nX-Not-Executed: 1\r\n");
-            return Some(response("421 Misdirected Request", &extra, b""));
+            return Reply::Answer(response("421 Misdirected Request", &extra, b""));
         }
         let run = Run {
             at: time::Instant::now(),
@@ -273,18 +292,19 @@
         };
         self.record.note(format!("run {id} {path} at {} zone {}", self.name, self.zone));
         self.runs.lock().expect("the lock is not poisoned").push(run);
-        if self.crash_on.is_some_and(|part| path.contains(part)) {
-            self.record.note(format!("{} crashes", self.name));
-            self.life.fetch_add(1, Ordering::Relaxed);
-            self.up.store(false, Ordering::Relaxed);
-            // The listener is closed before the connections are.
-            thread::sleep(time::Duration::from_millis(10));
-            return None;
+        let stamp = format!("{}.{id}", self.service);
+        let extra =
+            format!("X-Request-Id: {id}\r\nX-Server-Stamp: {stamp}\r\nX-Server-Load: 1,0,4\r\n");
+        if let Some(crashing) = self.crash_on.filter(|crashing| path.contains(crashing.path)) {
+            let whole = response("200 OK", &extra, &[b'.'; 4_000]);
+            return Reply::Crash(match crashing.midway {
+                true => whole[..whole.len() / 2].to_vec(),
+                false => Vec::new(),
+            });
         }
         thread::sleep(WORK);
-        let stamp = format!("{}.{id}", self.service);
-        let extra = format!("X-Request-Id: {id}\r\nX-Server-Stamp: {stamp}\r\nX-Server-Load: 1,0,4\r\n");
-        Some(response("200 OK", &extra, format!("{id} at {}", self.name).as_bytes()))
+        let body = format!("{id} at {}", self.name);
+        Reply::Answer(response("200 OK", &extra, body.as_bytes()))
     }
 }
 
