Show that acknowledged departures are lost when all processes are killed

Cause: hubs keep departures in memory only; after a restart of all, a delayed liveness report puts the server into service again.

--- a/review/support/cases.rs
+++ b/review/support/cases.rs
@@ -2,6 +2,7 @@
 
 mod crash_midway;
 mod early_departure;
+mod lost_departure;
 mod lost_disks;
 mod stale_order;
 
@@ -21,6 +22,7 @@
     match name {
         "crash-midway" => crash_midway::play(site, record, trouble),
         "early-departure" => early_departure::play(site, record, trouble),
+        "lost-departure" => lost_departure::play(site, record, trouble),
         "lost-disks" => lost_disks::play(site, record, trouble),
         "stale-order" => stale_order::play(site, record, trouble),
         _ => Err(io::Error::other("unknown case")),
