--- a/review/support/cases.rs
+++ b/review/support/cases.rs
@@ -18,7 +18,12 @@
 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
 
 /// Plays a case; returns whether the rule held.
-pub fn play(name: &str, site: &site::Site, record: &record::Record, trouble: bool) -> io::Result<bool> {
+pub fn play(
+    name: &str,
+    site: &site::Site,
+    record: &record::Record,
+    trouble: bool,
+) -> io::Result<bool> {
     match name {
         "crash-midway" => crash_midway::play(site, record, trouble),
         "early-departure" => early_departure::play(site, record, trouble),
--- a/review/support/cases/crash_midway.rs
+++ b/review/support/cases/crash_midway.rs
@@ -30,7 +30,13 @@
     let mut servers = Vec::new();
     for number in 0..SERVERS {
         let zone = site::ZONES[usize::from(number) % site::ZONES.len()];
-        servers.push(server::Server::start(site, record, number, (SERVICE, zone), crashing)?);
+        servers.push(server::Server::start(
+            site,
+            record,
+            number,
+            (SERVICE, zone),
+            crashing,
+        )?);
     }
     site.await_ready(&site.entries(ENTRIES), time::Duration::from_secs(20))?;
     thread::sleep(time::Duration::from_secs(6));
--- a/review/support/cases/early_departure.rs
+++ b/review/support/cases/early_departure.rs
@@ -27,7 +27,13 @@
     let mut servers = Vec::new();
     for number in 0..SERVERS {
         let zone = site::ZONES[usize::from(number) % site::ZONES.len()];
-        servers.push(server::Server::start(site, record, number, (SERVICE, zone), None)?);
+        servers.push(server::Server::start(
+            site,
+            record,
+            number,
+            (SERVICE, zone),
+            None,
+        )?);
     }
     site.await_ready(&site.entries(ENTRIES), time::Duration::from_secs(20))?;
     thread::sleep(time::Duration::from_secs(5));
@@ -43,7 +49,10 @@
     let leaving = server::Server::create(site, record, SERVERS, (SERVICE, "a"), None)?;
     let started = time::Instant::now();
     let report = leaving.next_report();
-    record.note(format!("{} starts and sends its first report", leaving.name));
+    record.note(format!(
+        "{} starts and sends its first report",
+        leaving.name
+    ));
     if !trouble {
         leaving.deliver(&report, 1)?;
     }
--- a/review/support/cases/lost_departure.rs
+++ b/review/support/cases/lost_departure.rs
@@ -28,7 +28,13 @@
     let mut servers = Vec::new();
     for number in 0..SERVERS {
         let zone = site::ZONES[usize::from(number) % site::ZONES.len()];
-        servers.push(server::Server::start(site, record, number, (SERVICE, zone), None)?);
+        servers.push(server::Server::start(
+            site,
+            record,
+            number,
+            (SERVICE, zone),
+            None,
+        )?);
     }
     let entries = site.entries(ENTRIES);
     site.await_ready(&entries, time::Duration::from_secs(20))?;
@@ -46,7 +52,10 @@
     let before = leaving.runs().len();
     leaving.reports.store(false, Ordering::Relaxed);
     let report = leaving.next_report();
-    record.note(format!("{} sends its last report, which is delayed", leaving.name));
+    record.note(format!(
+        "{} sends its last report, which is delayed",
+        leaving.name
+    ));
     let vm = leaving.deregister();
     let acknowledged = time::Instant::now();
     let vm = vm.ok_or_else(|| io::Error::other("the departure was not acknowledged"))?;
--- a/review/support/cases/lost_disks.rs
+++ b/review/support/cases/lost_disks.rs
@@ -23,7 +23,8 @@
 pub fn play(site: &site::Site, record: &record::Record, trouble: bool) -> io::Result<bool> {
     site.start(1)?;
     let operator = operator::Operator { site, record };
-    let manifest = |version: u64| super::MANIFEST.replace("\"Version\":3", &format!("\"Version\":{version}"));
+    let manifest =
+        |version: u64| super::MANIFEST.replace("\"Version\":3", &format!("\"Version\":{version}"));
     let mut version = 3;
     operator.accepted("/fireflyspool/Config.Replace", &manifest(version), 1)?;
     site.await_ready(&site.entries(1), time::Duration::from_secs(20))?;
@@ -48,7 +49,11 @@
     record.note(format!("VM {leader} leads, which is not a seed"));
     for seed in SEEDS {
         version += 4;
-        operator.accepted("/fireflyspool/Config.Replace", &manifest(version), OTHERS[0])?;
+        operator.accepted(
+            "/fireflyspool/Config.Replace",
+            &manifest(version),
+            OTHERS[0],
+        )?;
         record.note(format!("version {version} is acknowledged"));
         site.kill(&[seed]);
         if trouble {
--- a/review/support/client.rs
+++ b/review/support/client.rs
@@ -35,7 +35,12 @@
         let (answered, failed) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
         let next = Arc::new(AtomicU64::new(0));
         let threads = (0..count).map(|client| {
-            let (site, record, stop, next) = (site.clone(), record.clone(), Arc::clone(&stop), Arc::clone(&next));
+            let (site, record, stop, next) = (
+                site.clone(),
+                record.clone(),
+                Arc::clone(&stop),
+                Arc::clone(&next),
+            );
             let (answered, failed) = (Arc::clone(&answered), Arc::clone(&failed));
             thread::spawn(move || {
                 let mut directory = Directory::new(&site, client);
@@ -44,7 +49,8 @@
                     if let Some(entry) = directory.entry(number) {
                         let id = format!("c{number}");
                         let path = format!("{path}{number}");
-                        let served = send(entry, host, &path, &id, "GET", b"").is_some_and(|answer| answer.status() == 200);
+                        let served = send(entry, host, &path, &id, "GET", b"")
+                            .is_some_and(|answer| answer.status() == 200);
                         let counter = if served { &answered } else { &failed };
                         counter.fetch_add(1, Ordering::Relaxed);
                         if !served {
@@ -56,7 +62,12 @@
             })
         });
         let threads = threads.collect();
-        Self { stop, answered, failed, threads }
+        Self {
+            stop,
+            answered,
+            failed,
+            threads,
+        }
     }
 
     /// Stops the clients and waits for them.
@@ -65,7 +76,10 @@
         for thread in self.threads {
             let _ = thread.join();
         }
-        (self.answered.load(Ordering::Relaxed), self.failed.load(Ordering::Relaxed))
+        (
+            self.answered.load(Ordering::Relaxed),
+            self.failed.load(Ordering::Relaxed),
+        )
     }
 }
 
@@ -78,8 +92,20 @@
     method: &str,
     body: &[u8],
 ) -> Option<http::Message> {
-    let headers = [("Host", host), ("X-Request-Id", id), ("X-Deadline-Ms", "2000")];
-    http::call(entry, method, path, &headers, body, time::Duration::from_secs(2)).ok()
+    let headers = [
+        ("Host", host),
+        ("X-Request-Id", id),
+        ("X-Deadline-Ms", "2000"),
+    ];
+    http::call(
+        entry,
+        method,
+        path,
+        &headers,
+        body,
+        time::Duration::from_secs(2),
+    )
+    .ok()
 }
 
 /// Addresses of entry VMs as a client knows them.
@@ -116,14 +142,22 @@
         for _ in 0..3 {
             self.turn += 1;
             let vm = controls[self.turn as usize % controls.len()];
-            let path = format!("/fireflyspool/resolve?Name=h.example&Region=r&Zone={}", self.zone);
+            let path = format!(
+                "/fireflyspool/resolve?Name=h.example&Region=r&Zone={}",
+                self.zone
+            );
             let second = time::Duration::from_secs(1);
             let answer = http::call(self.site.directory(vm), "GET", &path, &[], b"", second);
             let Ok(answer) = answer else { continue };
             let text = answer.text();
-            let list = text.split("\"addrs\":[").nth(1).and_then(|rest| rest.split(']').next());
+            let list = text
+                .split("\"addrs\":[")
+                .nth(1)
+                .and_then(|rest| rest.split(']').next());
             let addresses = list.unwrap_or_default().split(',');
-            let known: Vec<_> = addresses.filter_map(|one| one.trim_matches('"').parse().ok()).collect();
+            let known: Vec<_> = addresses
+                .filter_map(|one| one.trim_matches('"').parse().ok())
+                .collect();
             if answer.status() == 200 && !known.is_empty() {
                 self.known = known;
                 self.until = time::Instant::now() + ADDRESS_LIFETIME;
--- a/review/support/main.rs
+++ b/review/support/main.rs
@@ -30,7 +30,10 @@
             process::exit(2);
         }
     };
-    record.note(format!("case {name}, disruption {}", if trouble { "on" } else { "off" }));
+    record.note(format!(
+        "case {name}, disruption {}",
+        if trouble { "on" } else { "off" }
+    ));
     let (limited, reporting) = (site.clone(), record.clone());
     thread::spawn(move || {
         thread::sleep(RUN_LIMIT);
@@ -49,7 +52,11 @@
         }
         Err(_) => 2,
     };
-    let verdict = ["the rule held", "the rule was broken", "the case could not run"][code];
+    let verdict = [
+        "the rule held",
+        "the rule was broken",
+        "the case could not run",
+    ][code];
     record.note(verdict.to_owned());
     println!("{name}: {verdict}");
     process::exit(code as i32);
--- a/review/support/operator.rs
+++ b/review/support/operator.rs
@@ -26,22 +26,32 @@
         while start.elapsed() < ORDER_LIMIT {
             let vm = controls[turn % controls.len()];
             turn += 1;
-            self.record.note(format!("operator sends {path} to VM {vm}"));
+            self.record
+                .note(format!("operator sends {path} to VM {vm}"));
             let headers: &[(&str, &str)] = match body.is_empty() {
                 true => &[],
                 false => &[("Content-Type", "application/json")],
             };
-            let answer =
-                http::call(self.site.control(vm), "POST", path, headers, body.as_bytes(), CALL_LIMIT);
+            let answer = http::call(
+                self.site.control(vm),
+                "POST",
+                path,
+                headers,
+                body.as_bytes(),
+                CALL_LIMIT,
+            );
             match answer {
                 Ok(answer) => {
                     let status = answer.status();
-                    self.record.note(format!("VM {vm} answers {path}: {status}"));
+                    self.record
+                        .note(format!("VM {vm} answers {path}: {status}"));
                     if status < 500 && status != 408 && status != 429 {
                         return Ok((status, time::Instant::now()));
                     }
                 }
-                Err(error) => self.record.note(format!("VM {vm} gives no answer to {path}: {error}")),
+                Err(error) => self
+                    .record
+                    .note(format!("VM {vm} gives no answer to {path}: {error}")),
             }
             thread::sleep(time::Duration::from_millis(50));
         }
@@ -60,7 +70,11 @@
     pub fn read(&self, vm: u8) -> Option<String> {
         let path = "/fireflyspool/Config.Get";
         let answer = http::call(self.site.control(vm), "GET", path, &[], b"", CALL_LIMIT).ok()?;
-        self.record.note(format!("VM {vm} answers {path}: {} {}", answer.status(), answer.text()));
+        self.record.note(format!(
+            "VM {vm} answers {path}: {} {}",
+            answer.status(),
+            answer.text()
+        ));
         (answer.status() == 200).then(|| answer.text())
     }
 }
--- a/review/support/server.rs
+++ b/review/support/server.rs
@@ -83,7 +83,8 @@
         let reporting = Arc::clone(&server);
         thread::spawn(move || {
             loop {
-                if reporting.reports.load(Ordering::Relaxed) && reporting.up.load(Ordering::Relaxed) {
+                if reporting.reports.load(Ordering::Relaxed) && reporting.up.load(Ordering::Relaxed)
+                {
                     reporting.report();
                 }
                 thread::sleep(site::HEARTBEAT);
@@ -130,7 +131,11 @@
         let second = time::Duration::from_secs(1);
         let address = self.site.control(vm);
         let answer = http::call(address, "POST", &path, &headers, report.as_bytes(), second)?;
-        self.record.note(format!("VM {vm} answers a report of {}: {}", self.name, answer.status()));
+        self.record.note(format!(
+            "VM {vm} answers a report of {}: {}",
+            self.name,
+            answer.status()
+        ));
         Ok(())
     }
 
@@ -170,14 +175,21 @@
 
     fn post(&self, path: &str, body: &str) -> Option<u8> {
         let controls = self.site.controls();
-        let first = self.sequence.load(Ordering::Relaxed) as usize + usize::from(self.address.port());
+        let first =
+            self.sequence.load(Ordering::Relaxed) as usize + usize::from(self.address.port());
         let first = first + self.name.len() + self.name.bytes().map(usize::from).sum::<usize>();
         for turn in 0..controls.len() {
             let vm = controls[(first + turn) % controls.len()];
             let second = time::Duration::from_secs(1);
             let headers = [("Content-Type", "application/json")];
-            let answer =
-                http::call(self.site.control(vm), "POST", path, &headers, body.as_bytes(), second);
+            let answer = http::call(
+                self.site.control(vm),
+                "POST",
+                path,
+                &headers,
+                body.as_bytes(),
+                second,
+            );
             if answer.is_ok_and(|answer| (200..300).contains(&answer.status())) {
                 return Some(vm);
             }
@@ -273,7 +285,11 @@
                 true => "503 Service Unavailable",
                 false => "200 OK",
             };
-            return Reply::Answer(response(status, &format!("X-Instance-Id: {}\r\n", self.name), b""));
+            return Reply::Answer(response(
+                status,
+                &format!("X-Instance-Id: {}\r\n", self.name),
+                b"",
+            ));
         }
         let Some(id) = message.header("x-request-id") else {
             return Reply::Answer(response("400 Bad Request", "X-Not-Executed: 1\r\n", b""));
@@ -290,12 +306,21 @@
             id: id.to_owned(),
             path: path.to_owned(),
         };
-        self.record.note(format!("run {id} {path} at {} zone {}", self.name, self.zone));
-        self.runs.lock().expect("the lock is not poisoned").push(run);
+        self.record.note(format!(
+            "run {id} {path} at {} zone {}",
+            self.name, self.zone
+        ));
+        self.runs
+            .lock()
+            .expect("the lock is not poisoned")
+            .push(run);
         let stamp = format!("{}.{id}", self.service);
         let extra =
             format!("X-Request-Id: {id}\r\nX-Server-Stamp: {stamp}\r\nX-Server-Load: 1,0,4\r\n");
-        if let Some(crashing) = self.crash_on.filter(|crashing| path.contains(crashing.path)) {
+        if let Some(crashing) = self
+            .crash_on
+            .filter(|crashing| path.contains(crashing.path))
+        {
             let whole = response("200 OK", &extra, &[b'.'; 4_000]);
             return Reply::Crash(match crashing.midway {
                 true => whole[..whole.len() / 2].to_vec(),
@@ -309,12 +334,18 @@
 }
 
 fn is_timeout(error: &io::Error) -> bool {
-    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
+    matches!(
+        error.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+    )
 }
 
 fn response(status: &str, extra: &str, body: &[u8]) -> Vec<u8> {
-    let mut bytes =
-        format!("HTTP/1.1 {status}\r\n{extra}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+    let mut bytes = format!(
+        "HTTP/1.1 {status}\r\n{extra}Content-Length: {}\r\n\r\n",
+        body.len()
+    )
+    .into_bytes();
     bytes.extend_from_slice(body);
     bytes
 }
--- a/review/support/site.rs
+++ b/review/support/site.rs
@@ -60,7 +60,11 @@
         let id = process::id();
         let folder = env::temp_dir().join(format!("fireflyspool-review-{id}"));
         fs::create_dir_all(&folder)?;
-        let port = || net::TcpListener::bind("127.0.0.1:0")?.local_addr().map(|own| own.port());
+        let port = || {
+            net::TcpListener::bind("127.0.0.1:0")?
+                .local_addr()
+                .map(|own| own.port())
+        };
         Ok(Self {
             folder,
             binary,
@@ -124,23 +128,37 @@
         let is_control = vm < FIRST_ENTRY;
         let (role, class, zone) = match is_control {
             true => ("control", "core", CONTROL_ZONES[usize::from(vm - 1)]),
-            false => ("entry", "edge", ZONES[usize::from(vm - FIRST_ENTRY) % ZONES.len()]),
+            false => (
+                "entry",
+                "edge",
+                ZONES[usize::from(vm - FIRST_ENTRY) % ZONES.len()],
+            ),
         };
         let ip = self.ip(vm);
-        let seeds = SEEDS.map(|seed| format!("\"{}\"", self.control(seed))).join(",");
+        let seeds = SEEDS
+            .map(|seed| format!("\"{}\"", self.control(seed)))
+            .join(",");
         let (serves, listen, data) = match is_control {
             true => {
                 let data = self.folder.join(format!("data-{vm}"));
                 fs::create_dir_all(&data)?;
                 (
                     "[\"control_plane\", \"directory\"]",
-                    format!("Control = \"{}\"\ndirectory = \"{}\"", self.control(vm), self.directory(vm)),
+                    format!(
+                        "Control = \"{}\"\ndirectory = \"{}\"",
+                        self.control(vm),
+                        self.directory(vm)
+                    ),
                     format!("DataDir = \"{}\"\n", data.display()),
                 )
             }
             false => (
                 "[\"edge\"]",
-                format!("Frontend = \"{}\"\nReady = \"{}\"", self.entry(vm), self.ready(vm)),
+                format!(
+                    "Frontend = \"{}\"\nReady = \"{}\"",
+                    self.entry(vm),
+                    self.ready(vm)
+                ),
                 String::new(),
             ),
         };
@@ -167,14 +185,19 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        self.record.note(format!("started VM {vm}: platform {role}, zone {zone}"));
+        self.record
+            .note(format!("started VM {vm}: platform {role}, zone {zone}"));
         self.lock().push(Running { vm, child });
         Ok(())
     }
 
     /// Sends a signal to the process of a VM.
     pub fn signal(&self, vm: u8, signal: &str) -> io::Result<()> {
-        let id = self.lock().iter().find(|one| one.vm == vm).map(|one| one.child.id());
+        let id = self
+            .lock()
+            .iter()
+            .find(|one| one.vm == vm)
+            .map(|one| one.child.id());
         let id = id.ok_or_else(|| io::Error::other("the VM does not run"))?;
         self.record.note(format!("signal {signal} to VM {vm}"));
         let sent = process::Command::new("sh")
@@ -216,8 +239,14 @@
         for vm in entries {
             loop {
                 let second = time::Duration::from_secs(1);
-                let answer =
-                    http::call(self.ready(*vm), "GET", "/fireflyspool/ready", &[], b"", second);
+                let answer = http::call(
+                    self.ready(*vm),
+                    "GET",
+                    "/fireflyspool/ready",
+                    &[],
+                    b"",
+                    second,
+                );
                 if answer.is_ok_and(|answer| answer.status() == 200) {
                     break;
                 }
@@ -234,7 +263,9 @@
     pub fn leader(&self) -> io::Result<u8> {
         let elected = |vm: &u8| {
             let log = fs::read_to_string(self.folder.join(format!("{vm}.log"))).unwrap_or_default();
-            let lines = log.lines().filter(|line| line.contains("\"role\":\"Leader\""));
+            let lines = log
+                .lines()
+                .filter(|line| line.contains("\"role\":\"Leader\""));
             let terms = lines.filter_map(|line| {
                 let term = line.split("\"term\":").nth(1)?;
                 let digits = term.split(|one: char| !one.is_ascii_digit()).next()?;
@@ -269,6 +300,8 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Running>> {
-        self.running.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.running
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
