Draw distinct ports for the processes of a test

The logs of its site show three control VMs that end with 'cannot listen on ...: Address already in use'; the settings of each name the same port as the first internal one and as the one for operators.

Cause: the fixture drew each port with a listener that it closed before the next draw, so the system may hand out one port twice. Change: all four listeners are held until the last port is drawn. The module also allows unused re-exports, as it does unused functions, because test binaries use different parts of it.

--- a/crates/fireflyspool/tests/platform_site/mod.rs
+++ b/crates/fireflyspool/tests/platform_site/mod.rs
@@ -1,7 +1,11 @@
 //! Test site on loopback: real processes, stand-in backend servers, an operator
 //! and a caller that checks its answers.
 
-#![allow(dead_code, reason = "each test binary uses a part of the module")]
+#![allow(
+    dead_code,
+    unused_imports,
+    reason = "each test binary uses a part of the module"
+)]
 
 mod caller;
 mod crashes;
@@ -35,17 +39,17 @@
 
 impl Site {
     pub(crate) fn new(network: u8) -> Self {
-        let free = || {
-            let listener = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-            listener.local_addr().expect("an address").port()
-        };
+        // All are held until the last one is drawn; a port that is free again may be drawn twice.
+        let listeners = [(); 4].map(|()| net::TcpListener::bind("127.0.0.1:0"));
+        let listeners = listeners.map(|listener| listener.expect("a free port"));
+        let ports = listeners.map(|listener| listener.local_addr().expect("an address").port());
         let name = format!("fireflyspool-site-{}-{network}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("a folder");
         Self {
             folder,
             network,
-            ports: [free(), free(), free(), free()],
+            ports,
             http: reqwest::Client::builder()
                 .no_proxy()
                 .timeout(time::Duration::from_secs(2))
