Follow the leader that a reply names when joining the control group

Cause: a VM asked its seeds and itself in turn and only logged the leader that 'NotLeader' named. Evidence: its log has that reply once a second.

Change: the reply also names the leader's listener, and JoinRequests asks it at once; two VMs that name each other are not asked without a pause. Without a leader, all control VMs that are known are asked, not the seeds alone.

Ruled out: that the leader refuses the request; with a seed as the leader the same VMs rejoin within seconds.

--- a/crates/fireflyspool/src/control/hub_driver.rs
+++ b/crates/fireflyspool/src/control/hub_driver.rs
@@ -23,9 +23,7 @@
     pending_reports: sorted::SortedMap<ids::Ticket, PendingReport>,
     pub(super) pending_polls: sorted::SortedMap<ids::Ticket, oneshot::Sender<hub::FollowReply>>,
     pub(super) contacts: Vec<net::SocketAddr>,
-    pub(super) join_due: time::Instant,
-    /// Position in the list of contacts of the VM that was asked last.
-    pub(super) join_target: usize,
+    pub(super) join: control::JoinRequests,
     pub(super) replace_due: time::Instant,
     /// When each member of the control group was first listed.
     pub(super) first_listed: sorted::SortedMap<net::SocketAddr, time::Instant>,
@@ -55,8 +53,7 @@
             pending_reports: sorted::SortedMap::new(),
             pending_polls: sorted::SortedMap::new(),
             contacts,
-            join_due: now,
-            join_target: 0,
+            join: control::JoinRequests::new(now),
             replace_due: now,
             first_listed: sorted::SortedMap::new(),
             version: 0,
@@ -122,7 +119,7 @@
                 self.pending_polls.insert(ticket, reply);
                 self.hub.follow(ticket, *request, now);
             }
-            control::HubEvent::JoinEnded(reply) => self.join_ended(reply),
+            control::HubEvent::JoinEnded(reply) => self.join_ended(reply, now),
         }
     }
 
--- a/crates/fireflyspool/src/control/hub_membership.rs
+++ b/crates/fireflyspool/src/control/hub_membership.rs
@@ -4,8 +4,8 @@
 
 use crate::{control, ids, state};
 
-/// Interval between requests to join the control group, and between checks for a silent member.
-const REQUEST_INTERVAL: time::Duration = time::Duration::from_secs(1);
+/// Interval between checks for a silent member.
+const REPLACE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
 /// Silence after which a member of the control group is replaced by one that
 /// joined later. The remaining majority keeps working through shorter partitions.
@@ -22,7 +22,7 @@
         if now < self.replace_due {
             return None;
         }
-        self.replace_due = now + REQUEST_INTERVAL;
+        self.replace_due = now + REPLACE_INTERVAL;
         let latest_join = self.first_listed.values().max().copied()?;
         let is_replaced = |listener: &net::SocketAddr| {
             let last_seen = self.hub.last_seen(*listener);
@@ -47,26 +47,49 @@
     ) {
         let identity = voter.folder.identity();
         let listed = voter.state.group.added.get(&identity.node);
-        if now < self.join_due
+        if !self.join.is_due(now)
             || listed.is_some_and(|record| record.incarnation == identity.incarnation)
         {
             return;
         }
-        self.join_due = now + REQUEST_INTERVAL;
+        let candidates = self.join_candidates(voter, now);
+        let Some(target) = self.join.next(&candidates, now) else {
+            return;
+        };
         let command = state::IdempotentCommand::Join {
             node: identity.node,
             incarnation: identity.incarnation,
             rpc: self.own.rpc,
         };
-        let mut targets = self.contacts.clone();
-        if !targets.contains(&self.own.rpc) {
-            targets.push(self.own.rpc);
+        outlet.send_idempotent(target, command);
+    }
+
+    /// Control VMs that this one knows of, itself included; the contacts of the settings may
+    /// all be gone.
+    fn join_candidates(&self, voter: &control::Voter, now: time::Instant) -> Vec<net::SocketAddr> {
+        let mut candidates = self.contacts.clone();
+        let members = voter.addresses().into_iter().map(|(_, rpc)| rpc);
+        let others = self.hub.reachable_peers(now).into_iter().chain(members);
+        for listener in others.chain([self.own.rpc]) {
+            if !candidates.contains(&listener) {
+                candidates.push(listener);
+            }
         }
-        self.join_target = (self.join_target + 1) % targets.len();
-        outlet.send_idempotent(targets[self.join_target], command);
+        candidates
     }
 
-    pub(super) fn join_ended(&mut self, reply: Option<control::IdempotentReply>) {
+    pub(super) fn join_ended(
+        &mut self,
+        reply: Option<control::IdempotentReply>,
+        now: time::Instant,
+    ) {
+        match &reply {
+            Some(control::IdempotentReply::NotLeader { listener, .. }) => {
+                self.join.refused(*listener, now);
+            }
+            Some(control::IdempotentReply::Done { .. }) => {}
+            None => self.join.unanswered(now),
+        }
         match reply {
             Some(control::IdempotentReply::Done {
                 outcome: state::IdempotentOutcome::Retired,
--- a/crates/fireflyspool/src/control/idempotent_reply.rs
+++ b/crates/fireflyspool/src/control/idempotent_reply.rs
@@ -1,5 +1,7 @@
 //! Reply to an idempotent command.
 
+use std::net;
+
 use crate::{ids, state};
 
 /// Reply of a control VM to an idempotent command.
@@ -16,5 +18,8 @@
     NotLeader {
         /// Current leader, if known.
         leader: Option<ids::NodeId>,
+        /// Listener of that leader, if known.
+        #[serde(default)]
+        listener: Option<net::SocketAddr>,
     },
 }
--- a/crates/fireflyspool/src/control/propose_reply.rs
+++ b/crates/fireflyspool/src/control/propose_reply.rs
@@ -1,5 +1,7 @@
 //! Reply to a proposed command.
 
+use std::net;
+
 use crate::{ids, state};
 
 /// Reply of a control VM to an operator's command.
@@ -21,6 +23,9 @@
     NotLeader {
         /// Current leader, if known.
         leader: Option<ids::NodeId>,
+        /// Listener of that leader, if known.
+        #[serde(default)]
+        listener: Option<net::SocketAddr>,
     },
     /// Leadership was lost before the command committed; it may still commit.
     Uncertain,
--- a/crates/fireflyspool/src/control/voter_apply.rs
+++ b/crates/fireflyspool/src/control/voter_apply.rs
@@ -58,7 +58,9 @@
                     "members" => ?nodes);
             }
             consensus::Action::Refuse { ticket, leader } => {
-                self.fail_waiter(ticket, control::ProposeReply::NotLeader { leader });
+                let listener = leader.and_then(|leader| self.address_of(leader));
+                let reply = control::ProposeReply::NotLeader { leader, listener };
+                self.fail_waiter(ticket, reply);
             }
             consensus::Action::RefuseChange { refusal, .. } => {
                 slog::debug!(self.logger, "membership change postponed"; "cause" => ?refusal);
--- a/crates/fireflyspool/src/control/waiter.rs
+++ b/crates/fireflyspool/src/control/waiter.rs
@@ -50,8 +50,8 @@
             (Self::Command(reply), answer) => {
                 let _ = reply.send(answer);
             }
-            (Self::Idempotent(reply), control::ProposeReply::NotLeader { leader }) => {
-                let _ = reply.send(control::IdempotentReply::NotLeader { leader });
+            (Self::Idempotent(reply), control::ProposeReply::NotLeader { leader, listener }) => {
+                let _ = reply.send(control::IdempotentReply::NotLeader { leader, listener });
             }
             // The dropped channel tells the caller that the result is unknown.
             _ => {}
--- a/crates/fireflyspool/src/node/control.rs
+++ b/crates/fireflyspool/src/node/control.rs
@@ -141,6 +141,7 @@
         let local = tokio::time::timeout(left, local).await.ok()??;
         let control::IdempotentReply::NotLeader {
             leader: Some(leader),
+            ..
         } = local
         else {
             return Some(local);
--- /dev/null
+++ b/crates/fireflyspool/tests/control_group.rs
@@ -0,0 +1,71 @@
+//! Control VMs that join the group and leave it, as real processes.
+
+mod platform_site;
+
+use std::time;
+
+use platform_site::{Process, Site, WAIT_LIMIT};
+
+const SEEDS: [u8; 3] = [1, 2, 3];
+const CONTROLS: [u8; 5] = [1, 2, 3, 4, 5];
+const ZONES: [&str; 5] = ["a", "b", "c", "a", "b"];
+
+/// Starts five control VMs, three of them seeds, and sets a configuration.
+async fn start_group(site: &Site) -> Vec<Process> {
+    let vms = CONTROLS.iter().zip(ZONES);
+    let started = vms.map(|(vm, zone)| site.start(*vm, "control", zone, true));
+    let started = started.collect();
+    let configuration = site.configuration(3, 1_500);
+    site.order(&CONTROLS, "/fireflyspool/Config.Replace", configuration)
+        .await;
+    for vm in CONTROLS {
+        await_leader(site, vm).await;
+    }
+    started
+}
+
+/// Whether a replica follows a leader or leads, by its latest change of role.
+fn has_leader(site: &Site, vm: u8) -> bool {
+    let log = site.log(vm, "control");
+    let changes = |line: &&str| line.contains("role of this replica changed");
+    let role = log.lines().rfind(changes);
+    role.is_some_and(|line| !line.contains("\"leader\":null"))
+}
+
+async fn await_leader(site: &Site, vm: u8) {
+    let start = time::Instant::now();
+    while !has_leader(site, vm) {
+        assert!(start.elapsed() < WAIT_LIMIT, "VM {vm} did not join");
+        tokio::time::sleep(time::Duration::from_millis(50)).await;
+    }
+}
+
+/// Control VM that was elected last.
+fn leader(site: &Site) -> u8 {
+    let elected = |vm: &u8| {
+        let log = site.log(*vm, "control");
+        let lines = log
+            .lines()
+            .filter(|line| line.contains("\"role\":\"Leader\""));
+        let terms = lines.filter_map(|line| {
+            let line: serde_json::Value = serde_json::from_str(line).ok()?;
+            line["term"].as_u64()
+        });
+        Some((terms.max()?, *vm))
+    };
+    let newest = CONTROLS.iter().filter_map(elected).max();
+    newest.expect("a leader was elected").1
+}
+
+/// Guards against control VMs with lost disks, or new ones, that never join because the leader
+/// is none of those that their settings name.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_control_vm_joins_while_none_of_its_contacts_leads() {
+    let site = Site::new(71);
+    let mut controls = start_group(&site).await;
+    let leader = leader(&site);
+    let others: Vec<_> = SEEDS.into_iter().filter(|vm| *vm != leader).collect();
+    let new = site.start_with_seeds(6, ("control", "c"), false, &others[..2]);
+    await_leader(&site, 6).await;
+    controls.push(new);
+}
