Execute no order about a zone whose sender has gone

A third of all requests ran in a zone that was out.

Cause: orders about zones have neither age nor number, Rocket runs a handler to its end although its caller has closed the connection, and the time limit starts with the handler.

Change: operators and backend servers are served by the listener of callers (hyper), which drops a handler with its connection. An order about a zone waits 50 ms, so that a close that stands behind it in the stream is seen first; then it is proposed. Commands also end by a clock that goes on while the machine is suspended. The translation moved from Rocket routes to one service; paths and replies are unchanged.

Ruled out: telling the age by a clock of this VM, which either stands still or goes on meanwhile, depending on what froze it.

--- a/crates/fireflyspool/src/node/control.rs
+++ b/crates/fireflyspool/src/node/control.rs
@@ -6,11 +6,17 @@
 use tokio::sync::oneshot;
 
 use crate::node::node_id;
-use crate::{consensus, control, hub, ids, node, registry, rim, roster, sorted, state, storage};
+use crate::{
+    consensus, control, hub, ids, node, registry, rim, roster, sorted, state, storage, timer,
+};
 
 /// Timeout of a command; its sender tries another VM after a second.
 const COMMAND_TIMEOUT: time::Duration = time::Duration::from_millis(930);
 
+/// Time in which it is noticed that the sender of an order has closed its connection: the end
+/// of the connection follows the order, also when both were held up on their way.
+const ORDER_SETTLE: time::Duration = time::Duration::from_millis(50);
+
 /// Pause before a command is tried again while no leader is known.
 const LEADER_RETRY_PAUSE: time::Duration = time::Duration::from_millis(60);
 
@@ -102,10 +108,24 @@
         self.process.addresses.load().answer(query)
     }
 
+    /// Executes a command that must have no effect once its sender has given it up.
+    ///
+    /// The front end drops the future when the sender closes its connection. Commands that are
+    /// read from the connection only then, because this VM or its network stood still, are not
+    /// executed: the sender has sent them elsewhere, and later ones may have followed.
+    pub async fn order(&self, command: state::IdempotentCommand) -> node::CommandResult {
+        self.process.timer.sleep(ORDER_SETTLE).await;
+        self.execute(command).await
+    }
+
     /// Executes a command on the leader, here or on another control VM.
     pub async fn execute(&self, command: state::IdempotentCommand) -> node::CommandResult {
+        let started = timer::Stopwatch::start();
         let deadline = time::Instant::now() + COMMAND_TIMEOUT;
         loop {
+            if started.elapsed() >= COMMAND_TIMEOUT {
+                return node::CommandResult::Uncertain;
+            }
             let reply = self.try_execute(&command, deadline).await;
             if let Some(control::IdempotentReply::Done { outcome }) = reply {
                 return node::CommandResult::Applied(outcome);
--- a/crates/fireflyspool/src/platform/run.rs
+++ b/crates/fireflyspool/src/platform/run.rs
@@ -7,7 +7,7 @@
 use tokio::{sync::watch, task};
 
 use crate::platform::{
-    caller_service, control_routes, directory_routes, http_backend_client, ready_routes, signals,
+    caller_service, control_service, directory_routes, http_backend_client, ready_routes, signals,
 };
 use crate::{node, platform, rim};
 
@@ -104,13 +104,26 @@
     let address = own.control;
     let (logger, _guard, _) = node::start_logger(own.rpc);
     let node = node::Control::start(own, logger.clone()).await?;
-    let mut listener = serve(address, control_routes::control_routes(), &node);
+    let (closing, closed) = watch::channel(false);
+    let handler = control_service::ControlService::new(sync::Arc::clone(&node));
+    let timer = node.process().timer.clone();
+    let mut listener = tokio::spawn(rim::caller_listener(
+        address,
+        sync::Arc::new(handler),
+        (timer, logger.clone()),
+        closed,
+    ));
     if let Some(address) = settings.directory() {
         let routes = directory_routes::directory_routes();
         watch_listener(serve(address, routes, &node), "addresses", &logger);
     }
     slog::info!(logger, "started"; "vm" => settings.name(), "role" => "control");
     wait_for_stop(signals, &mut listener, &logger).await?;
+    // Sending fails if the listener has ended already.
+    let _ = closing.send(true);
+    if tokio::time::timeout(CLOSE_LIMIT, listener).await.is_err() {
+        slog::info!(logger, "connections are still open"; "limit_ms" => CLOSE_LIMIT.as_millis() as u64);
+    }
     slog::info!(logger, "stopped");
     Ok(())
 }
--- a/crates/fireflyspool/src/timer/mod.rs
+++ b/crates/fireflyspool/src/timer/mod.rs
@@ -10,10 +10,12 @@
 
 mod alarm;
 mod sleep;
+mod stopwatch;
 mod timer_service;
 mod timer_token;
 
 pub use alarm::Alarm;
 pub use sleep::Sleep;
+pub use stopwatch::Stopwatch;
 pub use timer_service::TimerService;
 pub use timer_token::TimerToken;
