Give overtaken orders about zones no effect

Found by reading; no run of real processes has shown it.

Cause: the log applies orders about zones in the order in which they reach it, whatever was acknowledged in between.

Change: an order states the catalog revision that was known where it came in, and the replicated state, which now keeps the last change of each zone, ignores one that states an earlier revision. The VM that took it states the new revision as long as its sender waits.

Tests: an_order_that_later_ones_have_overtaken_has_no_effect and resent_orders_and_those_of_other_zones_are_accepted; they need the new field, so they don't compile with the former code. Ruled out: a limit by the leader's clock, which a suspended leader does not count on; and proposals that a new leader takes over, which precede its own.

--- a/crates/fireflyspool/src/control/hub_driver.rs
+++ b/crates/fireflyspool/src/control/hub_driver.rs
@@ -177,6 +177,7 @@
             slog::info!(self.logger, "configuration in force"; "version" => document.version);
         }
         let catalog = &voter.state.catalog;
+        outlet.publish_revision(catalog.revision);
         self.hub.set_zones(hub::ZonesOut {
             revision: catalog.revision,
             zones: catalog.zones_out.keys().cloned().collect(),
--- a/crates/fireflyspool/src/control/outlet.rs
+++ b/crates/fireflyspool/src/control/outlet.rs
@@ -29,6 +29,10 @@
     /// Publishes the addresses of the control VMs.
     fn publish_control_addresses(&self, addresses: Vec<(ids::NodeId, net::SocketAddr)>);
 
+    /// Publishes the revision of the catalog in the applied log; only control VMs with a hub
+    /// override this method.
+    fn publish_revision(&self, _revision: ids::Revision) {}
+
     /// Sends a batch to another hub and reports [`crate::control::HubEvent::ExchangeEnded`].
     ///
     /// Only control VMs with a hub override this method and the next two.
--- a/crates/fireflyspool/src/node/control.rs
+++ b/crates/fireflyspool/src/node/control.rs
@@ -1,6 +1,10 @@
 //! Process of a control VM.
 
-use std::{net, sync, time};
+use std::{
+    net,
+    sync::{self, atomic},
+    time,
+};
 
 use jsonrpsee::server;
 use tokio::sync::oneshot;
@@ -120,6 +124,11 @@
 
     /// Executes a command on the leader, here or on another control VM.
     pub async fn execute(&self, command: state::IdempotentCommand) -> node::CommandResult {
+        let revision = self
+            .process
+            .catalog_revision
+            .load(atomic::Ordering::Relaxed);
+        let mut command = command.with_known_revision(revision);
         let started = timer::Stopwatch::start();
         let deadline = time::Instant::now() + COMMAND_TIMEOUT;
         loop {
@@ -128,6 +137,11 @@
             }
             let reply = self.try_execute(&command, deadline).await;
             if let Some(control::IdempotentReply::Done { outcome }) = reply {
+                if let state::IdempotentOutcome::Overtaken { revision } = outcome {
+                    // Its sender still waits, so the order is newer than that change.
+                    command = command.with_known_revision(revision);
+                    continue;
+                }
                 return node::CommandResult::Applied(outcome);
             }
             let unknown_leader = matches!(reply, Some(control::IdempotentReply::NotLeader { .. }));
--- a/crates/fireflyspool/src/node/process.rs
+++ b/crates/fireflyspool/src/node/process.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io, net,
-    sync::{self, mpsc},
+    sync::{self, atomic, mpsc},
 };
 
 use crate::node::node_id;
@@ -22,6 +22,8 @@
     pub incarnation: ids::Incarnation,
     /// Node ids and listeners of the control group's members, as this VM knows them.
     pub control_group: arc_swap::ArcSwap<Vec<(ids::NodeId, net::SocketAddr)>>,
+    /// Revision of the catalog in the applied log; 0 on entry VMs.
+    pub catalog_revision: atomic::AtomicU64,
     /// Entry VMs to return to callers; empty on entry VMs.
     pub addresses: arc_swap::ArcSwap<hub::AddressBook>,
     /// Configuration and backend servers; empty on control VMs.
@@ -51,6 +53,7 @@
             // 53 bits, which a JSON number holds exactly in any parser.
             incarnation: rand::random::<u64>() >> 11,
             control_group: arc_swap::ArcSwap::default(),
+            catalog_revision: atomic::AtomicU64::new(0),
             addresses: arc_swap::ArcSwap::default(),
             view: arc_swap::ArcSwap::default(),
             view_changed: tokio::sync::Notify::new(),
--- a/crates/fireflyspool/src/node/rpc_outlet.rs
+++ b/crates/fireflyspool/src/node/rpc_outlet.rs
@@ -1,6 +1,10 @@
 //! Side effects of the control thread: calls to other processes and published state.
 
-use std::{net, sync, time};
+use std::{
+    net,
+    sync::{self, atomic},
+    time,
+};
 
 use tokio::sync::mpsc;
 
@@ -103,6 +107,11 @@
         self.process.control_group.store(sync::Arc::new(addresses));
     }
 
+    fn publish_revision(&self, revision: ids::Revision) {
+        let published = &self.process.catalog_revision;
+        published.store(revision, atomic::Ordering::Relaxed);
+    }
+
     fn send_batch(&self, peer: net::SocketAddr, batch: hub::Batch) {
         let event = move |ack| control::Event::Hub(control::HubEvent::ExchangeEnded { peer, ack });
         self.call(peer, rim::Method::Exchange, batch, CALL_TIMEOUT, event);
--- a/crates/fireflyspool/src/platform/control_service.rs
+++ b/crates/fireflyspool/src/platform/control_service.rs
@@ -85,11 +85,11 @@
         }
         control_call::ControlCall::Read => read(node).await,
         control_call::ControlCall::TakeOut(zone) => {
-            let result = node.order(state::IdempotentCommand::TakeOutZone { zone });
+            let result = node.order(state::IdempotentCommand::TakeOutZone { zone, known: None });
             applied(&result.await)
         }
         control_call::ControlCall::BringBack(zone) => {
-            let result = node.order(state::IdempotentCommand::BringBackZone { zone });
+            let result = node.order(state::IdempotentCommand::BringBackZone { zone, known: None });
             applied(&result.await)
         }
     }
--- a/crates/fireflyspool/src/state/control_state.rs
+++ b/crates/fireflyspool/src/state/control_state.rs
@@ -19,6 +19,9 @@
     pub receipts: state::ReceiptTable,
     /// Claims of non-idempotent requests.
     pub claims: state::ClaimTable,
+    /// Last change of each zone by an order.
+    #[serde(default)]
+    pub zone_changes: state::ZoneChanges,
     /// Routing configuration in force.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub document: Option<configuration::Document>,
@@ -71,15 +74,13 @@
                     self.document = Some(document.clone());
                 }
             }
-            state::IdempotentCommand::TakeOutZone { zone } => {
-                let zone = zone.clone();
-                // The catalog refuses only a zone that is out already.
-                let _ = self.catalog.apply(&state::Change::TakeOutZone { zone });
+            state::IdempotentCommand::TakeOutZone { zone, known } => {
+                let change = state::Change::TakeOutZone { zone: zone.clone() };
+                return self.change_zone(zone, *known, &change);
             }
-            state::IdempotentCommand::BringBackZone { zone } => {
-                let zone = zone.clone();
-                // The catalog refuses only a zone that is not out.
-                let _ = self.catalog.apply(&state::Change::BringBackZone { zone });
+            state::IdempotentCommand::BringBackZone { zone, known } => {
+                let change = state::Change::BringBackZone { zone: zone.clone() };
+                return self.change_zone(zone, *known, &change);
             }
             state::IdempotentCommand::Join {
                 node,
@@ -97,6 +98,24 @@
         state::IdempotentOutcome::Accepted
     }
 
+    /// Takes a zone out or brings it back, unless it was changed after the known revision.
+    fn change_zone(
+        &mut self,
+        zone: &str,
+        known: Option<ids::Revision>,
+        change: &state::Change,
+    ) -> state::IdempotentOutcome {
+        if known.is_some_and(|known| self.zone_changes.revision(zone) > known) {
+            let revision = self.catalog.revision;
+            return state::IdempotentOutcome::Overtaken { revision };
+        }
+        // The catalog refuses only a zone that is as the order wants it.
+        if let Ok(revision) = self.catalog.apply(change) {
+            self.zone_changes.record(zone, revision);
+        }
+        state::IdempotentOutcome::Accepted
+    }
+
     fn apply_command(&mut self, command: &state::Command) -> state::Receipt {
         if let Some(receipt) = self.receipts.find(command) {
             return receipt;
--- a/crates/fireflyspool/src/state/idempotent_command.rs
+++ b/crates/fireflyspool/src/state/idempotent_command.rs
@@ -18,11 +18,17 @@
     TakeOutZone {
         /// Zone that receives no new work.
         zone: ids::ZoneName,
+        /// Catalog revision that was known when the order came; `None` if it always counts.
+        #[serde(default)]
+        known: Option<ids::Revision>,
     },
     /// Brings an availability zone back into service.
     BringBackZone {
         /// Zone that receives work again.
         zone: ids::ZoneName,
+        /// Catalog revision that was known when the order came; `None` if it always counts.
+        #[serde(default)]
+        known: Option<ids::Revision>,
     },
     /// Adds a VM to the control group; an earlier one at its address is removed.
     Join {
@@ -44,3 +50,17 @@
     /// without noticing does not return an old one.
     Read,
 }
+
+impl IdempotentCommand {
+    /// States the catalog revision that is known where an order about a zone came in; other
+    /// commands stay as they are.
+    #[must_use]
+    pub fn with_known_revision(self, revision: ids::Revision) -> Self {
+        let known = Some(revision);
+        match self {
+            Self::TakeOutZone { zone, .. } => Self::TakeOutZone { zone, known },
+            Self::BringBackZone { zone, .. } => Self::BringBackZone { zone, known },
+            other => other,
+        }
+    }
+}
--- a/crates/fireflyspool/src/state/idempotent_outcome.rs
+++ b/crates/fireflyspool/src/state/idempotent_outcome.rs
@@ -1,6 +1,6 @@
 //! Results of idempotent commands.
 
-use crate::configuration;
+use crate::{configuration, ids};
 
 /// Outcome of an idempotent command.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -9,6 +9,11 @@
 pub enum IdempotentOutcome {
     /// The command is in the log, whether or not it changed anything.
     Accepted,
+    /// The zone was changed after the revision that the order states; it has no effect.
+    Overtaken {
+        /// Current revision of the catalog.
+        revision: ids::Revision,
+    },
     /// The number of the VM was retired; it must join under a new one.
     Retired,
     /// Result of a read; `None` if no routing configuration was set.
--- a/crates/fireflyspool/src/state/mod.rs
+++ b/crates/fireflyspool/src/state/mod.rs
@@ -47,6 +47,7 @@
 mod receipt_table;
 mod revision_record;
 mod service;
+mod zone_changes;
 
 pub use applied::Applied;
 pub use catalog::Catalog;
@@ -73,3 +74,4 @@
 pub use receipt_table::{RECEIPT_WINDOW, ReceiptTable};
 pub use revision_record::RevisionRecord;
 pub use service::Service;
+pub use zone_changes::ZoneChanges;
--- a/crates/fireflyspool/tests/control_state.rs
+++ b/crates/fireflyspool/tests/control_state.rs
@@ -248,3 +248,52 @@
     assert_eq!(catalog, control.catalog);
     assert_eq!(control.history.since(count).expect("kept").count(), 0);
 }
+
+fn order(control: &mut state::ControlState, order: state::IdempotentCommand) -> bool {
+    let applied = control.apply(&state::Entry::Idempotent(order));
+    applied == state::Applied::Idempotent(state::IdempotentOutcome::Accepted)
+}
+
+/// Guards against an order about a zone that is held up between control VMs and takes effect
+/// after later ones.
+#[test]
+fn an_order_that_later_ones_have_overtaken_has_no_effect() {
+    let zone = || "a".to_owned();
+    let take_out = |known| state::IdempotentCommand::TakeOutZone {
+        zone: zone(),
+        known,
+    };
+    let bring_back = |known| state::IdempotentCommand::BringBackZone {
+        zone: zone(),
+        known,
+    };
+    let mut control = state::ControlState::default();
+    assert!(order(&mut control, take_out(Some(0))));
+    assert!(order(&mut control, bring_back(Some(1))));
+    assert!(order(&mut control, take_out(Some(2))));
+    assert!(!order(&mut control, bring_back(Some(1))), "a stale return");
+    assert!(control.catalog.is_zone_out("a"));
+    control = restart(&control);
+    assert!(order(&mut control, bring_back(Some(3))));
+    assert!(
+        !order(&mut control, take_out(Some(2))),
+        "a stale evacuation"
+    );
+    assert!(!control.catalog.is_zone_out("a"));
+}
+
+/// Guards against a resent order that is refused, and against orders about one zone that stand
+/// in the way of another.
+#[test]
+fn resent_orders_and_those_of_other_zones_are_accepted() {
+    let mut control = state::ControlState::default();
+    for zone in ["a", "b", "a", "b"] {
+        let zone = zone.to_owned();
+        let known = Some(control.catalog.revision);
+        assert!(order(
+            &mut control,
+            state::IdempotentCommand::TakeOutZone { zone, known }
+        ));
+    }
+    assert_eq!(control.catalog.zones_out.len(), 2);
+}
