Tell a crash within a response from a broken one

Cause: whether a server still listens was asked only if no head of a response had arrived, so a body that broke off never counted as a crash.

Change: every attempt whose response does not arrive whole asks it.

Ruled out: the ledger and the probes, which work once they are told.

--- a/crates/fireflyspool/src/forward/attempt_end.rs
+++ b/crates/fireflyspool/src/forward/attempt_end.rs
@@ -18,8 +18,8 @@
     /// The connection broke or the response does not match the request; the
     /// request may have run.
     Broken,
-    /// The connection broke without a response and the server accepts no further one: it has
-    /// ended, and the request may have run.
+    /// The connection broke before the whole response had arrived, and the server accepts no
+    /// further one: it has ended, and the request may have run.
     Crashed,
     /// The deadline passed; the request may have run.
     TimedOut,
--- a/crates/fireflyspool/src/platform/http_backend_client.rs
+++ b/crates/fireflyspool/src/platform/http_backend_client.rs
@@ -80,23 +80,33 @@
     id: &str,
 ) -> Ending {
     match client.send(address, request).await {
-        Ok(response) => decode(response, id).await,
+        Ok(response) => decode(client, address, response, id).await,
         Err(rim::ForwardError::Connect(error)) => (
             forward::AttemptEnd::not_connected(&error),
             backend::Condition::default(),
         ),
-        Err(_) => {
-            // A server that goes on after a reset still listens.
-            let end = match client.is_refused(address).await {
-                true => forward::AttemptEnd::Crashed,
-                false => forward::AttemptEnd::Broken,
-            };
-            (end, backend::Condition::default())
-        }
+        Err(_) => (
+            interrupted(client, address).await,
+            backend::Condition::default(),
+        ),
+    }
+}
+
+/// End of an attempt whose connection broke before the whole response had arrived.
+async fn interrupted(client: &rim::ForwardClient, address: net::SocketAddr) -> forward::AttemptEnd {
+    // A server that goes on after a reset still listens.
+    match client.is_refused(address).await {
+        true => forward::AttemptEnd::Crashed,
+        false => forward::AttemptEnd::Broken,
     }
 }
 
-async fn decode(response: Response, id: &str) -> Ending {
+async fn decode(
+    client: &rim::ForwardClient,
+    address: net::SocketAddr,
+    response: Response,
+    id: &str,
+) -> Ending {
     let (head, body) = response.into_parts();
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     if text(headers::REQUEST_ID).is_some_and(|echoed| echoed != id) {
@@ -116,7 +126,7 @@
         return match (wrong_server, rejected) {
             (true, _) => (forward::AttemptEnd::WrongServer, condition),
             (_, true) => (forward::AttemptEnd::Rejected, condition),
-            _ => (forward::AttemptEnd::Broken, condition),
+            _ => (interrupted(client, address).await, condition),
         };
     };
     let end = if wrong_server {
--- a/crates/fireflyspool/tests/crashing_requests.rs
+++ b/crates/fireflyspool/tests/crashing_requests.rs
@@ -171,6 +171,20 @@
     running.check_others_served().await;
 }
 
+/// Guards against crashes that are taken for broken answers because a part of the answer came.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_crashes_servers_while_they_answer_is_no_longer_sent_to_any() {
+    let mut running = Running::start(95).await;
+    for server in running.servers.lock().await.iter() {
+        server.crashes().crash_midway();
+    }
+    running
+        .repeat(&format!("/all/{MARKER}"), CONTACT_TIME * 2)
+        .await;
+    running.check_late_repeats().await;
+    running.check_others_served().await;
+}
+
 /// Guards against control VMs that restart and have the request sent to servers again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_that_crashes_servers_stays_refused_after_control_vms_restart() {
--- a/crates/fireflyspool/tests/platform_site/crashes.rs
+++ b/crates/fireflyspool/tests/platform_site/crashes.rs
@@ -12,6 +12,7 @@
 #[derive(Default)]
 pub(crate) struct Crashes {
     marker: sync::Mutex<Option<String>>,
+    midway: atomic::AtomicBool,
     /// Ids of the requests under which it crashed, with the time.
     ended: sync::Mutex<Vec<(String, time::Instant)>>,
     down: atomic::AtomicBool,
@@ -24,6 +25,18 @@
         *self.marker.lock().expect("no panic") = Some(marker.to_owned());
     }
 
+    /// Has the server crash only after it has written a part of its answer.
+    pub(crate) fn crash_midway(&self) {
+        self.midway.store(true, atomic::Ordering::Relaxed);
+    }
+
+    /// Whether it answers a part of a request before it crashes under it.
+    pub(super) fn is_midway(&self, path: &str) -> bool {
+        let marker = self.marker.lock().expect("no panic");
+        let marked = marker.as_ref().is_some_and(|marker| path.contains(marker));
+        marked && self.midway.load(atomic::Ordering::Relaxed)
+    }
+
     /// Ids of the requests under which the server crashed, with the time.
     pub(crate) fn ended(&self) -> Vec<(String, time::Instant)> {
         self.ended.lock().expect("no panic").clone()
--- a/crates/fireflyspool/tests/platform_site/stand_in_server.rs
+++ b/crates/fireflyspool/tests/platform_site/stand_in_server.rs
@@ -285,6 +285,12 @@
         .lock()
         .expect("the lock is not poisoned")
         .push(time::Instant::now());
+    if shared.crashes.is_midway(path) {
+        let head = "HTTP/1.1 200 OK\r\nContent-Length: 4000\r\n\r\n";
+        // The caller may have closed the connection; the server crashes all the same.
+        let _ = stream.write_all(head.as_bytes()).await;
+        let _ = stream.write_all(&[b'.'; 2_000]).await;
+    }
     if shared.crashes.begin(path, id) {
         return future::pending().await;
     }
