Record the departure of an unknown server before acknowledging it

Cause: mark_gone left no trace of an unknown server, or marked the incarnation before the one that left, and the hub acknowledged a position that the departure had not moved.

Change: the departure is recorded with its start time and passed on like other changes; one that cannot be recorded is not acknowledged. A server that reports that it leaves while its address has a new user is recorded too, and a departed server claims no address any more.

Ruled out: the merge of reports with 'draining', which creates the entry.

--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -132,8 +132,14 @@
         born: Option<ids::BornMillis>,
         now: time::Instant,
     ) {
-        self.registry.mark_gone(server, born, now);
-        self.await_majority(ticket, now);
+        match self.registry.mark_gone(server, born, now) {
+            registry::MergeOutcome::Unrecorded => {
+                let accepted = false;
+                self.actions
+                    .push(hub::Action::Acknowledge { ticket, accepted });
+            }
+            _ => self.await_majority(ticket, now),
+        }
     }
 
     /// Address for the later reports of a server: that of a reachable hub in its zone, else
--- a/crates/fireflyspool/src/registry/entry.rs
+++ b/crates/fireflyspool/src/registry/entry.rs
@@ -1,8 +1,8 @@
 //! Registry entry of a backend server.
 
-use std::time;
+use std::{net, time};
 
-use crate::registry;
+use crate::{ids, registry};
 
 /// Greatest change of the end of the cold phase that is not published; differences up to
 /// it come from message delays.
@@ -19,6 +19,35 @@
 }
 
 impl Entry {
+    /// Entry of a server that left before any of its reports arrived.
+    pub(super) fn departed(
+        server: ids::ServerName,
+        born: ids::BornMillis,
+        now: time::Instant,
+    ) -> Self {
+        Self {
+            report: registry::Report {
+                server,
+                born,
+                sequence: 0,
+                service: ids::ServiceName::new(),
+                address: net::SocketAddr::from((net::Ipv4Addr::UNSPECIFIED, 0)),
+                zone: ids::ZoneName::new(),
+                slots: 0,
+                phase: registry::Phase::Gone,
+                cold_left: time::Duration::ZERO,
+            },
+            reported_at: now,
+            cold_until: now,
+            silent: false,
+        }
+    }
+
+    /// Whether a report of the server has arrived.
+    pub(super) fn has_reported(&self) -> bool {
+        !self.report.service.is_empty()
+    }
+
     /// Merges a report of the same incarnation.
     pub(super) fn update(&mut self, incoming: Self, now: time::Instant) -> registry::MergeOutcome {
         let phase = self.report.phase.max(incoming.report.phase);
--- a/crates/fireflyspool/src/registry/registry.rs
+++ b/crates/fireflyspool/src/registry/registry.rs
@@ -12,6 +12,9 @@
 /// does not revive one that is gone.
 const TOMBSTONE_LIFETIME: time::Duration = time::Duration::from_secs(600);
 
+/// Departures kept of servers that never reported; further ones are not recorded.
+const MAX_UNKNOWN_DEPARTURES: usize = 4_096;
+
 /// Longest cold phase; a report may state any number.
 const MAX_COLD: time::Duration = time::Duration::from_secs(24 * 3_600);
 
@@ -52,14 +55,21 @@
         reported_at: time::Instant,
         now: time::Instant,
     ) -> registry::MergeOutcome {
-        let entry = self.entries.get(&report.server);
-        if let Some(entry) = entry
-            && report.born < entry.report.born
-        {
-            return registry::MergeOutcome::Stale;
+        if let Some(entry) = self.entries.get_mut(&report.server) {
+            if report.born < entry.report.born {
+                return registry::MergeOutcome::Stale;
+            }
+            if report.born == entry.report.born && entry.report.phase == registry::Phase::Gone {
+                // It claims no address; the record is kept for as long as reports may follow.
+                entry.reported_at = entry.reported_at.max(reported_at);
+                return registry::MergeOutcome::Stale;
+            }
         }
         if !self.claim_address(&report) {
-            return registry::MergeOutcome::Stale;
+            return match report.phase {
+                registry::Phase::Serving => registry::MergeOutcome::Stale,
+                _ => self.mark_gone(&report.server, Some(report.born), now),
+            };
         }
         let cold_until = match report.cold_left.is_zero() {
             true => reported_at,
@@ -131,6 +141,10 @@
     }
 
     /// Marks a server as gone, unless `born` names an incarnation earlier than the known one.
+    ///
+    /// A server that is not known yet is recorded, because a report that it sent before it left
+    /// may arrive later; without its start time that report could not be told from one of the
+    /// next incarnation.
     pub fn mark_gone(
         &mut self,
         server: &str,
@@ -138,19 +152,41 @@
         now: time::Instant,
     ) -> registry::MergeOutcome {
         let Some(entry) = self.entries.get_mut(server) else {
-            return registry::MergeOutcome::Stale;
+            return self.record_departure(server, born, now);
         };
-        if born.is_some_and(|born| born < entry.report.born)
-            || entry.report.phase == registry::Phase::Gone
+        let born = born.unwrap_or(entry.report.born);
+        if born < entry.report.born
+            || (born == entry.report.born && entry.report.phase == registry::Phase::Gone)
         {
             return registry::MergeOutcome::Stale;
         }
+        if born > entry.report.born {
+            entry.report.born = born;
+            entry.report.sequence = 0;
+        }
         entry.report.phase = registry::Phase::Gone;
         entry.reported_at = now;
         self.log_change(server.to_owned());
         registry::MergeOutcome::Changed
     }
 
+    /// Records the departure of a server that has not reported.
+    fn record_departure(
+        &mut self,
+        server: &str,
+        born: Option<ids::BornMillis>,
+        now: time::Instant,
+    ) -> registry::MergeOutcome {
+        let unknown = self.entries.values().filter(|entry| !entry.has_reported());
+        let Some(born) = born.filter(|_| unknown.count() < MAX_UNKNOWN_DEPARTURES) else {
+            return registry::MergeOutcome::Unrecorded;
+        };
+        let entry = entry::Entry::departed(server.to_owned(), born, now);
+        self.entries.insert(server.to_owned(), entry);
+        self.log_change(server.to_owned());
+        registry::MergeOutcome::Changed
+    }
+
     /// Marks a server as leaving because an entry VM got that statement from it.
     ///
     /// Only the known incarnation is marked, and never the first serving server of a
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -148,6 +148,37 @@
     }
 }
 
+/// Guards against a departure that is acknowledged although no hub knows the server.
+#[test]
+fn a_departure_that_comes_before_the_first_report_is_held_by_a_majority() {
+    let mut site = Site::new();
+    site.advance(10);
+    let now = site.now;
+    site.hubs[0].deregister(7, "s", Some(1), now);
+    site.advance(10);
+    assert_eq!(site.acknowledged, [(7, true)]);
+    site.partitioned = vec![0];
+    let now = site.now;
+    site.hubs[1].report(8, report("s", registry::Phase::Serving, 1), now);
+    site.hubs[2].follow(1, poll(member(100, "c", true)), now);
+    site.advance(10);
+    let reply = site.replies.pop().expect("an answer");
+    let serving = |record: &&registry::Record| record.phase == registry::Phase::Serving;
+    assert_eq!(reply.changes.records.iter().filter(serving).count(), 0);
+}
+
+/// Guards against an acknowledgement of a departure that names no incarnation and so holds
+/// back none of the server's reports.
+#[test]
+fn a_departure_that_cannot_be_recorded_is_not_acknowledged() {
+    let mut site = Site::new();
+    site.advance(10);
+    let now = site.now;
+    site.hubs[0].deregister(7, "s", None, now);
+    site.advance(10);
+    assert_eq!(site.acknowledged, [(7, false)]);
+}
+
 /// Guards against an acknowledged departure that is lost with the only hub that received it.
 #[test]
 fn a_leaving_server_is_acknowledged_once_a_majority_holds_the_report() {
--- a/crates/fireflyspool/tests/registry.rs
+++ b/crates/fireflyspool/tests/registry.rs
@@ -171,3 +171,74 @@
         .tests(2_000)
         .quickcheck(property as fn(Reports, usize) -> bool);
 }
+
+/// Guards against a late first report that puts a server into use whose departure was
+/// acknowledged before.
+#[test]
+fn a_departure_before_the_first_report_is_final() {
+    let now = time::Instant::now();
+    let mut registry = registry::Registry::new(TIMEOUT);
+    let outcome = registry.mark_gone("s", Some(5), now);
+    assert_eq!(outcome, registry::MergeOutcome::Changed);
+    registry.merge(report("s", 5, 1), now, now);
+    assert_eq!(phase(&registry, "s", now), registry::Phase::Gone);
+    registry.merge(report("s", 6, 1), now, now);
+    assert_eq!(
+        phase(&registry, "s", now),
+        registry::Phase::Serving,
+        "the next incarnation serves"
+    );
+}
+
+/// Guards against a departure that marks the incarnation before the one that left.
+#[test]
+fn a_departure_of_a_later_incarnation_than_the_known_one_is_final() {
+    let now = time::Instant::now();
+    let mut registry = registry::Registry::new(TIMEOUT);
+    registry.merge(report("s", 1, 9), now, now);
+    registry.mark_gone("s", Some(2), now);
+    registry.merge(report("s", 2, 1), now, now);
+    assert_eq!(phase(&registry, "s", now), registry::Phase::Gone);
+}
+
+/// Guards against a departure that is forgotten because another server has the address.
+#[test]
+fn a_leaving_server_whose_address_has_a_new_user_is_gone() {
+    let now = time::Instant::now();
+    let mut registry = registry::Registry::new(TIMEOUT);
+    registry.merge(report("b", 2, 1), now, now);
+    let mut leaving = report("a", 1, 5);
+    leaving.phase = registry::Phase::Leaving;
+    registry.merge(leaving, now, now);
+    registry.mark_gone("b", Some(2), now);
+    registry.merge(report("a", 1, 4), now, now);
+    assert_eq!(phase(&registry, "a", now), registry::Phase::Gone);
+}
+
+/// Guards against a late report of a departed server that takes the address from its new user.
+#[test]
+fn a_departed_server_claims_no_address() {
+    let now = time::Instant::now();
+    let mut registry = registry::Registry::new(TIMEOUT);
+    registry.mark_gone("a", Some(7), now);
+    registry.merge(report("b", 2, 1), now, now);
+    registry.merge(report("a", 7, 1), now, now);
+    assert_eq!(phase(&registry, "b", now), registry::Phase::Serving);
+}
+
+/// Guards against memory that departures of unknown servers fill.
+#[test]
+fn departures_of_unknown_servers_are_bounded() {
+    let now = time::Instant::now();
+    let mut registry = registry::Registry::new(TIMEOUT);
+    for number in 0..10_000 {
+        registry.mark_gone(&format!("s{number}"), Some(1), now);
+    }
+    assert!(registry.records(now).len() <= 4_096);
+    let outcome = registry.mark_gone("another", Some(1), now);
+    assert_eq!(outcome, registry::MergeOutcome::Unrecorded);
+    let later = now + time::Duration::from_secs(601);
+    registry.expire(later);
+    let outcome = registry.mark_gone("another", Some(1), later);
+    assert_eq!(outcome, registry::MergeOutcome::Changed);
+}
