Retire replaced control VMs before the next one is lost

Cause of what was left: a replaced voter was kept for 8 s after a later join, or for good by a leader that had never heard of it; a planned replacement left the former VM in; the first learner by number held up the others; removals came last. Three planned replacements 4 s apart make eight voters, five of them live.

Change: MembershipPlan decides on each step by who is live: removals first, then any learner that has caught up; a member that is silent for 2 s is retired once as many voters are live as the replicated state expects. A VM that is told to stop says so. The log names voters and silent members.

Ruled out: retiring by silence alone, which would retire each VM that restarts.

--- a/crates/fireflyspool/src/control/control_thread.rs
+++ b/crates/fireflyspool/src/control/control_thread.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync::mpsc, thread, time};
 
-use crate::{control, ids, state};
+use crate::{control, ids};
 
 /// Bounds the delay of messages and replies, which wait for the sync after a batch.
 const MAX_EVENTS_PER_SYNC: usize = 512;
@@ -139,13 +139,12 @@
         let Some(voter) = &mut self.voter else {
             return Ok(());
         };
-        voter.tick(&self.outlet, now);
-        if let Some(hub) = &mut self.hub
-            && voter.is_leader()
-            && let Some(node) = hub.find_replaced(voter, now)
-        {
-            voter.propose_retirement(state::IdempotentCommand::Retire { node }, &self.outlet, now);
-        }
+        // Without a hub, operators name the members of the group.
+        let membership = match self.hub.is_some() {
+            true => control::MembershipControl::Automatic,
+            false => control::MembershipControl::Operators,
+        };
+        voter.tick(membership, &self.outlet, now);
         match voter.flush(&self.outlet, now) {
             Ok(()) => {
                 self.control_addresses = voter.addresses();
--- a/crates/fireflyspool/src/control/hub_driver.rs
+++ b/crates/fireflyspool/src/control/hub_driver.rs
@@ -24,9 +24,8 @@
     pub(super) pending_polls: sorted::SortedMap<ids::Ticket, oneshot::Sender<hub::FollowReply>>,
     pub(super) contacts: Vec<net::SocketAddr>,
     pub(super) join: control::JoinRequests,
-    pub(super) replace_due: time::Instant,
-    /// When each member of the control group was first listed.
-    pub(super) first_listed: sorted::SortedMap<net::SocketAddr, time::Instant>,
+    /// Whether this VM was told to stop.
+    pub(super) stopping: bool,
     /// Version of the configuration that was passed to the hub last.
     pub(super) version: ids::ConfigVersion,
     /// Addresses of the control group as last published.
@@ -54,8 +53,7 @@
             pending_polls: sorted::SortedMap::new(),
             contacts,
             join: control::JoinRequests::new(now),
-            replace_due: now,
-            first_listed: sorted::SortedMap::new(),
+            stopping: false,
             version: 0,
             group: Vec::new(),
             reachable: Vec::new(),
@@ -119,6 +117,7 @@
                 self.pending_polls.insert(ticket, reply);
                 self.hub.follow(ticket, *request, now);
             }
+            control::HubEvent::Stop => self.stopping = true,
             control::HubEvent::JoinEnded(reply) => self.join_ended(reply, now),
         }
     }
@@ -132,7 +131,7 @@
         now: time::Instant,
     ) {
         if let Some(voter) = voter {
-            self.apply_log(voter, outlet, now);
+            self.apply_log(voter, outlet);
             self.join(voter, outlet, now);
         }
         for action in self.hub.advance(now) {
@@ -163,12 +162,7 @@
         }
     }
 
-    fn apply_log(
-        &mut self,
-        voter: &control::Voter,
-        outlet: &dyn control::Outlet,
-        now: time::Instant,
-    ) {
+    fn apply_log(&mut self, voter: &control::Voter, outlet: &dyn control::Outlet) {
         if let Some(document) = &voter.state.document
             && document.version > self.version
         {
@@ -188,9 +182,6 @@
             outlet.publish_control_addresses(addresses.clone());
         }
         let group: Vec<_> = addresses.into_iter().map(|(_, rpc)| rpc).collect();
-        for listener in &group {
-            self.first_listed.get_or_insert_with(*listener, || now);
-        }
         self.hub.set_group(group);
     }
 
--- a/crates/fireflyspool/src/control/hub_event.rs
+++ b/crates/fireflyspool/src/control/hub_event.rs
@@ -49,6 +49,8 @@
         /// Receives the reply once there are changes or the poll's time is over.
         reply: oneshot::Sender<hub::FollowReply>,
     },
+    /// This VM was told to stop.
+    Stop,
     /// The request of this VM to join the control group has ended; `None` if no reply
     /// arrived.
     JoinEnded(Option<control::IdempotentReply>),
--- a/crates/fireflyspool/src/control/hub_membership.rs
+++ b/crates/fireflyspool/src/control/hub_membership.rs
@@ -1,42 +1,10 @@
-//! Joining the control group and replacing its silent members.
+//! Joining the control group.
 
 use std::{net, time};
 
-use crate::{control, ids, state};
-
-/// Interval between checks for a silent member.
-const REPLACE_INTERVAL: time::Duration = time::Duration::from_secs(1);
-
-/// Silence after which a member of the control group is replaced by one that
-/// joined later. The remaining majority keeps working through shorter partitions.
-const REPLACE_AFTER: time::Duration = time::Duration::from_secs(8);
+use crate::{control, state};
 
 impl control::HubDriver {
-    /// Member of the control group to retire: silent since before the latest member joined,
-    /// and for longer than `REPLACE_AFTER`.
-    pub fn find_replaced(
-        &mut self,
-        voter: &control::Voter,
-        now: time::Instant,
-    ) -> Option<ids::NodeId> {
-        if now < self.replace_due {
-            return None;
-        }
-        self.replace_due = now + REPLACE_INTERVAL;
-        let latest_join = self.first_listed.values().max().copied()?;
-        let is_replaced = |listener: &net::SocketAddr| {
-            let last_seen = self.hub.last_seen(*listener);
-            *listener != self.own.rpc
-                && last_seen.is_some_and(|last_seen| {
-                    last_seen < latest_join
-                        && now.saturating_duration_since(last_seen) > REPLACE_AFTER
-                })
-        };
-        let group = voter.addresses();
-        let found = group.iter().find(|(_, listener)| is_replaced(listener));
-        found.map(|(node, _)| *node)
-    }
-
     /// Asks one control VM after the other to add this VM to the control group, until the
     /// applied log lists it.
     pub(super) fn join(
@@ -46,10 +14,12 @@
         now: time::Instant,
     ) {
         let identity = voter.folder.identity();
-        let listed = voter.state.group.added.get(&identity.node);
-        if !self.join.is_due(now)
-            || listed.is_some_and(|record| record.incarnation == identity.incarnation)
-        {
+        let group = &voter.state.group;
+        let listed = group.added.get(&identity.node);
+        let is_listed = listed.is_some_and(|record| record.incarnation == identity.incarnation);
+        // A VM that was told to stop and has started again joins again to be counted on.
+        let is_leaving = group.leaving.contains_key(&identity.node) && !self.stopping;
+        if !self.join.is_due(now) || (is_listed && !is_leaving) {
             return;
         }
         let candidates = self.join_candidates(voter, now);
--- a/crates/fireflyspool/src/control/mod.rs
+++ b/crates/fireflyspool/src/control/mod.rs
@@ -14,6 +14,7 @@
 //! data folder, if it has a [`VoterOpener`], or ends: a replica that cannot
 //! store its votes must not go on voting.
 
+mod attendance;
 mod control_error;
 mod control_thread;
 mod environment;
@@ -27,6 +28,8 @@
 mod lease_driver;
 mod mailbox;
 mod mailbox_error;
+mod membership_control;
+mod membership_plan;
 mod outlet;
 mod propose_reply;
 mod table;
@@ -38,6 +41,7 @@
 mod voter_show;
 mod waiter;
 
+pub use attendance::Attendance;
 pub use control_error::ControlError;
 pub use control_thread::ControlThread;
 pub use environment::Environment;
@@ -50,6 +54,8 @@
 pub use lease_driver::LeaseDriver;
 pub use mailbox::Mailbox;
 pub use mailbox_error::MailboxError;
+pub use membership_control::MembershipControl;
+pub use membership_plan::MembershipPlan;
 pub use outlet::Outlet;
 pub use propose_reply::ProposeReply;
 pub use table::Table;
--- a/crates/fireflyspool/src/control/voter.rs
+++ b/crates/fireflyspool/src/control/voter.rs
@@ -10,9 +10,8 @@
     ids, roster, sorted, state, storage,
 };
 
-/// Pause between two steps that bring the membership of the log closer to the
-/// membership that the operators asked for.
-const MEMBERSHIP_PAUSE: time::Duration = time::Duration::from_millis(500);
+/// Longest pause between two checks whether the membership of the log is the wanted one.
+const MEMBERSHIP_PAUSE: time::Duration = time::Duration::from_millis(250);
 
 type Renewal = (
     Box<roster::RenewRequest>,
@@ -42,6 +41,10 @@
     pub(super) unsaved_bytes: usize,
     pub(super) timer: Option<time::Instant>,
     pub(super) membership_due: time::Instant,
+    /// What this replica has heard of the members while it leads.
+    pub(super) attendance: control::Attendance,
+    /// Silent members as last logged.
+    pub(super) silent: Vec<ids::NodeId>,
     pub(super) logger: slog::Logger,
 }
 
@@ -83,6 +86,8 @@
             unsaved_bytes: 0,
             timer: None,
             membership_due: now,
+            attendance: control::Attendance::new(),
+            silent: Vec::new(),
             logger,
         };
         voter.flush(outlet, now)?;
@@ -111,20 +116,6 @@
         self.replica.is_leader()
     }
 
-    /// Proposes a command that retires a member; its outcome is not awaited.
-    pub fn propose_retirement(
-        &mut self,
-        command: state::IdempotentCommand,
-        outlet: &dyn control::Outlet,
-        now: time::Instant,
-    ) {
-        slog::info!(self.logger, "proposing to replace a member of the control group";
-            "order" => ?command);
-        let (reply, _) = oneshot::channel();
-        let entry = state::Entry::Idempotent(command);
-        self.propose(&entry, waiter::Waiter::Idempotent(reply), outlet, now);
-    }
-
     /// Handles an event; replies and messages go out with the next [`Voter::flush`].
     pub fn handle(
         &mut self,
@@ -172,7 +163,12 @@
     }
 
     /// Runs the replica's timer, the expiry of leases and the next membership step if due.
-    pub fn tick(&mut self, outlet: &dyn control::Outlet, now: time::Instant) {
+    pub fn tick(
+        &mut self,
+        membership: control::MembershipControl,
+        outlet: &dyn control::Outlet,
+        now: time::Instant,
+    ) {
         if self.timer.is_some_and(|at| at <= now) {
             self.timer = None;
             self.step(consensus::Event::Timer, outlet, now);
@@ -185,6 +181,9 @@
         if self.replica.is_leader() && self.membership_due <= now {
             self.membership_due = now + MEMBERSHIP_PAUSE;
             self.step_membership(outlet, now);
+            if membership == control::MembershipControl::Automatic {
+                self.replace_members(outlet, now);
+            }
         }
     }
 
--- a/crates/fireflyspool/src/control/voter_apply.rs
+++ b/crates/fireflyspool/src/control/voter_apply.rs
@@ -54,8 +54,10 @@
             }
             consensus::Action::MembersChanged { members, .. } => {
                 let nodes: Vec<_> = members.iter().map(|member| member.node).collect();
+                let voters: Vec<_> = members.voters().collect();
                 slog::info!(self.logger, "members of the control group changed";
-                    "members" => ?nodes);
+                    "members" => ?nodes, "voters" => ?voters);
+                self.membership_due = now;
             }
             consensus::Action::Refuse { ticket, leader } => {
                 let listener = leader.and_then(|leader| self.address_of(leader));
@@ -97,6 +99,7 @@
                 .as_ref()
                 .is_some_and(|roster| roster.version().term == term);
             if !same_term {
+                self.attendance = control::Attendance::new();
                 self.roster = Some(roster::Roster::new(term, now, self.lease));
             }
         } else {
@@ -129,7 +132,7 @@
             }
         }
         if let state::Entry::Idempotent(command) = &entry {
-            self.log_idempotent(command, outlet);
+            self.log_idempotent(command, outlet, now);
         }
         if let Some(waiter) = ticket.and_then(|ticket| self.waiters.remove(&ticket)) {
             waiter.resolve(applied);
@@ -144,7 +147,12 @@
         Ok(())
     }
 
-    fn log_idempotent(&mut self, command: &state::IdempotentCommand, outlet: &dyn control::Outlet) {
+    fn log_idempotent(
+        &mut self,
+        command: &state::IdempotentCommand,
+        outlet: &dyn control::Outlet,
+        now: time::Instant,
+    ) {
         match command {
             state::IdempotentCommand::Configure(document) => {
                 let held = self.state.document.as_ref().map(|held| held.version);
@@ -155,6 +163,7 @@
             other => {
                 slog::info!(self.logger, "idempotent command applied"; "order" => ?other);
                 outlet.publish_control_addresses(self.addresses());
+                self.membership_due = now;
             }
         }
     }
--- a/crates/fireflyspool/src/control/voter_membership.rs
+++ b/crates/fireflyspool/src/control/voter_membership.rs
@@ -2,7 +2,13 @@
 
 use std::{net, time};
 
-use crate::{consensus, control, ids};
+use tokio::sync::oneshot;
+
+use crate::{
+    consensus,
+    control::{self, waiter},
+    ids, state,
+};
 
 impl control::Voter {
     /// Listeners of all control VMs that the applied state lists, ascending by number.
@@ -20,38 +26,54 @@
         all
     }
 
-    /// Proposes one membership change towards the control group of the applied state:
-    /// add a missing VM as a learner, else promote a learner, else remove a VM.
+    /// Proposes the next membership change, if one is needed, and logs who is silent.
     pub(super) fn step_membership(&mut self, outlet: &dyn control::Outlet, now: time::Instant) {
+        let status = self.replica.status();
+        self.attendance.update(&status, now);
+        let plan = control::MembershipPlan {
+            own: status.node,
+            members: &status.members,
+            group: &self.state.group,
+            attendance: &self.attendance,
+            now,
+        };
+        let (change, silent) = (plan.next_change(), plan.silent());
+        self.log_silent(&silent);
+        if let Some(change) = change {
+            self.next_ticket += 1;
+            let ticket = self.next_ticket;
+            let event = consensus::Event::ChangeMembers { ticket, change };
+            self.step(event, outlet, now);
+        }
+    }
+
+    /// Proposes to retire a silent member that another VM has replaced, or to expect more voters.
+    pub(super) fn replace_members(&mut self, outlet: &dyn control::Outlet, now: time::Instant) {
         let members = self.replica.members();
-        let group = &self.state.group;
-        let missing = group
-            .added
-            .iter()
-            .find(|(node, _)| members.get(**node).is_none());
-        let unwanted = members
-            .iter()
-            .find(|member| group.removed.contains_key(&member.node));
-        let learner = members.iter().find(|member| !members.is_voter(member.node));
-        let change = if let Some((node, record)) = missing {
-            consensus::MembershipChange::AddLearner {
-                node: *node,
-                incarnation: record.incarnation,
-            }
-        } else if let Some(member) = learner {
-            consensus::MembershipChange::Promote { node: member.node }
-        } else if let Some(member) = unwanted {
-            consensus::MembershipChange::Remove { node: member.node }
-        } else {
+        let plan = control::MembershipPlan {
+            own: self.folder.identity().node,
+            members: &members,
+            group: &self.state.group,
+            attendance: &self.attendance,
+            now,
+        };
+        let Some(command) = plan.next_command() else {
             return;
         };
-        self.next_ticket += 1;
-        let ticket = self.next_ticket;
-        self.step(
-            consensus::Event::ChangeMembers { ticket, change },
-            outlet,
-            now,
-        );
+        slog::info!(self.logger, "proposing a change of the control group";
+            "order" => ?command, "expected" => self.state.group.expected_size());
+        let (reply, _) = oneshot::channel();
+        let entry = state::Entry::Idempotent(command);
+        self.propose(&entry, waiter::Waiter::Idempotent(reply), outlet, now);
+    }
+
+    fn log_silent(&mut self, silent: &[(ids::NodeId, time::Duration)]) {
+        let nodes: Vec<_> = silent.iter().map(|(node, _)| *node).collect();
+        if nodes != self.silent {
+            slog::info!(self.logger, "silent members of the control group changed";
+                "silent" => ?silent, "expected" => self.state.group.expected_size());
+            self.silent = nodes;
+        }
     }
 
     pub(super) fn address_of(&self, node: ids::NodeId) -> Option<net::SocketAddr> {
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -192,11 +192,6 @@
         all.min().unwrap_or(now + self.config.exchange_interval)
     }
 
-    /// When the last batch or acknowledgement of another hub arrived; `None` if none did.
-    pub fn last_seen(&self, listener: net::SocketAddr) -> Option<time::Instant> {
-        self.peers.get(&listener)?.last_seen
-    }
-
     /// Listeners of the other hubs that are reachable, ascending.
     pub fn reachable_peers(&self, now: time::Instant) -> Vec<net::SocketAddr> {
         let timeout = self.config.peer_timeout;
--- a/crates/fireflyspool/src/node/control.rs
+++ b/crates/fireflyspool/src/node/control.rs
@@ -37,6 +37,8 @@
 /// Interface of a control VM for its front ends.
 pub struct Control {
     process: sync::Arc<node::Process>,
+    /// Own listener for other processes.
+    rpc: net::SocketAddr,
     /// Dropping the handle would close the listener for other processes.
     listener: sync::OnceLock<server::ServerHandle>,
 }
@@ -70,6 +72,7 @@
         let hub = control::HubDriver::new(own, config, contacts, logger.clone(), now);
         let node = sync::Arc::new(Self {
             process,
+            rpc: settings.rpc,
             listener: sync::OnceLock::new(),
         });
         let listener = node::rpc_listener(settings.rpc, sync::Arc::clone(&node)).await?;
@@ -107,6 +110,17 @@
         self.ask_hub(event).await
     }
 
+    /// Tells the control group that this VM stops, so that it is not waited for if another takes
+    /// its place.
+    pub async fn leave(&self) {
+        let stop = control::Event::Hub(control::HubEvent::Stop);
+        self.process.send_event(stop);
+        let rpc = self.rpc;
+        let result = self.execute(state::IdempotentCommand::Leave { rpc }).await;
+        slog::info!(self.process.logger, "told the control group that this VM stops";
+            "result" => ?result);
+    }
+
     /// Entry VMs for a caller; empty if none is known yet.
     pub fn addresses(&self, query: &hub::AddressQuery) -> Vec<net::SocketAddr> {
         self.process.addresses.load().answer(query)
--- a/crates/fireflyspool/src/platform/run.rs
+++ b/crates/fireflyspool/src/platform/run.rs
@@ -119,6 +119,7 @@
     }
     slog::info!(logger, "started"; "vm" => settings.name(), "role" => "control");
     wait_for_stop(signals, &mut listener, &logger).await?;
+    node.leave().await;
     // Sending fails if the listener has ended already.
     let _ = closing.send(true);
     if tokio::time::timeout(CLOSE_LIMIT, listener).await.is_err() {
--- a/crates/fireflyspool/src/state/control_group.rs
+++ b/crates/fireflyspool/src/state/control_group.rs
@@ -17,6 +17,12 @@
     pub added: sorted::SortedMap<ids::NodeId, state::ControlRecord>,
     /// VMs that were removed, with the number of the command; 0 without a numbered command.
     pub removed: sorted::SortedMap<ids::NodeId, ids::CommandNumber>,
+    /// Most voters that were live together for some time.
+    #[serde(default)]
+    pub size: usize,
+    /// VMs that were told to stop and have not joined again.
+    #[serde(default)]
+    pub leaving: sorted::SortedMap<ids::NodeId, ()>,
 }
 
 impl ControlGroup {
@@ -39,6 +45,25 @@
         Ok(())
     }
 
+    /// Voters that are expected to be live.
+    pub fn expected_size(&self) -> usize {
+        let staying = self.added.len().saturating_sub(self.leaving.len());
+        self.size.min(staying)
+    }
+
+    /// Records that more voters are live than were expected.
+    pub fn resize(&mut self, size: usize) {
+        self.size = self.size.max(size);
+    }
+
+    /// Records that the VM at an address was told to stop.
+    pub fn leave(&mut self, rpc: net::SocketAddr) {
+        let mut added = self.added.iter();
+        if let Some((node, _)) = added.find(|(_, record)| record.rpc == rpc) {
+            self.leaving.insert(*node, ());
+        }
+    }
+
     /// Records that a VM is to join, in place of any other VM at its address.
     pub fn join(
         &mut self,
@@ -55,8 +80,10 @@
         let former: Vec<_> = self.added.iter().filter_map(replaced).collect();
         for other in former {
             self.added.remove(&other);
+            self.leaving.remove(&other);
             self.removed.insert(other, 0);
         }
+        self.leaving.remove(&node);
         self.added
             .insert(node, state::ControlRecord { incarnation, rpc });
         state::IdempotentOutcome::Accepted
@@ -76,6 +103,7 @@
             return Err(state::ChangeError::Missing(format!("control VM {node}")));
         }
         self.added.remove(&node);
+        self.leaving.remove(&node);
         self.removed.insert(node, number);
         Ok(())
     }
--- a/crates/fireflyspool/src/state/control_state.rs
+++ b/crates/fireflyspool/src/state/control_state.rs
@@ -91,6 +91,8 @@
                 // The group refuses only a VM that is removed already.
                 let _ = self.group.remove(*node, 0);
             }
+            state::IdempotentCommand::Leave { rpc } => self.group.leave(*rpc),
+            state::IdempotentCommand::Resize { size } => self.group.resize(*size),
             state::IdempotentCommand::Read => {
                 return state::IdempotentOutcome::Document(self.document.clone());
             }
--- a/crates/fireflyspool/src/state/idempotent_command.rs
+++ b/crates/fireflyspool/src/state/idempotent_command.rs
@@ -44,6 +44,16 @@
         /// Number of the VM.
         node: ids::NodeId,
     },
+    /// Records that a VM of the control group was told to stop.
+    Leave {
+        /// Address of its listener for other processes of the tier.
+        rpc: net::SocketAddr,
+    },
+    /// Records how many voters of the control group are live together.
+    Resize {
+        /// Number of voters.
+        size: usize,
+    },
     /// Reads the routing configuration.
     ///
     /// The read passes through the log, so that a leader that was replaced
--- a/crates/fireflyspool/tests/control_group.rs
+++ b/crates/fireflyspool/tests/control_group.rs
@@ -69,3 +69,44 @@
     await_leader(&site, 6).await;
     controls.push(new);
 }
+
+/// Time that a VM has to join before the next one is lost.
+const CATCH_UP: time::Duration = time::Duration::from_secs(4);
+
+/// Pause between the loss of a VM and the start of its successor, and between the start of a
+/// successor and the planned stop of the VM that it replaces.
+const HANDOVER: time::Duration = time::Duration::from_secs(1);
+
+/// Guards against a group that loses its majority because voters that were replaced for good are
+/// kept while the next ones are lost.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_group_whose_vms_are_replaced_one_after_another_keeps_working() {
+    let site = Site::new(74);
+    let mut running: Vec<_> = CONTROLS.into_iter().zip(start_group(&site).await).collect();
+    // All voters have to be seen together before one of them can count as replaced.
+    tokio::time::sleep(CATCH_UP).await;
+    for round in 0..8_u8 {
+        let (new, is_planned) = (round + 6, round % 2 == 0);
+        let seeds: Vec<_> = running.iter().rev().take(3).map(|(vm, _)| *vm).collect();
+        let former = running.remove(0).1;
+        let start = || site.start_with_seeds(new, ("control", "a"), false, &seeds);
+        if is_planned {
+            running.push((new, start()));
+            tokio::time::sleep(HANDOVER).await;
+            former.terminate();
+            assert_eq!(former.wait(WAIT_LIMIT).await, Some(0));
+        } else {
+            former.kill();
+            tokio::time::sleep(HANDOVER).await;
+            running.push((new, start()));
+        }
+        tokio::time::sleep(CATCH_UP).await;
+        let configuration = site.configuration(u64::from(round) + 4, 1_500);
+        let vms: Vec<_> = running.iter().map(|(vm, _)| *vm).collect();
+        site.order(&vms, "/fireflyspool/Config.Replace", configuration)
+            .await;
+    }
+    let vms: Vec<_> = running.iter().map(|(vm, _)| *vm).collect();
+    let text = site.read_back(&vms).await;
+    assert!(text.contains("\"Version\":11"), "the newest one: {text}");
+}
