Bound the memory of all responses under way

Report of other operators: a faulty server sent bytes without end, the machine kept them all and ran out of memory.

Cause here: single responses are cut at 1 MiB, but nothing bounded their sum, and chunks of one byte were kept as one buffer each.

Change: responses share a pool of a quarter of the memory of the process, beyond 16 KiB of each; bodies are joined as they arrive; of a large part of a query only the records that can be in the answer are kept.

Ruled out: a smaller limit for each response, which would cut large answers of sound servers and still grow with the number of connections.

--- a/crates/fireflyspool/src/forward/exchange_ends.rs
+++ b/crates/fireflyspool/src/forward/exchange_ends.rs
@@ -5,6 +5,10 @@
 use crate::forward::{any_sub_request, attempt, retry_time};
 use crate::{configuration, fleet, forward, ids};
 
+/// Part of a query above which only the records that can be in the answer are kept until it is
+/// complete.
+const LARGE_PART_BYTES: usize = 4 * 1024;
+
 impl forward::Exchange {
     pub(super) fn handle_end(
         &mut self,
@@ -28,7 +32,13 @@
             return;
         };
         match end {
-            forward::AttemptEnd::Answered(response) if response.is_success() => {
+            forward::AttemptEnd::Answered(mut response) if response.is_success() => {
+                if let configuration::Target::Gather(gather) = &self.route.target
+                    && response.body.len() > LARGE_PART_BYTES
+                {
+                    let records = forward::merge_top([response.body.as_ref()], gather.top_k);
+                    response.body = records.into();
+                }
                 self.sub_requests[index] = self.sub_requests[index].take().complete(response);
             }
             forward::AttemptEnd::Answered(response) => {
--- a/crates/fireflyspool/src/platform/http_backend_client.rs
+++ b/crates/fireflyspool/src/platform/http_backend_client.rs
@@ -15,8 +15,9 @@
 }
 
 impl HttpBackendClient {
-    pub(super) fn new(timer: timer::TimerService) -> Self {
-        let client = rim::ForwardClient::new(timer.clone());
+    /// Creates a client whose responses under way take up to `memory` bytes together.
+    pub(super) fn new(timer: timer::TimerService, memory: usize) -> Self {
+        let client = rim::ForwardClient::with_memory(timer.clone(), memory);
         Self { client, timer }
     }
 }
--- a/crates/fireflyspool/src/platform/mod.rs
+++ b/crates/fireflyspool/src/platform/mod.rs
@@ -23,6 +23,7 @@
 mod limits_wire;
 mod listen_addresses;
 mod platform_error;
+mod process_limits;
 mod process_settings;
 mod ready_routes;
 mod route_wire;
--- a/crates/fireflyspool/src/platform/process_settings.rs
+++ b/crates/fireflyspool/src/platform/process_settings.rs
@@ -2,7 +2,7 @@
 
 use std::{env, fs, net, path, time};
 
-use crate::platform::{bounds, listen_addresses};
+use crate::platform::{bounds, listen_addresses, process_limits};
 use crate::{fleet, node, platform};
 
 /// Environment variable with the path of the settings file.
@@ -35,6 +35,8 @@
     listen_addrs: listen_addresses::ListenAddresses,
     #[serde(default)]
     bounds: bounds::Bounds,
+    #[serde(default)]
+    limits: process_limits::ProcessLimits,
 }
 
 /// Heartbeat interval in milliseconds that all known installations use.
@@ -113,6 +115,12 @@
         })
     }
 
+    /// Bytes that responses of backend servers may take while they are received: a quarter of the
+    /// memory of the process.
+    pub fn response_memory(&self) -> usize {
+        self.limits.memory_mb.saturating_mul(1024 * 1024) / 4
+    }
+
     /// Address for readiness checks, if this process has one.
     pub fn readiness(&self) -> Option<net::SocketAddr> {
         self.listen_addrs.readiness
--- a/crates/fireflyspool/src/platform/run.rs
+++ b/crates/fireflyspool/src/platform/run.rs
@@ -54,7 +54,8 @@
     let (callers, listener) = (own.callers, own.listener);
     let (logger, _guard, dropped) = node::start_logger(own.callers);
     let timer = crate::timer::TimerService::start()?;
-    let client = http_backend_client::HttpBackendClient::new(timer.clone());
+    let client =
+        http_backend_client::HttpBackendClient::new(timer.clone(), settings.response_memory());
     let format = sync::Arc::new(platform::ConfigurationFormat);
     let node = node::Entry::start(
         own,
--- a/crates/fireflyspool/src/rim/bounded_stream.rs
+++ b/crates/fireflyspool/src/rim/bounded_stream.rs
@@ -1,15 +1,13 @@
 //! TCP stream that limits how much is read for one response.
 
 use std::{
-    io, pin,
-    sync::{self, atomic},
+    io, pin, sync,
     task::{self, Poll},
 };
 
 use tokio::io as async_io;
 
-/// Bytes that may still be read.
-pub(super) type Allowance = sync::Arc<atomic::AtomicUsize>;
+use crate::rim::allowance;
 
 /// Stream whose reads fail once its allowance is used up.
 ///
@@ -17,12 +15,15 @@
 /// chunk extensions, bodies and trailers.
 pub(super) struct BoundedStream {
     stream: tokio::net::TcpStream,
-    allowance: Allowance,
+    allowance: sync::Arc<allowance::Allowance>,
 }
 
 impl BoundedStream {
     /// Limits a stream; the owner of `allowance` renews it for each response.
-    pub(super) fn new(stream: tokio::net::TcpStream, allowance: Allowance) -> Self {
+    pub(super) fn new(
+        stream: tokio::net::TcpStream,
+        allowance: sync::Arc<allowance::Allowance>,
+    ) -> Self {
         Self { stream, allowance }
     }
 }
@@ -36,13 +37,9 @@
         let before = buffer.filled().len();
         let polled = pin::Pin::new(&mut self.stream).poll_read(context, buffer);
         let read = buffer.filled().len() - before;
-        let left = self.allowance.load(atomic::Ordering::Relaxed);
-        match left.checked_sub(read) {
-            Some(left) => {
-                self.allowance.store(left, atomic::Ordering::Relaxed);
-                polled
-            }
-            None => Poll::Ready(Err(io::Error::other("the response is too long"))),
+        match self.allowance.spend(read) {
+            true => polled,
+            false => Poll::Ready(Err(io::Error::other("the response is too long"))),
         }
     }
 }
--- a/crates/fireflyspool/src/rim/forward_body.rs
+++ b/crates/fireflyspool/src/rim/forward_body.rs
@@ -22,16 +22,21 @@
     ///
     /// Returns a [`rim::ForwardError`] if the body ends early or the response is too long.
     pub async fn read(mut self) -> Result<bytes::Bytes, rim::ForwardError> {
-        let mut chunks = Vec::new();
+        let first = self.next_chunk().await?.unwrap_or_default();
+        // Chunks of a few bytes take many times their length if each is kept by itself.
+        let mut joined = bytes::BytesMut::new();
         while let Some(chunk) = self.next_chunk().await? {
-            chunks.push(chunk);
+            if joined.is_empty() {
+                joined.extend_from_slice(&first);
+            }
+            joined.extend_from_slice(&chunk);
         }
         if let Some(connection) = self.connection.finish().await {
             self.idle.put(self.address, connection);
         }
-        Ok(match chunks.len() {
-            1 => chunks.remove(0),
-            _ => chunks.concat().into(),
+        Ok(match joined.is_empty() {
+            true => first,
+            false => joined.freeze(),
         })
     }
 
--- a/crates/fireflyspool/src/rim/forward_client.rs
+++ b/crates/fireflyspool/src/rim/forward_client.rs
@@ -7,25 +7,37 @@
 
 use std::{io, net, sync, time};
 
-use crate::rim::{forward_connection, idle_connections};
+use crate::rim::{forward_connection, idle_connections, receive_pool};
 use crate::{rim, timer};
 
 /// Time limit of the check whether a process still accepts connections; its caller waits.
 const CHECK_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
+/// Memory for the responses under way that a client takes if nothing else is stated; a third of
+/// that of a small VM.
+const DEFAULT_POOL_BYTES: usize = 32 * 1024 * 1024;
+
 /// Client with a pool of idle connections, which leaves requests unchanged.
 #[derive(Clone)]
 pub struct ForwardClient {
     idle: sync::Arc<idle_connections::IdleConnections>,
+    pool: sync::Arc<receive_pool::ReceivePool>,
     timer: timer::TimerService,
 }
 
 impl ForwardClient {
     /// Creates a client without connections.
     pub fn new(timer: timer::TimerService) -> Self {
+        Self::with_memory(timer, DEFAULT_POOL_BYTES)
+    }
+
+    /// Creates a client whose responses under way take up to `bytes` together, beyond a small
+    /// share of each.
+    pub fn with_memory(timer: timer::TimerService, bytes: usize) -> Self {
         let idle = idle_connections::IdleConnections::new(timer.clone());
         Self {
             idle: sync::Arc::new(idle),
+            pool: sync::Arc::new(receive_pool::ReceivePool::new(bytes)),
             timer,
         }
     }
@@ -53,8 +65,7 @@
                 },
             }
         }
-        let connection =
-            forward_connection::ForwardConnection::connect(address, &self.timer).await?;
+        let connection = self.connect(address).await?;
         let sent = self.exchange(address, connection, request).await;
         sent.map_err(|failure| rim::ForwardError::Broken(failure.source))
     }
@@ -68,8 +79,7 @@
         if self.idle.contains(address) {
             return Ok(());
         }
-        let connection =
-            forward_connection::ForwardConnection::connect(address, &self.timer).await?;
+        let connection = self.connect(address).await?;
         self.idle.put(address, connection.rest());
         Ok(())
     }
@@ -78,9 +88,8 @@
     ///
     /// A connection that is opened is kept for the next request.
     pub async fn is_refused(&self, address: net::SocketAddr) -> bool {
-        let connecting = forward_connection::ForwardConnection::connect(address, &self.timer);
         let connected = tokio::select! {
-            connected = connecting => connected,
+            connected = self.connect(address) => connected,
             () = self.timer.sleep(CHECK_TIMEOUT) => return false,
         };
         match connected {
@@ -95,6 +104,14 @@
         }
     }
 
+    async fn connect(
+        &self,
+        address: net::SocketAddr,
+    ) -> Result<forward_connection::ForwardConnection<forward_connection::Open>, rim::ForwardError>
+    {
+        forward_connection::ForwardConnection::connect(address, &self.timer, &self.pool).await
+    }
+
     async fn exchange(
         &self,
         address: net::SocketAddr,
--- a/crates/fireflyspool/src/rim/forward_connection.rs
+++ b/crates/fireflyspool/src/rim/forward_connection.rs
@@ -5,8 +5,7 @@
 //! found out when it is taken for the next request.
 
 use std::{
-    future, net, pin,
-    sync::{self, atomic},
+    future, net, pin, sync,
     task::{self, Poll},
     time,
 };
@@ -14,15 +13,12 @@
 use hyper::{body, client::conn::http1};
 use hyper_util::rt;
 
-use crate::rim::{bounded_stream, send_failure};
+use crate::rim::{allowance, bounded_stream, receive_pool, send_failure};
 use crate::{rim, timer};
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
-/// Largest response, head included; many times the largest one of any known service.
-const MAX_RESPONSE_BYTES: usize = 1024 * 1024;
-
 /// Largest response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
@@ -53,7 +49,7 @@
 pub(super) struct ForwardConnection<S> {
     sender: http1::SendRequest<RequestBody>,
     driver: Driver,
-    allowance: bounded_stream::Allowance,
+    allowance: sync::Arc<allowance::Allowance>,
     state: S,
 }
 
@@ -93,6 +89,7 @@
     pub(super) async fn connect(
         address: net::SocketAddr,
         timer: &timer::TimerService,
+        pool: &sync::Arc<receive_pool::ReceivePool>,
     ) -> Result<Self, rim::ForwardError> {
         let stream = tokio::select! {
             stream = tokio::net::TcpStream::connect(address) => stream,
@@ -103,7 +100,8 @@
         stream
             .set_nodelay(true)
             .map_err(rim::ForwardError::Connect)?;
-        let allowance = bounded_stream::Allowance::default();
+        let allowance = allowance::Allowance::new(sync::Arc::clone(pool));
+        let allowance = sync::Arc::new(allowance);
         let stream = bounded_stream::BoundedStream::new(stream, sync::Arc::clone(&allowance));
         let opened = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
@@ -132,8 +130,7 @@
         mut self,
         request: http::Request<RequestBody>,
     ) -> Result<Received, send_failure::SendFailure> {
-        self.allowance
-            .store(MAX_RESPONSE_BYTES, atomic::Ordering::Relaxed);
+        self.allowance.renew();
         let mut response = pin::pin!(self.sender.try_send_request(request));
         let received = future::poll_fn(|context| {
             self.driver.poll(context);
@@ -172,6 +169,7 @@
     /// Ends the response; `None` if the connection cannot be used again.
     pub(super) async fn finish(mut self) -> Option<ForwardConnection<Idle>> {
         poll_once(&mut self.driver).await;
+        self.allowance.renew();
         let since = time::Instant::now();
         self.is_open().then(|| self.with_state(Idle { since }))
     }
--- a/crates/fireflyspool/src/rim/mod.rs
+++ b/crates/fireflyspool/src/rim/mod.rs
@@ -5,6 +5,7 @@
 //! messages to bytes and back. Decisions are made elsewhere, so another front
 //! end can be added without changing them.
 
+mod allowance;
 mod authorized;
 mod backend_client;
 mod backend_reply;
@@ -35,6 +36,7 @@
 mod peers;
 mod process_environment;
 mod query_request;
+mod receive_pool;
 mod replica_link;
 mod rpc_error;
 mod rpc_listener;
