Keep known control VMs while the one that is asked is cut off

Cause: an entry VM replaced the hubs that it knew by those that a hub behind a cut still reached. With all seeds on that side it knew none of the majority. Evidence: the cut of four of nine control VMs at 1.5 s, and the age of the view of an entry VM, which grows until the cut heals.

Change: a hub that is not current adds to the known hubs and removes none.

Before: hubs_that_a_cut_off_hub_does_not_reach_are_still_asked failed ('no hub of the majority is asked'). After: it passes, as do the other tests of follow and control_traffic.

--- a/crates/fireflyspool/src/follow/follower.rs
+++ b/crates/fireflyspool/src/follow/follower.rs
@@ -183,7 +183,10 @@
             self.view.delegates = delegates;
         }
         if let Some(hubs) = reply.hubs {
-            self.choice.set_hubs(hubs);
+            match reply.current {
+                true => self.choice.set_hubs(hubs),
+                false => self.choice.add_hubs(hubs),
+            }
         }
         reply
             .document
--- a/crates/fireflyspool/src/follow/hub_choice.rs
+++ b/crates/fireflyspool/src/follow/hub_choice.rs
@@ -96,9 +96,28 @@
         self.positions.insert(self.current, (incarnation, position));
     }
 
+    /// Adds hubs to the known ones. A hub that is not current may be cut off with a few others,
+    /// so those that it does not reach stay known.
+    pub(super) fn add_hubs(&mut self, hubs: Vec<hub::HubInfo>) {
+        let knew_local = !self.local().is_empty();
+        let former = std::mem::take(&mut self.hubs);
+        let is_missing = |info: &hub::HubInfo| !hubs.iter().any(|new| new.rpc == info.rpc);
+        let kept: Vec<_> = former.into_iter().filter(is_missing).collect();
+        self.hubs = hubs.into_iter().chain(kept).collect();
+        // Otherwise each answer would lead back to the same hub of the own zone.
+        if !knew_local {
+            self.prefer_local();
+        }
+    }
+
     /// Sets the known hubs, and moves to one of the own zone if the current one is not.
     pub(super) fn set_hubs(&mut self, hubs: Vec<hub::HubInfo>) {
         self.hubs = hubs;
+        self.prefer_local();
+    }
+
+    /// Moves to a hub of the own zone if the current one is in another.
+    fn prefer_local(&mut self) {
         if !self.is_local(self.current)
             && let Some(local) = pick(&self.local(), self.spread)
         {
--- a/crates/fireflyspool/tests/follow.rs
+++ b/crates/fireflyspool/tests/follow.rs
@@ -360,3 +360,34 @@
         .expect("it is valid");
     assert_eq!(follower.view().delegates, delegates, "no news");
 }
+
+/// Guards against an entry VM that keeps to control VMs which are cut off from the majority,
+/// because they and all contacts of its settings are on the same side of the cut.
+#[test]
+fn hubs_that_a_cut_off_hub_does_not_reach_are_still_asked() {
+    let mut now = time::Instant::now();
+    let mut follower = follower(now);
+    let info = |port: u16| hub::HubInfo {
+        rpc: address(port),
+        control: address(port + 1_000),
+        zone: ["a", "b", "c"][usize::from(port % 3)].to_owned(),
+        incarnation: u64::from(port),
+    };
+    let poll = follower.poll(&[], now).expect("a poll");
+    let mut first = reply(u64::from(poll.hub.port()));
+    first.hubs = Some((1..10).map(info).collect());
+    follower.poll_ended(Some(first), now).expect("it decodes");
+    let majority = 5..10;
+    for _ in 0..40 {
+        now += time::Duration::from_millis(200);
+        let poll = follower.poll(&[], now).expect("a poll");
+        if majority.contains(&poll.hub.port()) {
+            return;
+        }
+        let mut answer = reply(u64::from(poll.hub.port()));
+        answer.current = false;
+        answer.hubs = Some((1..5).map(info).collect());
+        follower.poll_ended(Some(answer), now).expect("it decodes");
+    }
+    panic!("no hub of the majority is asked");
+}
