Record departures in the replicated log before acknowledging them

Cause: the acknowledgement waited for a majority of the hubs, which hold departures in memory. That bears the loss of a minority, not of all. A hub that had started took the first report that it heard for the state of the server.

Change: departures and reports that a server drains become entries of the replicated log; the acknowledgement waits for the log as well as for a majority of the hubs. They still take effect at once, with or without a leader. A hub that has started lists no server as serving before it has applied the departures that the log held after its start.

Ruled out: a log of each hub (docs/design.md, "Acknowledgements", says why). The test of a leaving server in hub.rs now commits to a log that the hubs share; what it checks stays.

--- a/crates/fireflyspool/src/control/hub_driver.rs
+++ b/crates/fireflyspool/src/control/hub_driver.rs
@@ -24,6 +24,10 @@
     pub(super) pending_polls: sorted::SortedMap<ids::Ticket, oneshot::Sender<hub::FollowReply>>,
     pub(super) contacts: Vec<net::SocketAddr>,
     pub(super) join: control::JoinRequests,
+    /// Leader that the last reply to a command for the log named.
+    pub(super) leader: Option<net::SocketAddr>,
+    /// Number of commands that were sent without knowing the leader.
+    pub(super) asked: usize,
     /// Whether this VM was told to stop.
     pub(super) stopping: bool,
     /// Version of the configuration that was passed to the hub last.
@@ -33,6 +37,8 @@
     /// Listeners of the reachable control VMs as last logged.
     pub(super) reachable: Vec<net::SocketAddr>,
     pub(super) retired: bool,
+    /// Whether the hub had recovered as last logged.
+    recovered: bool,
     pub(super) logger: slog::Logger,
 }
 
@@ -46,18 +52,21 @@
         now: time::Instant,
     ) -> Self {
         Self {
-            hub: hub::Hub::new(own.clone(), config, &contacts),
+            hub: hub::Hub::new(own.clone(), config, &contacts, now),
             own,
             next_ticket: 0,
             pending_reports: sorted::SortedMap::new(),
             pending_polls: sorted::SortedMap::new(),
             contacts,
             join: control::JoinRequests::new(now),
+            leader: None,
+            asked: 0,
             stopping: false,
             version: 0,
             group: Vec::new(),
             reachable: Vec::new(),
             retired: false,
+            recovered: false,
             logger,
         }
     }
@@ -119,6 +128,7 @@
             }
             control::HubEvent::Stop => self.stopping = true,
             control::HubEvent::JoinEnded(reply) => self.join_ended(reply, now),
+            control::HubEvent::RecordEnded(reply) => self.record_ended(reply, now),
         }
     }
 
@@ -131,12 +141,13 @@
         now: time::Instant,
     ) {
         if let Some(voter) = voter {
-            self.apply_log(voter, outlet);
+            self.apply_log(voter, outlet, now);
             self.join(voter, outlet, now);
         }
         for action in self.hub.advance(now) {
-            self.execute(action, outlet, now);
+            self.execute(action, voter, outlet, now);
         }
+        self.log_recovery();
         self.log_reachable(now);
     }
 
@@ -154,6 +165,17 @@
         }
     }
 
+    fn log_recovery(&mut self) {
+        let recovered = self.hub.has_recovered();
+        if recovered && !self.recovered {
+            slog::info!(
+                self.logger,
+                "acknowledged departures recovered from the log"
+            );
+        }
+        self.recovered = recovered;
+    }
+
     fn log_reachable(&mut self, now: time::Instant) {
         let reachable = self.hub.reachable_peers(now);
         if reachable != self.reachable {
@@ -162,7 +184,12 @@
         }
     }
 
-    fn apply_log(&mut self, voter: &control::Voter, outlet: &dyn control::Outlet) {
+    fn apply_log(
+        &mut self,
+        voter: &control::Voter,
+        outlet: &dyn control::Outlet,
+        now: time::Instant,
+    ) {
         if let Some(document) = &voter.state.document
             && document.version > self.version
         {
@@ -170,6 +197,7 @@
             self.hub.set_document(document);
             slog::info!(self.logger, "configuration in force"; "version" => document.version);
         }
+        self.hub.set_departures(&voter.state.departures, now);
         let catalog = &voter.state.catalog;
         outlet.publish_revision(catalog.revision);
         self.hub.set_zones(hub::ZonesOut {
@@ -185,7 +213,13 @@
         self.hub.set_group(group);
     }
 
-    fn execute(&mut self, action: hub::Action, outlet: &dyn control::Outlet, now: time::Instant) {
+    fn execute(
+        &mut self,
+        action: hub::Action,
+        voter: Option<&control::Voter>,
+        outlet: &dyn control::Outlet,
+        now: time::Instant,
+    ) {
         match action {
             hub::Action::Exchange { peer, batch } => outlet.send_batch(peer, *batch),
             hub::Action::Reply { ticket, reply } => {
@@ -203,6 +237,9 @@
                     let _ = pending.reply.send(address);
                 }
             }
+            hub::Action::Record { departures } => {
+                self.record(departures, voter, outlet, now);
+            }
             hub::Action::Publish(book) => outlet.publish_addresses(book),
         }
     }
--- a/crates/fireflyspool/src/control/hub_event.rs
+++ b/crates/fireflyspool/src/control/hub_event.rs
@@ -51,6 +51,8 @@
     },
     /// This VM was told to stop.
     Stop,
+    /// The command of this VM that records departures has ended; `None` if no reply arrived.
+    RecordEnded(Option<control::IdempotentReply>),
     /// The request of this VM to join the control group has ended; `None` if no reply
     /// arrived.
     JoinEnded(Option<control::IdempotentReply>),
--- a/crates/fireflyspool/src/control/mod.rs
+++ b/crates/fireflyspool/src/control/mod.rs
@@ -20,6 +20,7 @@
 mod environment;
 mod event;
 mod follower_driver;
+mod hub_departures;
 mod hub_driver;
 mod hub_event;
 mod hub_membership;
--- a/crates/fireflyspool/src/control/outlet.rs
+++ b/crates/fireflyspool/src/control/outlet.rs
@@ -35,13 +35,17 @@
 
     /// Sends a batch to another hub and reports [`crate::control::HubEvent::ExchangeEnded`].
     ///
-    /// Only control VMs with a hub override this method and the next two.
+    /// Only control VMs with a hub override this method and the next three.
     fn send_batch(&self, _peer: net::SocketAddr, _batch: hub::Batch) {}
 
     /// Sends an idempotent command to a control VM and reports
     /// [`crate::control::HubEvent::JoinEnded`].
     fn send_idempotent(&self, _peer: net::SocketAddr, _command: state::IdempotentCommand) {}
 
+    /// Sends a command that records departures to a control VM and reports
+    /// [`crate::control::HubEvent::RecordEnded`].
+    fn send_departures(&self, _peer: net::SocketAddr, _command: state::IdempotentCommand) {}
+
     /// Publishes the entry VMs whose addresses callers may get.
     fn publish_addresses(&self, _book: hub::AddressBook) {}
 
--- a/crates/fireflyspool/src/control/voter_apply.rs
+++ b/crates/fireflyspool/src/control/voter_apply.rs
@@ -160,6 +160,10 @@
                     "version" => document.version, "in_force" => held);
             }
             state::IdempotentCommand::Read => {}
+            state::IdempotentCommand::RecordDepartures { departures, .. } => {
+                slog::info!(self.logger, "departures of backend servers recorded";
+                    "count" => departures.len(), "revision" => self.state.departures.revision());
+            }
             other => {
                 slog::info!(self.logger, "idempotent command applied"; "order" => ?other);
                 outlet.publish_control_addresses(self.addresses());
--- a/crates/fireflyspool/src/control/voter_membership.rs
+++ b/crates/fireflyspool/src/control/voter_membership.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// Listener of the leader, if both are known.
+    pub(super) fn leader_listener(&self) -> Option<net::SocketAddr> {
+        self.address_of(self.replica.leader()?)
+    }
+
     pub(super) fn address_of(&self, node: ids::NodeId) -> Option<net::SocketAddr> {
         let added = self.state.group.added.get(&node).map(|record| record.rpc);
         let founding = || self.founding_members.get(&node).copied();
--- a/crates/fireflyspool/src/hub/action.rs
+++ b/crates/fireflyspool/src/hub/action.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use crate::{hub, ids};
+use crate::{hub, ids, registry};
 
 /// Output of a hub.
 #[derive(Clone, Debug, PartialEq)]
@@ -28,6 +28,12 @@
         /// Whether enough hubs hold it; otherwise its sender tries another control VM.
         accepted: bool,
     },
+    /// Record departures in the replicated log and report the result with
+    /// [`hub::Hub::record_ended`].
+    Record {
+        /// Departures to record; none if only the revision of the table is needed.
+        departures: Vec<registry::Departure>,
+    },
     /// Publish the entry VMs that callers may use.
     Publish(hub::AddressBook),
 }
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::{configuration, containment, hub, ids, registry, sorted};
+use crate::{configuration, containment, hub, ids, registry, sorted, state};
 
 /// Tracks backend servers and entry VMs for one control VM and exchanges changes with
 /// the other hubs.
@@ -26,13 +26,25 @@
     pub(super) contents: containment::Ledger,
     pub(super) pending_polls: Vec<hub::pending_poll::PendingPoll>,
     pub(super) pending_departures: Vec<hub::pending_departure::PendingDeparture>,
+    /// Departures that the applied log holds.
+    pub(super) departures: state::DepartureTable,
+    /// Departures of the command that is being recorded; `None` if there is none.
+    pub(super) recording: Option<Vec<registry::Departure>>,
+    /// When the next command may be recorded.
+    pub(super) record_due: time::Instant,
+    pub(super) recovery: hub::recovery::AnyRecovery,
     pub(super) published: hub::AddressBook,
     pub(super) actions: Vec<hub::Action>,
 }
 
 impl Hub {
     /// Creates a hub; `contacts` are the listeners of control VMs that the settings name.
-    pub fn new(own: hub::HubInfo, config: hub::Config, contacts: &[net::SocketAddr]) -> Self {
+    pub fn new(
+        own: hub::HubInfo,
+        config: hub::Config,
+        contacts: &[net::SocketAddr],
+        now: time::Instant,
+    ) -> Self {
         let mut hub = Self {
             registry: registry::Registry::new(config.server_timeout),
             own,
@@ -48,6 +60,10 @@
             contents: containment::Ledger::default(),
             pending_polls: Vec::new(),
             pending_departures: Vec::new(),
+            departures: state::DepartureTable::default(),
+            recording: None,
+            record_due: now,
+            recovery: hub::recovery::AnyRecovery::default(),
             published: hub::AddressBook::default(),
             actions: Vec::new(),
         };
@@ -80,16 +96,19 @@
     /// Handles a report of a backend server; [`hub::Action::Acknowledge`] with the ticket
     /// answers it.
     pub fn report(&mut self, ticket: ids::Ticket, report: registry::Report, now: time::Instant) {
-        let leaving = report.phase != registry::Phase::Serving;
-        let server = report.server.clone();
+        let departure = registry::Departure {
+            server: report.server.clone(),
+            born: report.born,
+            phase: report.phase,
+        };
         let outcome = self.registry.merge(report, now, now);
         if outcome == registry::MergeOutcome::Refreshed {
             for peer in self.peers.values_mut() {
-                peer.refreshed.insert(server.clone(), ());
+                peer.refreshed.insert(departure.server.clone(), ());
             }
         }
-        if leaving {
-            self.await_majority(ticket, now);
+        if departure.phase != registry::Phase::Serving {
+            self.await_record(ticket, departure, now);
         } else {
             let accepted = true;
             self.actions
@@ -132,13 +151,22 @@
         born: Option<ids::BornMillis>,
         now: time::Instant,
     ) {
-        match self.registry.mark_gone(server, born, now) {
-            registry::MergeOutcome::Unrecorded => {
+        let outcome = self.registry.mark_gone(server, born, now);
+        let departed = born.or_else(|| self.registry.born(server));
+        match departed {
+            Some(born) if outcome != registry::MergeOutcome::Unrecorded => {
+                let departure = registry::Departure {
+                    server: server.to_owned(),
+                    born,
+                    phase: registry::Phase::Gone,
+                };
+                self.await_record(ticket, departure, now);
+            }
+            _ => {
                 let accepted = false;
                 self.actions
                     .push(hub::Action::Acknowledge { ticket, accepted });
             }
-            _ => self.await_majority(ticket, now),
         }
     }
 
@@ -165,6 +193,7 @@
         self.contents.expire(now);
         self.track_lag(now);
         self.exchange_due(now);
+        self.record_due(now);
         self.acknowledge_due(now);
         self.reply_due(now);
         self.publish_addresses(now);
@@ -188,7 +217,9 @@
         let polls = self.pending_polls.iter().map(|poll| poll.deadline);
         let reports = self.pending_departures.iter().map(|report| report.deadline);
         let outliers = self.outliers.next_publication(now);
+        let records = self.next_record();
         let all = exchange.chain(polls).chain(reports).chain(outliers);
+        let all = all.chain(records);
         all.min().unwrap_or(now + self.config.exchange_interval)
     }
 
@@ -209,12 +240,15 @@
             .map_or(0, |document| document.version)
     }
 
-    /// Whether entry VMs may rely on this hub: it reaches a majority, has a configuration
-    /// and does not lag behind the replicated log.
+    /// Whether entry VMs may rely on this hub: it knows all departures, reaches a majority, has
+    /// a configuration and does not lag behind the replicated log.
     pub(super) fn is_current(&self, now: time::Instant) -> bool {
         let lags =
             |since: time::Instant| now.saturating_duration_since(since) > self.config.lag_limit;
-        self.has_quorum(now) && self.document.is_some() && !self.behind_since.is_some_and(lags)
+        self.has_recovered()
+            && self.has_quorum(now)
+            && self.document.is_some()
+            && !self.behind_since.is_some_and(lags)
     }
 
     /// Whether a majority of the control group is reachable, this VM included.
@@ -227,33 +261,6 @@
         reachable.count() * 2 > self.group.len()
     }
 
-    fn await_majority(&mut self, ticket: ids::Ticket, now: time::Instant) {
-        self.pending_departures
-            .push(hub::pending_departure::PendingDeparture {
-                ticket,
-                position: self.registry.position(),
-                deadline: now + self.config.ack_timeout,
-            });
-    }
-
-    fn acknowledge_due(&mut self, now: time::Instant) {
-        let pending = std::mem::take(&mut self.pending_departures);
-        for report in pending {
-            let holders = self.group.iter().filter(|listener| {
-                let peer = self.peers.get(*listener);
-                **listener == self.own.rpc || peer.is_some_and(|peer| peer.acked >= report.position)
-            });
-            let accepted = holders.count() * 2 > self.group.len();
-            if accepted || report.deadline <= now {
-                let ticket = report.ticket;
-                self.actions
-                    .push(hub::Action::Acknowledge { ticket, accepted });
-            } else {
-                self.pending_departures.push(report);
-            }
-        }
-    }
-
     fn publish_addresses(&mut self, now: time::Instant) {
         let timeout = self.config.member_timeout;
         let live = self.members.values().filter(|known| {
--- a/crates/fireflyspool/src/hub/hub_followers.rs
+++ b/crates/fireflyspool/src/hub/hub_followers.rs
@@ -83,6 +83,7 @@
     fn reply_to(&self, request: &hub::FollowRequest, now: time::Instant) -> hub::FollowReply {
         let known = request.incarnation == self.own.incarnation;
         let changes = match (known, request.records) {
+            _ if !self.has_recovered() => self.known_departures(now),
             (true, _) => self.registry.since(request.position, now),
             (false, true) => registry::ChangeSet {
                 position: self.registry.position(),
@@ -130,6 +131,15 @@
         }
     }
 
+    /// Servers that leave, for a hub that does not know which of the others have left. The
+    /// position makes the follower ask for all records again.
+    fn known_departures(&self, now: time::Instant) -> registry::ChangeSet {
+        let mut records = self.registry.records(now);
+        records.retain(|record| record.phase != registry::Phase::Serving);
+        let position = ids::ChangePosition::default();
+        registry::ChangeSet { position, records }
+    }
+
     /// The reachable control VMs, this one included.
     fn hubs(&self, now: time::Instant) -> Vec<hub::HubInfo> {
         let timeout = self.config.peer_timeout;
--- a/crates/fireflyspool/src/hub/mod.rs
+++ b/crates/fireflyspool/src/hub/mod.rs
@@ -8,11 +8,14 @@
 //! and the reply carries the configuration, the zones taken out and the changes
 //! of backend servers that the entry VM lacks.
 //!
-//! Nothing here is durable. A restarted hub learns the backend servers from
+//! Only departures are durable. A restarted hub learns the backend servers from
 //! their next heartbeats, and entry VMs keep their view meanwhile. A report that
-//! a server leaves is acknowledged only once a majority of the hubs holds it:
-//! the server may rely on the acknowledgement, and the hub may fail right after
-//! sending it.
+//! a server leaves takes effect at once, and is acknowledged only once a majority
+//! of the hubs has it and the replicated log holds it ([`Action::Record`]): the
+//! server may rely on the acknowledgement, and all control VMs may fail right
+//! after it was sent. A hub that starts lists no server as serving to entry VMs
+//! before it has recovered these departures from the log
+//! ([`Hub::has_recovered`]), since a late report may be the first that it hears.
 //!
 //! [`Hub`] is a state machine owned by the control thread: calls with the
 //! current time go in, [`Action`]s come out.
@@ -30,6 +33,7 @@
 mod follow_request;
 #[allow(clippy::module_inception, reason = "a file is named after its type")]
 mod hub;
+mod hub_departures;
 mod hub_followers;
 mod hub_info;
 mod hub_peers;
@@ -41,6 +45,7 @@
 mod peer;
 mod pending_departure;
 mod pending_poll;
+mod recovery;
 mod report_series;
 mod symptom;
 mod zones_out;
--- a/crates/fireflyspool/src/node/rpc_outlet.rs
+++ b/crates/fireflyspool/src/node/rpc_outlet.rs
@@ -122,6 +122,11 @@
         self.call(peer, rim::Method::Idempotent, command, CALL_TIMEOUT, event);
     }
 
+    fn send_departures(&self, peer: net::SocketAddr, command: state::IdempotentCommand) {
+        let event = |reply| control::Event::Hub(control::HubEvent::RecordEnded(reply));
+        self.call(peer, rim::Method::Idempotent, command, CALL_TIMEOUT, event);
+    }
+
     fn publish_addresses(&self, book: hub::AddressBook) {
         self.process.addresses.store(sync::Arc::new(book));
     }
--- a/crates/fireflyspool/src/registry/entry.rs
+++ b/crates/fireflyspool/src/registry/entry.rs
@@ -19,22 +19,18 @@
 }
 
 impl Entry {
-    /// Entry of a server that left before any of its reports arrived.
-    pub(super) fn departed(
-        server: ids::ServerName,
-        born: ids::BornMillis,
-        now: time::Instant,
-    ) -> Self {
+    /// Entry of a server that leaves or left before any of its reports arrived.
+    pub(super) fn departed(departure: registry::Departure, now: time::Instant) -> Self {
         Self {
             report: registry::Report {
-                server,
-                born,
+                server: departure.server,
+                born: departure.born,
                 sequence: 0,
                 service: ids::ServiceName::new(),
                 address: net::SocketAddr::from((net::Ipv4Addr::UNSPECIFIED, 0)),
                 zone: ids::ZoneName::new(),
                 slots: 0,
-                phase: registry::Phase::Gone,
+                phase: departure.phase,
                 cold_left: time::Duration::ZERO,
             },
             reported_at: now,
--- a/crates/fireflyspool/src/registry/mod.rs
+++ b/crates/fireflyspool/src/registry/mod.rs
@@ -11,6 +11,7 @@
 //! bounded log; a follower that is too far behind gets all records.
 
 mod change_set;
+mod departure;
 mod entry;
 mod merge_outcome;
 mod phase;
@@ -21,6 +22,7 @@
 mod report;
 
 pub use change_set::ChangeSet;
+pub use departure::Departure;
 pub use merge_outcome::MergeOutcome;
 pub use phase::Phase;
 pub use record::Record;
--- a/crates/fireflyspool/src/registry/registry.rs
+++ b/crates/fireflyspool/src/registry/registry.rs
@@ -181,12 +181,46 @@
         let Some(born) = born.filter(|_| unknown.count() < MAX_UNKNOWN_DEPARTURES) else {
             return registry::MergeOutcome::Unrecorded;
         };
-        let entry = entry::Entry::departed(server.to_owned(), born, now);
-        self.entries.insert(server.to_owned(), entry);
-        self.log_change(server.to_owned());
+        let departure = registry::Departure {
+            server: server.to_owned(),
+            born,
+            phase: registry::Phase::Gone,
+        };
+        self.insert_departure(departure, now);
         registry::MergeOutcome::Changed
     }
 
+    /// Merges a departure that the replicated log holds, whether or not the server is known.
+    pub fn merge_departure(&mut self, departure: registry::Departure, now: time::Instant) {
+        let Some(entry) = self.entries.get_mut(&departure.server) else {
+            self.insert_departure(departure, now);
+            return;
+        };
+        let known = (entry.report.born, entry.report.phase);
+        if known >= (departure.born, departure.phase) {
+            return;
+        }
+        if departure.born > entry.report.born {
+            self.insert_departure(departure, now);
+            return;
+        }
+        entry.report.phase = departure.phase;
+        entry.reported_at = now;
+        self.log_change(departure.server);
+    }
+
+    /// Start time of the known incarnation of a server.
+    pub fn born(&self, server: &str) -> Option<ids::BornMillis> {
+        Some(self.entries.get(server)?.report.born)
+    }
+
+    fn insert_departure(&mut self, departure: registry::Departure, now: time::Instant) {
+        let server = departure.server.clone();
+        let entry = entry::Entry::departed(departure, now);
+        self.entries.insert(server.clone(), entry);
+        self.log_change(server);
+    }
+
     /// Marks a server as leaving because an entry VM got that statement from it.
     ///
     /// Only the known incarnation is marked, and never the first serving server of a
@@ -272,6 +306,8 @@
             entry.report.address == report.address
                 && entry.report.server != report.server
                 && entry.report.phase != registry::Phase::Gone
+                // A server that left before its first report has no address.
+                && entry.has_reported()
         };
         let Some(previous) = self.entries.values_mut().find(|entry| conflicts(entry)) else {
             return true;
--- a/crates/fireflyspool/src/state/control_state.rs
+++ b/crates/fireflyspool/src/state/control_state.rs
@@ -22,6 +22,9 @@
     /// Last change of each zone by an order.
     #[serde(default)]
     pub zone_changes: state::ZoneChanges,
+    /// Acknowledged departures of backend servers.
+    #[serde(default)]
+    pub departures: state::DepartureTable,
     /// Routing configuration in force.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub document: Option<configuration::Document>,
@@ -93,6 +96,15 @@
             }
             state::IdempotentCommand::Leave { rpc } => self.group.leave(*rpc),
             state::IdempotentCommand::Resize { size } => self.group.resize(*size),
+            state::IdempotentCommand::RecordDepartures {
+                departures,
+                stamped,
+            } => {
+                return match self.departures.record(departures, *stamped) {
+                    Some(revision) => state::IdempotentOutcome::Recorded { revision },
+                    None => state::IdempotentOutcome::Full,
+                };
+            }
             state::IdempotentCommand::Read => {
                 return state::IdempotentOutcome::Document(self.document.clone());
             }
--- a/crates/fireflyspool/src/state/idempotent_command.rs
+++ b/crates/fireflyspool/src/state/idempotent_command.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use crate::{configuration, ids};
+use crate::{configuration, ids, registry};
 
 /// Command that may be repeated without a number.
 ///
@@ -54,6 +54,16 @@
         /// Number of voters.
         size: usize,
     },
+    /// Records that backend servers leave.
+    ///
+    /// The reply states the revision of the table; a VM that has applied it holds all departures
+    /// that were recorded before. A command without departures only asks for it.
+    RecordDepartures {
+        /// Departures to record.
+        departures: Vec<registry::Departure>,
+        /// Time at the sender, in milliseconds since the Unix epoch.
+        stamped: u64,
+    },
     /// Reads the routing configuration.
     ///
     /// The read passes through the log, so that a leader that was replaced
--- a/crates/fireflyspool/src/state/idempotent_outcome.rs
+++ b/crates/fireflyspool/src/state/idempotent_outcome.rs
@@ -16,6 +16,13 @@
     },
     /// The number of the VM was retired; it must join under a new one.
     Retired,
+    /// The departures are recorded.
+    Recorded {
+        /// Revision of the table of departures.
+        revision: ids::Revision,
+    },
+    /// There is no room for all departures, and none is recorded.
+    Full,
     /// Result of a read; `None` if no routing configuration was set.
     Document(Option<configuration::Document>),
 }
--- a/crates/fireflyspool/tests/control_site/mod.rs
+++ b/crates/fireflyspool/tests/control_site/mod.rs
@@ -3,6 +3,8 @@
 
 #![allow(dead_code, reason = "each test binary uses a part of the module")]
 
+#[path = "../departure_log/mod.rs"]
+mod departure_log;
 mod traffic;
 
 use std::{net, sync, time};
@@ -28,6 +30,7 @@
 
 pub(crate) struct ControlSite {
     hubs: Vec<hub::Hub>,
+    log: departure_log::DepartureLog,
     /// Hub that no message reaches or leaves.
     cut: Option<usize>,
     restarts: u64,
@@ -55,7 +58,7 @@
 }
 
 /// The hub with this number; `start` differs between its incarnations.
-fn make_hub(number: u16, start: u64) -> hub::Hub {
+fn make_hub(number: u16, start: u64, now: time::Instant) -> hub::Hub {
     let contacts: Vec<_> = (0..HUBS).map(|number| address(number, 7_740)).collect();
     let info = hub::HubInfo {
         rpc: address(number, 7_740),
@@ -64,7 +67,7 @@
         incarnation: LARGE_INCARNATION + start * u64::from(HUBS) + u64::from(number),
     };
     let config = hub::Config::new(HEARTBEAT);
-    let mut hub = hub::Hub::new(info, config, &contacts[..3]);
+    let mut hub = hub::Hub::new(info, config, &contacts[..3], now);
     hub.set_group(contacts);
     hub.set_document(&configuration::Document {
         version: 1,
@@ -93,7 +96,8 @@
             follow::Follower::new(member, format, contacts[..3].to_vec(), start)
         };
         let mut site = Self {
-            hubs: (0..HUBS).map(|number| make_hub(number, 0)).collect(),
+            hubs: (0..HUBS).map(|number| make_hub(number, 0, now)).collect(),
+            log: departure_log::DepartureLog::new(),
             cut: None,
             restarts: 0,
             followers: (0..entry_vms).filter_map(make_follower).collect(),
@@ -182,7 +186,7 @@
         for number in numbers {
             self.end_polls(usize::from(number));
             self.restarts += 1;
-            self.hubs[usize::from(number)] = make_hub(number, self.restarts);
+            self.hubs[usize::from(number)] = make_hub(number, self.restarts, self.now);
         }
     }
 
@@ -277,6 +281,13 @@
                 let ended = self.followers[number].poll_ended(Some(*reply), self.now);
                 ended.expect("the configuration can be used");
             }
+            hub::Action::Record { departures } => {
+                let revision = self.log.commit(departures, 0);
+                self.hubs[index].record_ended(revision, self.now);
+                for hub in &mut self.hubs {
+                    hub.set_departures(self.log.table(), self.now);
+                }
+            }
             hub::Action::Acknowledge { .. } | hub::Action::Publish(_) => {}
         }
     }
--- a/crates/fireflyspool/tests/control_state.rs
+++ b/crates/fireflyspool/tests/control_state.rs
@@ -297,3 +297,92 @@
     }
     assert_eq!(control.catalog.zones_out.len(), 2);
 }
+
+fn departure(server: String, born: u64) -> fireflyspool::registry::Departure {
+    fireflyspool::registry::Departure {
+        server,
+        born,
+        phase: fireflyspool::registry::Phase::Gone,
+    }
+}
+
+fn depart(
+    control: &mut state::ControlState,
+    departures: Vec<fireflyspool::registry::Departure>,
+    stamped: u64,
+) -> state::Applied {
+    let command = state::IdempotentCommand::RecordDepartures {
+        departures,
+        stamped,
+    };
+    control.apply(&state::Entry::Idempotent(command))
+}
+
+/// Guards against a departure that a snapshot loses, that a clock which is set back keeps for
+/// ever, or that a restart forgets before a delayed report has arrived.
+#[test]
+fn departures_are_kept_for_ten_minutes_across_restarts_and_clock_changes() {
+    let mut control = state::ControlState::default();
+    let first = departure("s1".to_owned(), 3);
+    depart(&mut control, vec![first.clone()], 1_000_000);
+    for stamped in [1_000_000 + 599_000, 0, 1_000_000] {
+        depart(&mut control, Vec::new(), stamped);
+        control = restart(&control);
+        assert!(control.departures.contains(&first), "at {stamped}");
+    }
+    assert!(control.departures.contains(&departure("s1".to_owned(), 2)));
+    assert!(!control.departures.contains(&departure("s1".to_owned(), 4)));
+    depart(&mut control, Vec::new(), 1_000_000 + 600_000);
+    assert!(!control.departures.contains(&first));
+}
+
+/// Guards against a table that grows without bound, and against an acknowledged departure that
+/// makes room for another one.
+#[test]
+fn departures_without_room_are_refused_and_displace_none() {
+    let mut control = state::ControlState::default();
+    let departures: Vec<_> = (0..8_192)
+        .map(|number| departure(format!("s{number}"), 1))
+        .collect();
+    depart(&mut control, departures.clone(), 1_000);
+    let refused = depart(&mut control, vec![departure("t".to_owned(), 1)], 2_000);
+    let full = state::Applied::Idempotent(state::IdempotentOutcome::Full);
+    assert_eq!(refused, full);
+    assert!(
+        departures
+            .iter()
+            .all(|departure| control.departures.contains(departure))
+    );
+    let known = depart(&mut control, vec![departure("s7".to_owned(), 2)], 3_000);
+    assert_ne!(known, full, "a known server needs no room");
+}
+
+/// Measures what departures cost in the log and in snapshots; docs/CAPACITY.md has the figures.
+#[test]
+#[ignore = "measures, decides nothing"]
+fn the_cost_of_departures() {
+    for count in [1_usize, 450, 900, 5_400] {
+        let mut control = state::ControlState::default();
+        let empty = control.encode().len();
+        let departures: Vec<_> = (0..count)
+            .map(|number| departure(format!("i-{number:08x}"), 1_764_880_000_000))
+            .collect();
+        let (mut bytes, started) = (0, std::time::Instant::now());
+        for batch in departures.chunks(512) {
+            let command = state::IdempotentCommand::RecordDepartures {
+                departures: batch.to_vec(),
+                stamped: 1_764_880_000_000,
+            };
+            let entry = state::Entry::Idempotent(command);
+            bytes += entry.encode().len();
+            control.apply(&entry);
+        }
+        let elapsed = started.elapsed();
+        let snapshot = control.encode().len() - empty;
+        println!(
+            "{count} departures: {} entries, {bytes} B of the log, {snapshot} B of a snapshot, \
+             {elapsed:?}",
+            count.div_ceil(512)
+        );
+    }
+}
--- a/crates/fireflyspool/tests/full_disks.rs
+++ b/crates/fireflyspool/tests/full_disks.rs
@@ -91,6 +91,22 @@
         });
     }
 
+    fn send_departures(&self, peer: net::SocketAddr, command: state::IdempotentCommand) {
+        let (reply, answer) = oneshot::channel();
+        self.send(peer, control::Event::Idempotent { command, reply });
+        let (own, mailboxes) = (self.own, sync::Arc::clone(&self.mailboxes));
+        self.runtime.spawn(async move {
+            let event = control::HubEvent::RecordEnded(answer.await.ok());
+            let mailboxes = mailboxes.lock().expect("no panic");
+            let found = mailboxes.iter().find(|(listener, _)| *listener == own);
+            if let Some((_, mailbox)) = found {
+                mailbox
+                    .send(control::Event::Hub(event))
+                    .expect("the thread runs");
+            }
+        });
+    }
+
     fn environment(&self) -> &dyn control::Environment {
         &self.environment
     }
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -1,5 +1,7 @@
 //! Tests of hubs: their exchange of batches and the polls of entry VMs.
 
+mod departure_log;
+
 use std::{net, time};
 
 use fireflyspool::{configuration, hub, registry};
@@ -61,6 +63,9 @@
 
 /// Three hubs whose batches arrive at once, except from and to partitioned hubs.
 struct Site {
+    log: departure_log::DepartureLog,
+    /// Number of starts of hubs after the first ones.
+    restarts: u64,
     hubs: Vec<hub::Hub>,
     /// Indexes of the hubs that are cut off from the others.
     partitioned: Vec<usize>,
@@ -79,13 +84,16 @@
         let contacts: Vec<_> = (1..4).map(address).collect();
         let config = hub::Config::new(time::Duration::from_millis(1_200));
         let zones = ["a", "b", "c"];
+        let now = time::Instant::now();
         let make_hub = |(index, zone): (usize, &&str)| {
             let port = u16::try_from(index + 1).expect("a small number");
-            let mut hub = hub::Hub::new(origin(port, zone), config, &contacts);
+            let mut hub = hub::Hub::new(origin(port, zone), config, &contacts, now);
             hub.set_group(contacts.clone());
             hub
         };
         Self {
+            log: departure_log::DepartureLog::new(),
+            restarts: 0,
             hubs: zones.iter().enumerate().map(make_hub).collect(),
             partitioned: Vec::new(),
             acknowledged: Vec::new(),
@@ -93,7 +101,21 @@
             batches: Vec::new(),
             books: Vec::new(),
             earlier_release: false,
-            now: time::Instant::now(),
+            now,
+        }
+    }
+
+    /// Replaces hubs by new incarnations that know nothing.
+    fn restart(&mut self, indexes: std::ops::Range<usize>) {
+        let contacts: Vec<_> = (1..4).map(address).collect();
+        let config = hub::Config::new(time::Duration::from_millis(1_200));
+        self.log.restart();
+        for index in indexes {
+            self.restarts += 1;
+            let port = u16::try_from(index + 1).expect("a small number");
+            let mut restarted = origin(port, ["a", "b", "c"][index]);
+            restarted.incarnation = 100 + self.restarts;
+            self.hubs[index] = hub::Hub::new(restarted, config, &contacts, self.now);
         }
     }
 
@@ -142,6 +164,14 @@
             hub::Action::Acknowledge { ticket, accepted } => {
                 self.acknowledged.push((ticket, accepted));
             }
+            hub::Action::Record { departures } => {
+                let now = self.now;
+                let revision = self.log.commit(departures, 0);
+                self.hubs[index].record_ended(revision, now);
+                for hub in &mut self.hubs {
+                    hub.set_departures(self.log.table(), now);
+                }
+            }
             hub::Action::Reply { reply, .. } => self.replies.push(*reply),
             hub::Action::Publish(book) => self.books.push((index, book)),
         }
@@ -275,7 +305,8 @@
 #[test]
 fn callers_get_only_ready_and_live_entry_vms() {
     let config = hub::Config::new(time::Duration::from_millis(1_200));
-    let mut hub = hub::Hub::new(origin(1, "a"), config, &[address(1)]);
+    let now = time::Instant::now();
+    let mut hub = hub::Hub::new(origin(1, "a"), config, &[address(1)], now);
     let now = time::Instant::now();
     let follow = |hub: &mut hub::Hub, port, ready, at| {
         hub.follow(u64::from(port), poll(member(port, "a", ready)), at);
@@ -341,11 +372,7 @@
     let now = site.now;
     site.hubs[0].report(1, report("s", registry::Phase::Serving, 1), now);
     site.advance(10);
-    let contacts: Vec<_> = (1..4).map(address).collect();
-    let config = hub::Config::new(time::Duration::from_millis(1_200));
-    let mut restarted = origin(3, "c");
-    restarted.incarnation = 99;
-    site.hubs[2] = hub::Hub::new(restarted, config, &contacts);
+    site.restart(2..3);
     site.advance(1_100);
     site.advance(1_100);
     let now = site.now;
@@ -366,11 +393,7 @@
     let now = site.now;
     site.hubs[0].report(2, report("s", registry::Phase::Leaving, 2), now);
     site.advance(1_100);
-    let contacts: Vec<_> = (1..4).map(address).collect();
-    let config = hub::Config::new(time::Duration::from_millis(1_200));
-    let mut restarted = origin(3, "c");
-    restarted.incarnation = 99;
-    site.hubs[2] = hub::Hub::new(restarted, config, &contacts);
+    site.restart(2..3);
     let now = site.now;
     site.hubs[2].report(3, report("s", registry::Phase::Serving, 1), now);
     site.advance(1_100);
@@ -414,11 +437,7 @@
         site.hubs[0].follow(5, poll(member(100, "a", true)), now);
         site.advance(1_050);
     }
-    let contacts: Vec<_> = (1..4).map(address).collect();
-    let config = hub::Config::new(time::Duration::from_millis(1_200));
-    let mut restarted = origin(3, "c");
-    restarted.incarnation = 99;
-    site.hubs[2] = hub::Hub::new(restarted, config, &contacts);
+    site.restart(2..3);
     site.books.clear();
     for _ in 0..2 {
         let now = site.now;
@@ -679,3 +698,144 @@
     let kept = changed.iter().filter(|other| delegates.contains(other));
     assert_eq!(kept.count(), 11, "the others stay");
 }
+
+/// Servers that the follower of a hub may use, as in the first poll of an entry VM.
+fn all_serving(site: &mut Site) -> Vec<Vec<String>> {
+    (0..3).map(|hub| serving(site, hub)).collect()
+}
+
+/// Guards against an acknowledged departure that only memory holds: all control VMs are killed
+/// after it, and a heartbeat that was delayed is the first that they hear of the server.
+#[test]
+fn an_acknowledged_departure_outlives_all_control_vms() {
+    for deregisters in [true, false] {
+        let mut site = site_with_three_servers();
+        let now = site.now;
+        match deregisters {
+            true => site.hubs[0].deregister(7, "s2", None, now),
+            false => site.hubs[0].report(7, report("s2", registry::Phase::Leaving, 9), now),
+        }
+        site.advance(10);
+        assert_eq!(site.acknowledged.last(), Some(&(7, true)));
+        for late_at in 0..3 {
+            site.restart(0..3);
+            for (number, server) in (1..).zip(["s1", "s2", "s3"]) {
+                let mut late = report(server, registry::Phase::Serving, 2);
+                late.address = address(9_000 + number);
+                let now = site.now;
+                site.hubs[late_at].report(u64::from(number), late, now);
+            }
+            site.advance(10);
+            let seen = all_serving(&mut site);
+            assert!(seen.iter().all(|seen| *seen == ["s1", "s3"]), "{seen:?}");
+        }
+        let mut next = report("s2", registry::Phase::Serving, 1);
+        (next.born, next.address) = (2, address(9_002));
+        let now = site.now;
+        site.hubs[1].report(8, next, now);
+        site.advance(10);
+        assert_eq!(serving(&mut site, 2), ["s1", "s2", "s3"], "its next start");
+    }
+}
+
+/// Guards against a control VM that comes back first or alone and puts servers into use before
+/// it knows which have left.
+#[test]
+fn a_hub_lists_no_server_as_serving_before_it_has_recovered() {
+    let mut site = site_with_three_servers();
+    let document = configuration::Document {
+        version: 4,
+        text: "{}".into(),
+    };
+    site.log.has_leader = false;
+    site.restart(0..3);
+    for hub in &mut site.hubs {
+        hub.set_document(&document);
+    }
+    let now = site.now;
+    site.hubs[0].report(1, report("s2", registry::Phase::Serving, 2), now);
+    let mut leaving = report("s3", registry::Phase::Leaving, 3);
+    leaving.address = address(9_003);
+    site.hubs[0].report(2, leaving, now);
+    site.advance(10);
+    site.hubs[0].follow(9, poll(member(100, "c", true)), site.now);
+    site.advance(10);
+    let reply = site.replies.pop().expect("an answer");
+    let phases: Vec<_> = reply
+        .changes
+        .records
+        .iter()
+        .map(|record| record.phase)
+        .collect();
+    assert_eq!(phases, [registry::Phase::Leaving], "departures take effect");
+    assert!(!reply.current && !site.hubs[0].has_recovered());
+    site.log.has_leader = true;
+    site.advance(200);
+    assert!(site.hubs[0].has_recovered());
+    assert_eq!(serving(&mut site, 0), ["s2"]);
+}
+
+/// Guards against an acknowledgement while the log cannot hold the departure, and against a
+/// departure that takes no effect meanwhile.
+#[test]
+fn a_departure_without_a_leader_takes_effect_and_is_not_acknowledged() {
+    let mut site = site_with_three_servers();
+    site.log.has_leader = false;
+    let now = site.now;
+    site.hubs[0].deregister(7, "s2", Some(1), now);
+    site.advance(10);
+    let seen = all_serving(&mut site);
+    assert!(seen.iter().all(|seen| *seen == ["s1", "s3"]), "{seen:?}");
+    let others: Vec<_> = site.acknowledged.drain(..).collect();
+    assert!(others.iter().all(|(ticket, _)| *ticket != 7));
+    site.advance(1_000);
+    assert_eq!(site.acknowledged, [(7, false)]);
+    site.log.has_leader = true;
+    let now = site.now;
+    site.hubs[1].deregister(8, "s2", Some(1), now);
+    site.advance(200);
+    assert_eq!(site.acknowledged[1], (8, true), "sent again to another hub");
+}
+
+/// Guards against a write for each heartbeat of a draining server, and against one for each
+/// server of a zone that leaves at the same moment.
+#[test]
+fn departures_share_commands_and_are_written_once() {
+    let mut site = Site::new();
+    site.advance(10);
+    let leaving = |number: u16, sequence| {
+        let mut report = report(&format!("s{number}"), registry::Phase::Leaving, sequence);
+        report.address = address(10_000 + number);
+        report
+    };
+    for sequence in 1..4 {
+        for number in 0..900 {
+            let now = site.now;
+            let ticket = u64::from(number);
+            site.hubs[0].report(ticket, leaving(number, sequence), now);
+        }
+        site.advance(10);
+        assert_eq!(site.acknowledged.len(), 900);
+        assert!(site.acknowledged.drain(..).all(|(_, accepted)| accepted));
+    }
+    assert_eq!(site.log.written, 2, "at most 512 departures in a command");
+}
+
+/// Guards against a report of an earlier incarnation that comes back because a later one left.
+#[test]
+fn the_departure_of_a_later_incarnation_covers_the_earlier_ones() {
+    let mut site = site_with_three_servers();
+    let now = site.now;
+    site.hubs[0].deregister(7, "s2", Some(5), now);
+    site.advance(10);
+    site.restart(0..3);
+    for born in [1, 5] {
+        let mut late = report("s2", registry::Phase::Serving, 50);
+        late.born = born;
+        let now = site.now;
+        site.hubs[1].report(born, late, now);
+    }
+    site.advance(10);
+    let seen = all_serving(&mut site);
+    assert!(seen.iter().all(Vec::is_empty), "{seen:?}");
+}
--- a/crates/fireflyspool/tests/odd_heartbeats.rs
+++ b/crates/fireflyspool/tests/odd_heartbeats.rs
@@ -2,6 +2,8 @@
 //!
 //! One such heartbeat must neither end a process nor keep entry VMs from following the others.
 
+mod departure_log;
+
 use std::{net, sync, time};
 
 use fireflyspool::{fleet, follow, hub, platform, registry};
@@ -75,7 +77,7 @@
     bodies
 }
 
-fn hub(number: u16) -> hub::Hub {
+fn hub(number: u16, now: time::Instant) -> hub::Hub {
     let info = hub::HubInfo {
         rpc: address(number),
         control: address(number + 1_000),
@@ -83,7 +85,9 @@
         incarnation: u64::from(number),
     };
     let config = hub::Config::new(time::Duration::from_millis(1_200));
-    hub::Hub::new(info, config, &[address(1), address(2)])
+    let mut hub = hub::Hub::new(info, config, &[address(1), address(2)], now);
+    departure_log::DepartureLog::new().recover(&mut hub, now);
+    hub
 }
 
 /// The message as it arrives at another process.
@@ -110,7 +114,7 @@
         let text = String::from_utf8_lossy(&body[body.len().saturating_sub(60)..]).into_owned();
         let decoded = platform::HeartbeatWire::decode("odd".to_owned(), &body);
         assert!(decoded.is_err() || !refused, "not refused: {text}");
-        let (mut first, mut second) = (hub(1), hub(2));
+        let (mut first, mut second) = (hub(1, now), hub(2, now));
         for report in
             decoded.into_iter().chain([
                 platform::HeartbeatWire::decode("good".to_owned(), &good).expect("a heartbeat")
--- a/crates/fireflyspool/tests/platform_site/stand_in_server.rs
+++ b/crates/fireflyspool/tests/platform_site/stand_in_server.rs
@@ -155,6 +155,39 @@
         );
     }
 
+    /// Tells one control VM that this incarnation has left; returns whether that was
+    /// acknowledged.
+    pub(crate) async fn deregister(
+        &self,
+        http: &reqwest::Client,
+        control: net::SocketAddr,
+    ) -> bool {
+        let born = self.shared.born.load(atomic::Ordering::Relaxed);
+        let path = format!("/fireflyspool/Instances.Deregister/{}", self.shared.server);
+        let sent = http.post(format!("http://{control}{path}"));
+        let answer = sent.body(format!(r#"{{"born":{born}}}"#)).send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+
+    /// Body of the next heartbeat, for a delivery that is delayed.
+    pub(crate) fn delayed_heartbeat(&mut self, state: &str) -> String {
+        self.sequence += 1;
+        self.heartbeat_body(state, 0)
+    }
+
+    /// Sends the body of a heartbeat to one control VM; returns whether it was acknowledged.
+    pub(crate) async fn deliver(
+        &self,
+        http: &reqwest::Client,
+        control: net::SocketAddr,
+        body: String,
+    ) -> bool {
+        let path = format!("/fireflyspool/Instances.Heartbeat/{}", self.shared.server);
+        let sent = http.post(format!("http://{control}{path}")).body(body);
+        let answer = sent.send().await;
+        answer.is_ok_and(|answer| answer.status().is_success())
+    }
+
     /// Sends a new heartbeat to one control VM; returns whether it was acknowledged.
     pub(crate) async fn send_heartbeat_once(
         &mut self,
@@ -174,7 +207,12 @@
         state: &str,
         cold_ms: u128,
     ) -> bool {
-        let body = format!(
+        let body = self.heartbeat_body(state, cold_ms);
+        self.deliver(http, control, body).await
+    }
+
+    fn heartbeat_body(&self, state: &str, cold_ms: u128) -> String {
+        format!(
             r#"{{"Backend":"{}","Address":"{}","Zone":"{}","Version":"v1","Concurrency":2,
             "State":"{state}","WarmupLeftMs":{cold_ms},"Sequence":{},"born":{}}}"#,
             self.shared.service,
@@ -182,11 +220,7 @@
             self.zone,
             self.sequence,
             self.shared.born.load(atomic::Ordering::Relaxed)
-        );
-        let path = format!("/fireflyspool/Instances.Heartbeat/{}", self.shared.server);
-        let sent = http.post(format!("http://{control}{path}")).body(body);
-        let answer = sent.send().await;
-        answer.is_ok_and(|answer| answer.status().is_success())
+        )
     }
 }
 
