Bound the memory of all bodies under way to a control VM

Cause: each body was limited to 8 MiB, their sum was not, and a body that does not end was waited for without limit.

Change: bodies take up to a quarter of the memory of the process together, beyond 16 KiB of each; further ones get 503.

Ruled out: a limit on connections, which would hold up heartbeats with the large bodies.

--- a/crates/fireflyspool/src/platform/control_service.rs
+++ b/crates/fireflyspool/src/platform/control_service.rs
@@ -2,8 +2,6 @@
 
 use std::{sync, time};
 
-use http_body_util::BodyExt as _;
-
 use crate::configuration::Format as _;
 use crate::platform::{control_call, heartbeat_answer};
 use crate::{configuration, node, platform, rim, state};
@@ -28,19 +26,23 @@
 /// Translates between the platform's calls and the types of a control VM.
 pub(super) struct ControlService {
     node: sync::Arc<node::Control>,
+    bodies: sync::Arc<rim::RequestBodies>,
 }
 
 impl ControlService {
-    pub(super) fn new(node: sync::Arc<node::Control>) -> Self {
-        Self { node }
+    /// `memory` is the number of bytes that large bodies may take together.
+    pub(super) fn new(node: sync::Arc<node::Control>, memory: usize) -> Self {
+        let bodies = rim::RequestBodies::new(node.process().timer.clone(), memory);
+        let bodies = sync::Arc::new(bodies);
+        Self { node, bodies }
     }
 }
 
 impl rim::CallerHandler for ControlService {
     fn handle(&self, request: http::Request<hyper::body::Incoming>) -> rim::ResponseFuture {
-        let node = sync::Arc::clone(&self.node);
+        let (node, bodies) = (sync::Arc::clone(&self.node), sync::Arc::clone(&self.bodies));
         Box::pin(async move {
-            match serve(&node, request).await {
+            match serve(&node, &bodies, request).await {
                 Ok(body) => success(body),
                 Err((status, text)) => response(status, text.into_bytes()),
             }
@@ -54,6 +56,7 @@
 
 async fn serve(
     node: &node::Control,
+    bodies: &rim::RequestBodies,
     request: http::Request<hyper::body::Incoming>,
 ) -> Result<Success, Failure> {
     let (head, body) = request.into_parts();
@@ -61,26 +64,31 @@
     let call = call.ok_or_else(|| (http::StatusCode::NOT_FOUND, "no such call".to_owned()))?;
     match call {
         control_call::ControlCall::Heartbeat(server) => {
-            let body = read_body(body, MAX_REPORT_BYTES).await?;
-            let report = platform::HeartbeatWire::decode(server, &body).map_err(|error| {
-                slog::warn!(node.process().logger, "heartbeat refused"; "error" => %error);
-                invalid(&error)
-            })?;
+            let body = bodies.read(body, MAX_REPORT_BYTES).await;
+            let body = body.map_err(|error| unread(&error))?;
+            let report =
+                platform::HeartbeatWire::decode(server, body.as_slice()).map_err(|error| {
+                    slog::warn!(node.process().logger, "heartbeat refused"; "error" => %error);
+                    invalid(&error)
+                })?;
             acknowledge(node.report(report).await)
         }
         control_call::ControlCall::Departure(server) => {
-            let body = read_body(body, MAX_REPORT_BYTES).await?;
-            let departure = platform::DepartureWire::decode(&body).unwrap_or_else(|error| {
-                // The path names the server, so a departure counts even if its body is
-                // unreadable.
-                slog::warn!(node.process().logger, "departure without a readable start time";
+            let body = bodies.read(body, MAX_REPORT_BYTES).await;
+            let body = body.map_err(|error| unread(&error))?;
+            let departure =
+                platform::DepartureWire::decode(body.as_slice()).unwrap_or_else(|error| {
+                    // The path names the server, so a departure counts even if its body is
+                    // unreadable.
+                    slog::warn!(node.process().logger, "departure without a readable start time";
                     "server" => &server, "error" => %error);
-                platform::DepartureWire::default()
-            });
+                    platform::DepartureWire::default()
+                });
             acknowledge(node.depart(server, departure.born).await)
         }
         control_call::ControlCall::Replace => {
-            let body = read_body(body, MAX_CONFIGURATION_BYTES).await?;
+            let body = bodies.read(body, MAX_CONFIGURATION_BYTES).await;
+            let body = body.map_err(|error| unread(&error))?;
             replace(node, body).await
         }
         control_call::ControlCall::Read => read(node).await,
@@ -95,8 +103,10 @@
     }
 }
 
-async fn replace(node: &node::Control, body: bytes::Bytes) -> Result<Success, Failure> {
-    let text = String::from_utf8(body.into()).map_err(|error| invalid(&error))?;
+async fn replace(node: &node::Control, body: rim::RequestBody) -> Result<Success, Failure> {
+    // The bytes count until the command has ended.
+    let (bytes, _taken) = body.into_parts();
+    let text = String::from_utf8(bytes.into()).map_err(|error| invalid(&error))?;
     let decoded = platform::ConfigurationFormat.decode(&text);
     let valid = decoded.and_then(|decoded| decoded.validate().map(|()| decoded.version));
     let version = valid.map_err(|error| {
@@ -139,12 +149,15 @@
     Ok(Some(encoded))
 }
 
-async fn read_body(body: hyper::body::Incoming, limit: usize) -> Result<bytes::Bytes, Failure> {
-    let read = http_body_util::Limited::new(body, limit).collect().await;
-    read.map(http_body_util::Collected::to_bytes).map_err(|_| {
-        let text = "the body is too large or incomplete".to_owned();
-        (http::StatusCode::PAYLOAD_TOO_LARGE, text)
-    })
+fn unread(error: &rim::BodyError) -> Failure {
+    let status = match error {
+        rim::BodyError::TooLarge { .. } | rim::BodyError::Broken(_) => {
+            http::StatusCode::PAYLOAD_TOO_LARGE
+        }
+        rim::BodyError::TimedOut => http::StatusCode::REQUEST_TIMEOUT,
+        rim::BodyError::NoRoom => http::StatusCode::SERVICE_UNAVAILABLE,
+    };
+    (status, error.to_string())
 }
 
 fn invalid(error: &dyn std::error::Error) -> Failure {
--- a/crates/fireflyspool/src/platform/process_settings.rs
+++ b/crates/fireflyspool/src/platform/process_settings.rs
@@ -115,9 +115,9 @@
         })
     }
 
-    /// Bytes that responses of backend servers may take while they are received: a quarter of the
-    /// memory of the process.
-    pub fn response_memory(&self) -> usize {
+    /// Bytes that responses of backend servers, or requests of operators, may take while they are
+    /// received: a quarter of the memory of the process.
+    pub fn message_memory(&self) -> usize {
         self.limits.memory_mb.saturating_mul(1024 * 1024) / 4
     }
 
--- a/crates/fireflyspool/src/platform/run.rs
+++ b/crates/fireflyspool/src/platform/run.rs
@@ -55,7 +55,7 @@
     let (logger, _guard, dropped) = node::start_logger(own.callers);
     let timer = crate::timer::TimerService::start()?;
     let client =
-        http_backend_client::HttpBackendClient::new(timer.clone(), settings.response_memory());
+        http_backend_client::HttpBackendClient::new(timer.clone(), settings.message_memory());
     let format = sync::Arc::new(platform::ConfigurationFormat);
     let node = node::Entry::start(
         own,
@@ -106,7 +106,8 @@
     let (logger, _guard, _) = node::start_logger(own.rpc);
     let node = node::Control::start(own, logger.clone()).await?;
     let (closing, closed) = watch::channel(false);
-    let handler = control_service::ControlService::new(sync::Arc::clone(&node));
+    let handler =
+        control_service::ControlService::new(sync::Arc::clone(&node), settings.message_memory());
     let timer = node.process().timer.clone();
     let mut listener = tokio::spawn(rim::caller_listener(
         address,
--- a/crates/fireflyspool/src/rim/mod.rs
+++ b/crates/fireflyspool/src/rim/mod.rs
@@ -9,6 +9,7 @@
 mod authorized;
 mod backend_client;
 mod backend_reply;
+mod body_error;
 mod bounded_stream;
 mod caller_listener;
 mod cancel_call;
@@ -38,15 +39,19 @@
 mod query_request;
 mod receive_pool;
 mod replica_link;
+mod request_bodies;
+mod request_body;
 mod rpc_error;
 mod rpc_listener;
 mod rpc_server;
 mod send_failure;
+mod taken_bytes;
 mod wall_clock;
 
 pub use authorized::Authorized;
 pub use backend_client::BackendClient;
 pub use backend_reply::BackendReply;
+pub use body_error::BodyError;
 pub use caller_listener::{
     CallerHandler, ResponseBody, ResponseFuture, StreamedBody, caller_listener,
 };
@@ -71,7 +76,10 @@
 pub use process_environment::ProcessEnvironment;
 pub use query_request::QueryRequest;
 pub use replica_link::replica_link;
+pub use request_bodies::RequestBodies;
+pub use request_body::RequestBody;
 pub use rpc_error::RpcError;
 pub use rpc_listener::rpc_listener;
 pub use rpc_server::open_rpc_listener;
+pub use taken_bytes::TakenBytes;
 pub use wall_clock::wall_millis;
--- a/crates/fireflyspool/src/rim/receive_pool.rs
+++ b/crates/fireflyspool/src/rim/receive_pool.rs
@@ -1,10 +1,10 @@
-//! Memory that the responses under way take together.
+//! Memory that the messages under way take together.
 
 use std::sync::atomic;
 
-/// Bytes that all responses of a client may hold at a time, beyond a small share of each.
+/// Bytes that all messages of one kind may hold at a time, beyond a small share of each.
 ///
-/// A limit for each response alone does not bound a process: many servers that send without end
+/// A limit for each message alone does not bound a process: many peers that send without end
 /// fill as many times the limit.
 pub(super) struct ReceivePool {
     left: atomic::AtomicUsize,
--- a/crates/fireflyspool/tests/endless_responses.rs
+++ b/crates/fireflyspool/tests/endless_responses.rs
@@ -68,14 +68,6 @@
     }
 }
 
-/// Resident memory of a process in kilobytes.
-fn resident(process: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).expect("a process");
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let value = line.and_then(|line| line.split_whitespace().nth(1));
-    value.and_then(|value| value.parse().ok()).expect("a size")
-}
-
 /// Another operator's process kept bytes that were no answer until it ran out of memory; a limit
 /// for each answer does not bound what many of them take together.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -124,7 +116,7 @@
     while !callers.is_empty() {
         assert!(started.elapsed() < WAIT_LIMIT, "requests do not end");
         assert!(entry.is_running(), "the entry VM ended");
-        peak = peak.max(resident(entry.id()));
+        peak = peak.max(entry.resident_kb());
         while callers.try_join_next().is_some() {}
         tokio::time::sleep(time::Duration::from_millis(20)).await;
     }
--- a/crates/fireflyspool/tests/platform_site/process.rs
+++ b/crates/fireflyspool/tests/platform_site/process.rs
@@ -45,6 +45,15 @@
         self.child.id()
     }
 
+    /// Resident memory in kilobytes.
+    pub(crate) fn resident_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("a process");
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let value = line.and_then(|line| line.split_whitespace().nth(1));
+        value.and_then(|value| value.parse().ok()).expect("a size")
+    }
+
     pub(crate) fn is_running(&mut self) -> bool {
         let ended = self.child.try_wait().expect("the process status");
         ended.is_none()
