--- a/crates/fireflyspool/tests/platform_site/mod.rs
+++ b/crates/fireflyspool/tests/platform_site/mod.rs
@@ -13,7 +13,11 @@
 mod stand_in_server;
 mod stated_notices;
 
-use std::{net, path, time};
+use std::{
+    net, panic, path,
+    sync::{self, atomic},
+    time,
+};
 
 pub(crate) use caller::Caller;
 pub(crate) use process::Process;
@@ -37,8 +41,24 @@
     pub(crate) http: reqwest::Client,
 }
 
+/// Whether a thread of this test binary has panicked.
+static FAILED: atomic::AtomicBool = atomic::AtomicBool::new(false);
+
+/// Notes panics for [`Site::drop`], which may run on a thread that has not panicked.
+fn watch_panics() {
+    static WATCHED: sync::Once = sync::Once::new();
+    WATCHED.call_once(|| {
+        let report = panic::take_hook();
+        panic::set_hook(Box::new(move |panicked| {
+            FAILED.store(true, atomic::Ordering::Relaxed);
+            report(panicked);
+        }));
+    });
+}
+
 impl Site {
     pub(crate) fn new(network: u8) -> Self {
+        watch_panics();
         // All are held until the last one is drawn; a port that is free again may be drawn twice.
         let listeners = [(); 4].map(|()| net::TcpListener::bind("127.0.0.1:0"));
         let listeners = listeners.map(|listener| listener.expect("a free port"));
@@ -187,9 +207,12 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
-        if !std::thread::panicking() {
-            // If this fails, files remain in the temporary folder of the system.
-            let _ = std::fs::remove_dir_all(&self.folder);
+        // The logs of a failed test are kept, whichever of its tasks uses the site last.
+        if FAILED.load(atomic::Ordering::Relaxed) {
+            eprintln!("the logs are in {}", self.folder.display());
+            return;
         }
+        // If this fails, files remain in the temporary folder of the system.
+        let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
