--- a/crates/fireflyspool/src/configuration/configuration.rs
+++ b/crates/fireflyspool/src/configuration/configuration.rs
@@ -11,6 +11,8 @@
     pub routes: Vec<configuration::Route>,
     /// Services that routes may name.
     pub services: sorted::SortedMap<ids::ServiceName, configuration::Service>,
+    /// Client accounts; without any, requests need no key.
+    pub accounts: Vec<configuration::Account>,
     /// Limits on what callers may send.
     pub limits: configuration::CallerLimits,
 }
@@ -27,6 +29,7 @@
             self.validate_route(route)?;
             matches.push((&route.host, &route.prefix));
         }
+        self.validate_accounts()?;
         matches.sort_unstable();
         match matches.windows(2).find(|pair| pair[0] == pair[1]) {
             Some(pair) => Err(configuration::ConfigurationError::DuplicateRoute {
@@ -37,6 +40,37 @@
         }
     }
 
+    fn validate_accounts(&self) -> Result<(), configuration::ConfigurationError> {
+        let mut names = Vec::with_capacity(self.accounts.len());
+        let mut keys = Vec::with_capacity(self.accounts.len());
+        for account in &self.accounts {
+            let name = || account.name.clone();
+            if account.name.is_empty() {
+                return Err(configuration::ConfigurationError::UnnamedAccount);
+            }
+            let is_valid = |figure: f64| figure.is_finite() && figure >= 0.0;
+            if !is_valid(account.rate) || !is_valid(account.burst) {
+                return Err(configuration::ConfigurationError::InvalidQuota { account: name() });
+            }
+            names.push(account.name.as_str());
+            keys.extend(account.keys.iter().map(|key| (key, &account.name)));
+        }
+        names.sort_unstable();
+        if let Some(pair) = names.windows(2).find(|pair| pair[0] == pair[1]) {
+            let account = pair[0].to_owned();
+            return Err(configuration::ConfigurationError::DuplicateAccount { account });
+        }
+        keys.sort_by_key(|(key, _)| key.prefix());
+        let shared = keys.windows(2).find(|pair| pair[0].0 == pair[1].0);
+        match shared {
+            Some(pair) => Err(configuration::ConfigurationError::SharedKey {
+                first: pair[0].1.clone(),
+                second: pair[1].1.clone(),
+            }),
+            None => Ok(()),
+        }
+    }
+
     fn validate_route(
         &self,
         route: &configuration::Route,
--- a/crates/fireflyspool/src/configuration/configuration_error.rs
+++ b/crates/fireflyspool/src/configuration/configuration_error.rs
@@ -52,4 +52,41 @@
         /// Path prefix of both routes.
         prefix: String,
     },
+    /// A client account has no name.
+    #[error("a client account has no name")]
+    UnnamedAccount,
+    /// The name of a client account cannot stand in a header.
+    #[error("the name of client account `{account}` cannot stand in a header")]
+    InvalidName {
+        /// Name of the account, escaped.
+        account: String,
+    },
+    /// Two client accounts have the same name.
+    #[error("two client accounts have the name `{account}`")]
+    DuplicateAccount {
+        /// Name of both accounts.
+        account: ids::AccountName,
+    },
+    /// Two client accounts hold the same key, or one holds it twice; the key is not shown.
+    #[error("client accounts `{first}` and `{second}` share a key")]
+    SharedKey {
+        /// Name of one account.
+        first: ids::AccountName,
+        /// Name of the other account.
+        second: ids::AccountName,
+    },
+    /// A key is empty, no text, or cannot stand in a header; the key is not shown.
+    #[error("key {number} of client account `{account}` is empty or cannot stand in a header")]
+    InvalidKey {
+        /// Name of the account.
+        account: ids::AccountName,
+        /// Position of the key in the account, from 1.
+        number: usize,
+    },
+    /// The rate or burst of a client account is negative or not finite.
+    #[error("the quota of client account `{account}` is negative or not finite")]
+    InvalidQuota {
+        /// Name of the account.
+        account: ids::AccountName,
+    },
 }
--- a/crates/fireflyspool/src/configuration/mod.rs
+++ b/crates/fireflyspool/src/configuration/mod.rs
@@ -8,6 +8,8 @@
 //! The highest version takes effect everywhere. A document with the version in
 //! force and other content never replaces it.
 
+mod account;
+mod accounts;
 mod caller_limits;
 #[allow(clippy::module_inception, reason = "a file is named after its type")]
 mod configuration;
@@ -15,18 +17,22 @@
 mod document;
 mod format;
 mod gather;
+mod key_digest;
 mod route;
 mod routing_table;
 mod service;
 mod split_share;
 mod target;
 
+pub use account::Account;
+pub use accounts::Accounts;
 pub use caller_limits::CallerLimits;
 pub use configuration::Configuration;
 pub use configuration_error::ConfigurationError;
 pub use document::Document;
 pub use format::Format;
 pub use gather::Gather;
+pub use key_digest::KeyDigest;
 pub use route::Route;
 pub use routing_table::RoutingTable;
 pub use service::Service;
--- a/crates/fireflyspool/src/configuration/route.rs
+++ b/crates/fireflyspool/src/configuration/route.rs
@@ -24,6 +24,8 @@
     /// Most attempts, each at another backend server, that may run for one request and
     /// shard; at least one. Attempts that certainly did not run are not counted.
     pub max_attempts: usize,
+    /// Whether requests need no key although the configuration has client accounts.
+    pub open: bool,
     /// Services that handle the requests.
     pub target: configuration::Target,
 }
--- a/crates/fireflyspool/src/configuration/routing_table.rs
+++ b/crates/fireflyspool/src/configuration/routing_table.rs
@@ -9,6 +9,7 @@
 pub struct RoutingTable {
     version: ids::ConfigVersion,
     limits: configuration::CallerLimits,
+    accounts: configuration::Accounts,
     services: sorted::SortedMap<ids::ServiceName, configuration::Service>,
     /// Routes by host, longest prefix first.
     hosts: sorted::SortedMap<String, Vec<sync::Arc<configuration::Route>>>,
@@ -29,6 +30,7 @@
         Self {
             version: configuration.version,
             limits: configuration.limits,
+            accounts: configuration::Accounts::new(configuration.accounts),
             services: configuration.services,
             hosts,
         }
@@ -44,6 +46,11 @@
         &self.limits
     }
 
+    /// Client accounts by key; empty if requests need none.
+    pub fn accounts(&self) -> &configuration::Accounts {
+        &self.accounts
+    }
+
     /// Service of this name, if it is defined.
     pub fn service(&self, service: &str) -> Option<&configuration::Service> {
         self.services.get(service)
--- a/crates/fireflyspool/src/forward/group.rs
+++ b/crates/fireflyspool/src/forward/group.rs
@@ -33,6 +33,7 @@
             coverage: 0.0,
         };
         configuration::Route {
+            open: true,
             name: self.route.clone(),
             host: String::new(),
             prefix: "/".to_owned(),
--- a/crates/fireflyspool/src/ids.rs
+++ b/crates/fireflyspool/src/ids.rs
@@ -19,6 +19,9 @@
 /// Name of a service that reads collections.
 pub type ServiceName = String;
 
+/// Name of a client account.
+pub type AccountName = String;
+
 /// Name of a searchable collection.
 pub type CollectionName = String;
 
--- a/crates/fireflyspool/src/node/entry_settings.rs
+++ b/crates/fireflyspool/src/node/entry_settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::{fleet, ids};
+use crate::{fleet, ids, node};
 
 /// Location, address and limits of an entry VM.
 #[derive(Clone, Debug)]
@@ -19,6 +19,8 @@
     pub contacts: Vec<net::SocketAddr>,
     /// Limits on retries over all entry VMs together.
     pub limits: fleet::RetryLimits,
+    /// Bounds of keys and quotas of client accounts.
+    pub accounts: node::AccountLimits,
     /// Grace period: time from the signal to stop until the process is killed.
     pub grace: time::Duration,
 }
--- a/crates/fireflyspool/src/node/mod.rs
+++ b/crates/fireflyspool/src/node/mod.rs
@@ -6,6 +6,7 @@
 //! the views it publishes. Front ends translate between their protocol and the
 //! types here and hold no state of their own.
 
+mod account_limits;
 mod acknowledgement;
 mod answer_delay;
 mod attempt_guard;
@@ -29,6 +30,7 @@
 mod rpc_outlet;
 mod running_guard;
 
+pub use account_limits::AccountLimits;
 pub use acknowledgement::Acknowledgement;
 pub use backend_client::{AttemptFuture, BackendClient, OpenFuture};
 pub use command_result::CommandResult;
--- a/crates/fireflyspool/src/platform/bounds.rs
+++ b/crates/fireflyspool/src/platform/bounds.rs
@@ -13,6 +13,21 @@
     /// Length of that window in seconds.
     #[serde(rename = "RetryWindowS", default = "default_window")]
     pub(super) retry_window: f64,
+    /// Whether [`Self::revocation_ms`] binds.
+    #[serde(rename = "StrictRevoke", default)]
+    pub(super) strict_revocation: bool,
+    /// Milliseconds after which a withdrawn key must not be of use anywhere.
+    #[serde(rename = "RevokeMs", default = "default_revocation")]
+    pub(super) revocation_ms: f64,
+    /// Length in seconds of the window over which quotas are counted.
+    #[serde(rename = "QuotaWindowS", default = "default_quota_window")]
+    pub(super) quota_window: f64,
+    /// Share of a quota by which a window may exceed it.
+    #[serde(rename = "QuotaOvershoot", default)]
+    pub(super) quota_overshoot: f64,
+    /// Requests by which a window may exceed a quota beyond that share.
+    #[serde(rename = "QuotaSlack", default)]
+    pub(super) quota_slack: f64,
     /// Seconds from the signal to stop until the process is killed.
     #[serde(rename = "GraceS", default = "default_grace")]
     pub(super) grace: f64,
@@ -24,6 +39,11 @@
             retry_ratio: default_ratio(),
             retry_slack: 0.0,
             retry_window: default_window(),
+            strict_revocation: false,
+            revocation_ms: default_revocation(),
+            quota_window: default_quota_window(),
+            quota_overshoot: 0.0,
+            quota_slack: 0.0,
             grace: default_grace(),
         }
     }
@@ -43,3 +63,13 @@
 fn default_grace() -> f64 {
     6.0
 }
+
+/// Milliseconds that all known installations use.
+fn default_revocation() -> f64 {
+    5_000.0
+}
+
+/// Window of quotas in seconds that all known installations use.
+fn default_quota_window() -> f64 {
+    5.0
+}
--- a/crates/fireflyspool/src/platform/configuration_wire.rs
+++ b/crates/fireflyspool/src/platform/configuration_wire.rs
@@ -2,11 +2,10 @@
 
 use std::time;
 
-use crate::platform::{limits_wire, route_wire, service_wire};
+use crate::platform::{account_wire, limits_wire, route_wire, service_wire};
 use crate::{configuration, ids};
 
 /// Complete configuration as an operator sends it.
-#[derive(Debug)]
 #[derive(serde::Deserialize)]
 #[serde(rename_all = "PascalCase")]
 pub(super) struct ConfigurationWire {
@@ -15,6 +14,9 @@
     /// Services, which the wire calls backends.
     #[serde(rename = "Backends")]
     services: Vec<service_wire::ServiceWire>,
+    /// Client accounts, which the wire calls tenants.
+    #[serde(rename = "Tenants", default)]
+    accounts: Option<Vec<serde_json::Value>>,
     #[serde(default)]
     limits: Option<limits_wire::LimitsWire>,
 }
@@ -50,10 +52,13 @@
             },
             None => configuration::CallerLimits::default(),
         };
+        let accounts = self.accounts.unwrap_or_default().into_iter();
+        let accounts: Result<Vec<_>, _> = accounts.map(account_wire::AccountWire::decode).collect();
         Ok(configuration::Configuration {
             version: self.version,
             routes: routes?,
             services: services.into_iter().collect(),
+            accounts: accounts?,
             limits,
         })
     }
--- a/crates/fireflyspool/src/platform/mod.rs
+++ b/crates/fireflyspool/src/platform/mod.rs
@@ -6,6 +6,7 @@
 //! no state. Names of the platform's protocol appear in this folder only; no
 //! other module imports it, apart from the command line.
 
+mod account_wire;
 mod address_answer;
 mod bounds;
 mod caller_service;
--- a/crates/fireflyspool/src/platform/process_settings.rs
+++ b/crates/fireflyspool/src/platform/process_settings.rs
@@ -93,10 +93,22 @@
                 slack: self.bounds.retry_slack,
                 window: seconds("Bounds.RetryWindowS", self.bounds.retry_window)?,
             },
+            accounts: self.account_limits()?,
             grace: seconds("Bounds.GraceS", self.bounds.grace)?,
         })
     }
 
+    fn account_limits(&self) -> Result<node::AccountLimits, platform::PlatformError> {
+        let bounds = &self.bounds;
+        let revocation = seconds("Bounds.RevokeMs", bounds.revocation_ms / 1_000.0)?;
+        Ok(node::AccountLimits {
+            revocation: bounds.strict_revocation.then_some(revocation),
+            window: seconds("Bounds.QuotaWindowS", bounds.quota_window)?,
+            overshoot: bounds.quota_overshoot,
+            slack: bounds.quota_slack,
+        })
+    }
+
     /// Settings of a control VM.
     ///
     /// # Errors
--- a/crates/fireflyspool/src/platform/route_wire.rs
+++ b/crates/fireflyspool/src/platform/route_wire.rs
@@ -24,6 +24,9 @@
     priority: f64,
     #[serde(default)]
     attempts: Option<f64>,
+    /// Whether requests need no key.
+    #[serde(rename = "NoAuth", default)]
+    open: bool,
     /// Service, which the wire calls a backend.
     #[serde(rename = "Backend", default)]
     service: Option<String>,
@@ -74,6 +77,7 @@
             objective,
             priority: self.priority as u32,
             max_attempts: self.attempts.map_or(1, |attempts| attempts as usize).max(1),
+            open: self.open,
             target,
         })
     }
--- a/crates/fireflyspool/tests/caution.rs
+++ b/crates/fireflyspool/tests/caution.rs
@@ -49,6 +49,7 @@
         objective: OBJECTIVE,
         priority: 0,
         max_attempts: 2,
+        open: false,
         target,
     })
 }
--- a/crates/fireflyspool/tests/fleet.rs
+++ b/crates/fireflyspool/tests/fleet.rs
@@ -37,6 +37,7 @@
         objective: time::Duration::from_millis(100),
         priority: 0,
         max_attempts: 2,
+        open: false,
         target: configuration::Target::Service("shard".to_owned()),
     }
 }
@@ -71,6 +72,7 @@
             version: 1,
             routes: vec![route()],
             services: services.into_iter().collect(),
+            accounts: Vec::new(),
             limits: configuration::CallerLimits::default(),
         };
         harness.view.table = Some(sync::Arc::new(configuration::RoutingTable::new(
--- a/crates/fireflyspool/tests/fleet_notices.rs
+++ b/crates/fireflyspool/tests/fleet_notices.rs
@@ -52,6 +52,7 @@
                 .iter()
                 .map(|name| ((*name).to_owned(), service()))
                 .collect(),
+            accounts: Vec::new(),
             limits: configuration::CallerLimits::default(),
         });
         Self {
--- a/crates/fireflyspool/tests/forward.rs
+++ b/crates/fireflyspool/tests/forward.rs
@@ -105,6 +105,7 @@
             objective: OBJECTIVE,
             priority: 0,
             max_attempts: 2,
+            open: false,
             target,
         };
         let timing = forward::Timing::new(&route, caller_timeout, answer_delay, now);
--- a/crates/fireflyspool/tests/forwarding.rs
+++ b/crates/fireflyspool/tests/forwarding.rs
@@ -88,12 +88,14 @@
         objective: OBJECTIVE,
         priority: 0,
         max_attempts: 2,
+        open: false,
         target: configuration::Target::Gather(gather),
     };
     let table = configuration::RoutingTable::new(configuration::Configuration {
         version: 1,
         routes: vec![route],
         services: Default::default(),
+        accounts: Vec::new(),
         limits: configuration::CallerLimits::default(),
     });
     view.table = Some(sync::Arc::new(table));
--- a/crates/fireflyspool/tests/groups.rs
+++ b/crates/fireflyspool/tests/groups.rs
@@ -175,6 +175,7 @@
             objective: OBJECTIVE,
             priority: 0,
             max_attempts: attempts,
+            open: false,
             target: configuration::Target::Gather(configuration::Gather {
                 shards: (0..shards).map(service).collect(),
                 top_k: TOP_K,
--- a/crates/fireflyspool/tests/platform_wire.rs
+++ b/crates/fireflyspool/tests/platform_wire.rs
@@ -239,3 +239,69 @@
     };
     assert_eq!(load, Some(expected));
 }
+
+fn with_accounts(accounts: &str) -> String {
+    CONFIGURATION.replacen('{', &format!(r#"{{"Tenants":{accounts},"#), 1)
+}
+
+/// Guards against a key that finds no account, or that of another one.
+#[test]
+fn accounts_are_found_by_their_keys() {
+    let text = with_accounts(
+        r#"[{"Name":"a","ApiKeys":["ka1","ka2"],"RatePerS":2.5,"BurstSize":4,"Priority":0},
+            {"Name":"b","ApiKeys":["kb"]}]"#,
+    );
+    let table = configuration::RoutingTable::new(decode(&text).expect("a valid configuration"));
+    let find = |key: &str| table.accounts().find(key.as_bytes());
+    let first = find("ka2").expect("the account of the key");
+    assert_eq!((first.name.as_str(), first.priority), ("a", Some(0)));
+    assert!(first.is_limited() && first.rate == 2.5 && first.burst == 4.0);
+    let second = find("kb").expect("the account of the key");
+    assert_eq!((second.name.as_str(), second.is_limited()), ("b", false));
+    assert!(find("ka").is_none() && find("").is_none());
+}
+
+/// Guards against an invalid list of accounts that takes effect, and an error or debug output
+/// that shows a key.
+#[test]
+fn invalid_accounts_are_refused_without_showing_keys() {
+    let invalid = [
+        (
+            r#"[{"Name":"a","ApiKeys":["secret7"]},{"Name":"b","ApiKeys":["secret7"]}]"#,
+            "share",
+        ),
+        (r#"[{"Name":"a","ApiKeys":["secret7","secret7"]}]"#, "share"),
+        (
+            r#"[{"Name":"a","ApiKeys":["secret7"]},{"Name":"a","ApiKeys":["k"]}]"#,
+            "the name",
+        ),
+        (r#"[{"Name":"","ApiKeys":["secret7"]}]"#, "no name"),
+        (r#"[{"Name":"a\n","ApiKeys":["secret7"]}]"#, "header"),
+        (r#"[{"Name":"a","ApiKeys":[""]}]"#, "key 1"),
+        (r#"[{"Name":"a","ApiKeys":["k","secret7 8"]}]"#, "key 2"),
+        (r#"[{"Name":"a","ApiKeys":"sécret7"}]"#, "key 1"),
+        (r#"[{"Name":"a","ApiKeys":[{"secret7":1}]}]"#, "key 1"),
+        (r#"["secret7"]"#, "Tenants"),
+        (
+            r#"[{"Name":"a","ApiKeys":["secret7"],"RatePerS":-1}]"#,
+            "quota",
+        ),
+        (
+            r#"[{"Name":"a","ApiKeys":["secret7"],"BurstSize":-1}]"#,
+            "quota",
+        ),
+    ];
+    for (accounts, cause) in invalid {
+        let error = decode(&with_accounts(accounts)).expect_err(accounts);
+        let shown = format!("{error} {error:?}");
+        assert!(shown.contains(cause), "`{shown}` does not name `{cause}`");
+        assert!(!shown.contains("cret7"), "`{shown}` shows a key");
+    }
+    let text = with_accounts(r#"[{"Name":"a","ApiKeys":["secret7"]}]"#);
+    let document = configuration::Document {
+        version: 7,
+        text: text.as_str().into(),
+    };
+    let decoded = decode(&text).expect("a valid configuration");
+    assert!(!format!("{document:?} {decoded:?}").contains("cret7"));
+}
