--- a/crates/fireflyspool/tests/planned_stop.rs
+++ b/crates/fireflyspool/tests/planned_stop.rs
@@ -6,7 +6,10 @@
 
 use fireflyspool::{rim, timer};
 use platform_site::{Caller, SHARDS, SINGLE_SERVICE, Site, StandInServer, WAIT_LIMIT};
-use tokio::{sync::watch, task::JoinSet};
+use tokio::{
+    sync::watch,
+    task::{JoinHandle, JoinSet},
+};
 
 const CONTROLS: [u8; 3] = [1, 2, 3];
 
@@ -87,18 +90,23 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn a_stopping_entry_vm_answers_new_connections_while_others_end() {
     let timer = timer::TimerService::start().expect("a thread");
-    let port = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = port.local_addr().expect("an address");
-    drop(port);
     let (closing, closed) = watch::channel(false);
-    let logger = slog::Logger::root(slog::Discard, slog::o!());
-    let services = (timer, logger);
-    let handler = sync::Arc::new(Refusing);
-    let listening = tokio::spawn(rim::caller_listener(address, handler, services, closed));
     let start = time::Instant::now();
-    while !matches!(request(address, 0).await, Ended::Answered(_)) {
+    let (address, listening) = loop {
         assert!(start.elapsed() < WAIT_LIMIT, "it does not listen");
-    }
+        let (address, listening) = listen(&timer, &closed);
+        while !listening.is_finished() && start.elapsed() < WAIT_LIMIT {
+            if matches!(request(address, 0).await, Ended::Answered(503)) {
+                break;
+            }
+        }
+        // Another process may have taken the port between its choice and its use.
+        if !listening.is_finished() {
+            break (address, listening);
+        }
+        let ended = listening.await.expect("no panic");
+        println!("{address} cannot be used: {ended:?}");
+    };
     // A request whose end never comes.
     let mut open = net::TcpStream::connect(address).expect("it listens");
     open.write_all(b"POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: x\r\n")
@@ -117,6 +125,21 @@
         .expect("it could listen");
 }
 
+/// Starts a listener on a port that was free a moment ago.
+fn listen(
+    timer: &timer::TimerService,
+    closed: &watch::Receiver<bool>,
+) -> (net::SocketAddr, JoinHandle<Result<(), rim::RpcError>>) {
+    let port = net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = port.local_addr().expect("an address");
+    drop(port);
+    let logger = slog::Logger::root(slog::Discard, slog::o!());
+    let services = (timer.clone(), logger);
+    let handler = sync::Arc::new(Refusing);
+    let listener = rim::caller_listener(address, handler, services, closed.clone());
+    (address, tokio::spawn(listener))
+}
+
 /// Handler that refuses all requests.
 struct Refusing;
 
