--- a/crates/fireflyspool/src/platform/http_backend_client.rs
+++ b/crates/fireflyspool/src/platform/http_backend_client.rs
@@ -1,11 +1,14 @@
 //! HTTP client for backend servers.
 
-use std::{net, sync, time};
+use std::{net, ops, sync, time};
 
 use crate::platform::headers;
 use crate::{backend, forward, node, platform, rim, timer};
 
 type Response = http::Response<rim::ForwardBody>;
+/// Status codes of final responses; any other means that the bytes are no response to the request.
+const FINAL_STATUSES: ops::RangeInclusive<u16> = 200..=599;
+
 type Ending = (forward::AttemptEnd, backend::Condition);
 
 /// Sends requests to backend servers with the headers of the platform.
@@ -109,6 +112,10 @@
     id: &str,
 ) -> Ending {
     let (head, body) = response.into_parts();
+    if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+        // Nothing in the head can be relied on; dropping the body closes the connection.
+        return (forward::AttemptEnd::Broken, backend::Condition::default());
+    }
     let text = |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok());
     if text(headers::REQUEST_ID).is_some_and(|echoed| echoed != id) {
         // Dropping the body closes the connection, on which responses no longer match requests.
