--- a/crates/fireflyspool/src/fleet/attempt_result.rs
+++ b/crates/fireflyspool/src/fleet/attempt_result.rs
@@ -14,6 +14,8 @@
     Failed,
     /// The server refused the request without running it.
     Rejected,
+    /// The server refused the connection, because it has as many as it accepts.
+    Full,
     /// No server listens at the address, or another one does.
     Unreachable,
     /// The attempt was abandoned before a response.
--- a/crates/fireflyspool/src/fleet/delegate_state.rs
+++ b/crates/fireflyspool/src/fleet/delegate_state.rs
@@ -45,7 +45,7 @@
     pub(super) fn record(&mut self, result: fleet::AttemptResult, now: time::Instant) {
         let pause = match result {
             fleet::AttemptResult::Answered { .. } => return,
-            fleet::AttemptResult::Rejected => REFUSAL_PAUSE,
+            fleet::AttemptResult::Rejected | fleet::AttemptResult::Full => REFUSAL_PAUSE,
             fleet::AttemptResult::Failed
             | fleet::AttemptResult::Unreachable
             | fleet::AttemptResult::Abandoned { .. } => FAILURE_PAUSE,
--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -25,6 +25,8 @@
     /// Typical time to write as many attempts as `fleet_groups` counts in a batch.
     pub(super) write_time: fleet::Quantile,
     pub(super) pools: sorted::SortedMap<ids::ServiceName, fleet::pool::Pool>,
+    /// Services of attempts that the limits of connections kept from the best server.
+    withheld: Vec<ids::ServiceName>,
     routes: sorted::SortedMap<String, fleet::route_latency::RouteLatency>,
     splits: sorted::SortedMap<String, fleet::split_state::SplitState>,
 }
@@ -51,6 +53,7 @@
             delegates: fleet::delegates::Delegates::default(),
             write_time: fleet::Quantile::new(0.5, time::Duration::ZERO),
             pools: sorted::SortedMap::new(),
+            withheld: Vec::new(),
             routes: sorted::SortedMap::new(),
             splits: sorted::SortedMap::new(),
         }
@@ -86,6 +89,7 @@
             });
             let limits = view.table.as_ref().and_then(|table| table.service(service));
             pool.connections = limits.map_or(0, |limits| limits.max_connections);
+            pool.share_connections(view.members);
         }
         true
     }
@@ -139,14 +143,20 @@
         let members = self.members;
         self.next_token += 1;
         let pool = self.pools.get_mut(service)?;
-        let (name, state) = pool.pick(excluded, &self.notices, members, entropy, now)?;
-        let picked = fleet::PickedServer {
+        pool.withheld = false;
+        let picked = pool.pick(excluded, &self.notices, members, entropy, now);
+        let picked = picked.map(|(name, state)| fleet::PickedServer {
             token: self.next_token,
             server: name.clone(),
             born: state.born,
             address: state.address,
             local: state.local,
-        };
+            kept: state.connections.kept(),
+        });
+        if pool.withheld {
+            self.withheld.push(service.to_owned());
+        }
+        let picked = picked?;
         if let Some(state) = pool.servers.get_mut(&picked.server) {
             state.start();
         }
@@ -169,6 +179,18 @@
         servers
     }
 
+    /// Whether servers of a service accept fewer connections than there are entry VMs.
+    pub fn bounds_connections(&self, service: &str) -> bool {
+        let pool = self.pools.get(service);
+        pool.is_some_and(fleet::pool::Pool::is_bounded)
+    }
+
+    /// Removes and returns the service of each attempt that avoided the best server, or waited,
+    /// because of the limit of connections to it.
+    pub fn take_withheld(&mut self) -> Vec<ids::ServiceName> {
+        std::mem::take(&mut self.withheld)
+    }
+
     /// Whether a service has a usable server.
     pub fn is_usable(&self, service: &str, now: time::Instant) -> bool {
         self.usable_at(service, now) == Some(now)
@@ -283,6 +305,16 @@
             latency.typical.add(elapsed);
             latency.high.add(elapsed);
         }
+        let spread = self.spread;
+        if let Some(pool) = self.pools.get_mut(key.0)
+            && pool.is_bounded()
+            && result == fleet::AttemptResult::Full
+        {
+            if let Some(server) = pool.servers.get_mut(key.1) {
+                server.record_full(token, spread, now);
+            }
+            return;
+        }
         let server = self.server(key);
         let symptom = server.and_then(|server| server.record_end(token, result, typical, now));
         if let Some(symptom) = symptom {
--- a/crates/fireflyspool/src/fleet/mod.rs
+++ b/crates/fireflyspool/src/fleet/mod.rs
@@ -22,6 +22,7 @@
 //! which ones go where.
 
 mod attempt_result;
+mod connection_limit;
 mod delegate_state;
 mod delegates;
 mod failure_rate;
@@ -37,6 +38,7 @@
 mod placed_shard;
 mod planned_group;
 mod pool;
+mod pool_connections;
 mod quantile;
 mod retry_budget;
 mod retry_limits;
--- a/crates/fireflyspool/src/fleet/picked_server.rs
+++ b/crates/fireflyspool/src/fleet/picked_server.rs
@@ -17,4 +17,6 @@
     pub address: net::SocketAddr,
     /// Whether the backend server is in the zone of this VM.
     pub local: bool,
+    /// Idle connections that this VM may keep to it; `None` for the usual number.
+    pub kept: Option<usize>,
 }
--- a/crates/fireflyspool/src/fleet/pool.rs
+++ b/crates/fireflyspool/src/fleet/pool.rs
@@ -32,6 +32,10 @@
     pub(super) failures: fleet::failure_rate::FailureRate,
     /// Connections that one backend server accepts from all entry VMs together.
     pub(super) connections: usize,
+    /// Whether that is less than the number of entry VMs.
+    pub(super) bounded: bool,
+    /// Whether the limits of connections kept the last pick from the best server.
+    pub(super) withheld: bool,
     /// When the service became known; `None` if it is not known yet.
     known_since: Option<time::Instant>,
     /// Server to which a connection was last opened ahead of the first attempt, and when it
@@ -83,7 +87,7 @@
 
     /// The usable server with the lowest score that is not excluded.
     pub(super) fn pick(
-        &self,
+        &mut self,
         excluded: &[ids::ServerName],
         notices: &fleet::notices::Notices,
         members: usize,
@@ -91,12 +95,19 @@
         now: time::Instant,
     ) -> Option<(&ids::ServerName, &fleet::server_state::ServerState)> {
         let share = self.connections / members.max(1);
-        let limit = share.max(MIN_CONNECTIONS);
+        let usual = share.max(MIN_CONNECTIONS);
+        let mut withheld = f64::INFINITY;
         let mut entropy = entropy;
         let mut best: Option<(f64, (&ids::ServerName, &fleet::server_state::ServerState))> = None;
         for (name, server) in self.servers.iter() {
             let usable = server.is_usable(now) && notices.allows(name, server.born, now);
-            if !usable || server.running >= limit || excluded.contains(name) {
+            if !usable || excluded.contains(name) {
+                continue;
+            }
+            if server.running >= server.connections.value(now).unwrap_or(usual) {
+                if self.bounded {
+                    withheld = withheld.min(server.score(now));
+                }
                 continue;
             }
             entropy = entropy.rotate_left(17).wrapping_mul(0x9e37_79b9_7f4a_7c15);
@@ -106,6 +117,7 @@
                 best = Some((score, (name, server)));
             }
         }
+        self.withheld = withheld < best.map_or(f64::INFINITY, |(score, _)| score);
         best.map(|(_, entry)| entry)
     }
 
--- a/crates/fireflyspool/src/fleet/server_state.rs
+++ b/crates/fireflyspool/src/fleet/server_state.rs
@@ -39,6 +39,11 @@
     pub(super) zone: ids::ZoneName,
     /// Score of its zone and of this VM's preference; constant while this process runs.
     pub(super) zone_penalty: f64,
+    /// This VM's preference among servers of the same zone, 0 to 1.
+    preference: f64,
+    /// Fraction of a connection, 0 to 1, above which this VM's share is rounded up.
+    pub(super) threshold: f64,
+    pub(super) connections: fleet::connection_limit::ConnectionLimit,
     pub(super) born: ids::BornMillis,
     pub(super) slots: f64,
     serving: bool,
@@ -80,6 +85,8 @@
         let hasher = hashing::StableHasher::new().number(incarnation);
         let hash = hasher.text(&record.server).finish();
         let preference = (hash >> 40) as f64 / f64::from(1 << 24);
+        // It must not depend on the preference, which decides the rank.
+        let rounding = hasher.text(&record.server).text("rounding").finish();
         Self {
             address: record.address,
             local,
@@ -88,6 +95,9 @@
                 true => 0.0,
                 false => ZONE_PENALTY + MAX_PREFERENCE * preference,
             },
+            preference,
+            threshold: (rounding >> 40) as f64 / f64::from(1 << 24),
+            connections: fleet::connection_limit::ConnectionLimit::new(),
             born: record.born,
             slots: f64::from(record.slots.max(1)),
             serving: false,
@@ -140,13 +150,26 @@
         self.serving = false;
     }
 
+    /// Whether it serves according to the view, apart from short failures.
+    pub(super) fn is_in_service(&self) -> bool {
+        self.serving && !self.zone_out
+    }
+
+    /// Order in which this VM prefers servers; constant while this process runs.
+    pub(super) fn rank(&self) -> f64 {
+        match self.local {
+            true => self.preference - 1.0,
+            false => self.zone_penalty,
+        }
+    }
+
     pub(super) fn is_usable(&self, now: time::Instant) -> bool {
         self.usable_at(now) == Some(now)
     }
 
     /// When it is usable: `now` at the earliest, `None` if that is not known.
     pub(super) fn usable_at(&self, now: time::Instant) -> Option<time::Instant> {
-        let in_service = self.serving && !self.zone_out && self.suspended.is_none();
+        let in_service = self.is_in_service() && self.suspended.is_none();
         in_service.then(|| self.cold_until.max(now))
     }
 
@@ -171,6 +194,14 @@
         self.load_at = now;
     }
 
+    /// Records that the server refused the connection of an attempt that ends by this; it says
+    /// nothing about how the server handles requests.
+    pub(super) fn record_full(&mut self, token: ids::Ticket, spread: f64, now: time::Instant) {
+        self.running = self.running.saturating_sub(1);
+        self.overdue.retain(|overdue| *overdue != token);
+        self.connections.record_refused(self.running, spread, now);
+    }
+
     /// Records the end of an attempt; `typical` is the typical latency of its route.
     ///
     /// Returns the symptom to report to the control VMs, if any.
@@ -188,6 +219,7 @@
         match result {
             fleet::AttemptResult::Answered { elapsed } => {
                 self.answered = true;
+                self.connections.record_answered(now);
                 self.latency_ratio += LATENCY_WEIGHT * (ratio(elapsed) - self.latency_ratio);
                 self.latency_at = now;
                 self.record_failure(0.0, now);
@@ -203,7 +235,9 @@
                     self.latency_at = now;
                 }
             }
-            fleet::AttemptResult::Rejected => self.record_failure(1.0, now),
+            fleet::AttemptResult::Rejected | fleet::AttemptResult::Full => {
+                self.record_failure(1.0, now);
+            }
             fleet::AttemptResult::Failed => {
                 self.record_failure(1.0, now);
                 self.failure_streak += 1;
--- a/crates/fireflyspool/src/forward/attempt_end.rs
+++ b/crates/fireflyspool/src/forward/attempt_end.rs
@@ -11,6 +11,9 @@
     Answered(forward::Response),
     /// The server refused the request without running it.
     Rejected,
+    /// The server refused the connection, because it has as many as it accepts; nothing was
+    /// sent.
+    Full,
     /// Another server listens at the address; it did not run the request.
     WrongServer,
     /// No connection could be opened; nothing was sent.
@@ -31,6 +34,7 @@
         match self {
             Self::Answered(_) => "answered",
             Self::Rejected => "rejected",
+            Self::Full => "full",
             Self::WrongServer => "wrong_server",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
@@ -43,7 +47,7 @@
     pub fn not_connected(error: &io::Error) -> Self {
         match error.kind() {
             // The server lives, and has as many connections as it accepts.
-            io::ErrorKind::ConnectionReset => Self::Rejected,
+            io::ErrorKind::ConnectionReset => Self::Full,
             _ => Self::Unreachable,
         }
     }
--- a/crates/fireflyspool/src/forward/exchange_ends.rs
+++ b/crates/fireflyspool/src/forward/exchange_ends.rs
@@ -45,7 +45,12 @@
                 pending.state.ran += 1;
                 self.send_again(index, Some(response), fleet, entropy, now);
             }
+            forward::AttemptEnd::Full if fleet.bounds_connections(&pending.service) => {
+                pending.state.tried.retain(|tried| *tried != attempt.server);
+                self.send_elsewhere(index, fleet, entropy, now);
+            }
             forward::AttemptEnd::Rejected
+            | forward::AttemptEnd::Full
             | forward::AttemptEnd::WrongServer
             | forward::AttemptEnd::Unreachable => {
                 pending.state.rejected += 1;
--- a/crates/fireflyspool/src/forward/exchange_sends.rs
+++ b/crates/fireflyspool/src/forward/exchange_sends.rs
@@ -109,6 +109,31 @@
         }
     }
 
+    /// Sends a sub-request to another server, because one refused the connection.
+    ///
+    /// Nothing has reached a server, so this takes no retry from the budget. A server that
+    /// refused is not picked again for a while, which bounds the number of attempts.
+    pub(super) fn send_elsewhere(
+        &mut self,
+        index: usize,
+        fleet: &mut fleet::Fleet,
+        entropy: u64,
+        now: time::Instant,
+    ) {
+        let Some(pending) = self.sub_requests[index].pending_mut() else {
+            return;
+        };
+        let is_first = pending.state.ran + pending.state.rejected == 0;
+        if pending.state.running > 0 || self.park(index) {
+            return;
+        }
+        match is_first && now < self.timing.deadline {
+            true => self.send_first(index, fleet, entropy, now),
+            false if now < self.timing.deadline && self.send(index, fleet, entropy, now) => {}
+            false => self.fail(index, None),
+        }
+    }
+
     /// Whether one more attempt may run although an earlier one may have run; takes
     /// a retry from the budget.
     pub(super) fn may_retry(
@@ -176,6 +201,7 @@
             server: picked.server,
             born: picked.born,
             address: picked.address,
+            kept: picked.kept,
             deadline: self.timing.deadline,
         }));
         true
--- a/crates/fireflyspool/src/forward/send.rs
+++ b/crates/fireflyspool/src/forward/send.rs
@@ -19,6 +19,8 @@
     pub born: ids::BornMillis,
     /// Address of the backend server.
     pub address: net::SocketAddr,
+    /// Idle connections that may be kept to it; `None` for the usual number.
+    pub kept: Option<usize>,
     /// When the attempt times out; the backend server is told the time left.
     pub deadline: time::Instant,
 }
--- a/crates/fireflyspool/src/node/attempt_guard.rs
+++ b/crates/fireflyspool/src/node/attempt_guard.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use crate::{backend, configuration, fleet, forward, node};
+use crate::{backend, configuration, fleet, forward, node, telemetry};
 
 /// Records the end of an attempt in the fleet, as abandoned if it is dropped first.
 pub(super) struct AttemptGuard {
@@ -49,6 +49,7 @@
             | forward::AttemptEnd::Broken
             | forward::AttemptEnd::Crashed => fleet::AttemptResult::Failed,
             forward::AttemptEnd::Rejected => fleet::AttemptResult::Rejected,
+            forward::AttemptEnd::Full => fleet::AttemptResult::Full,
             forward::AttemptEnd::WrongServer | forward::AttemptEnd::Unreachable => {
                 fleet::AttemptResult::Unreachable
             }
@@ -62,7 +63,15 @@
         if failed {
             self.forwarding.publish_suspended(&self.forwarding.fleet());
         }
-        if failed || result == fleet::AttemptResult::Rejected {
+        if result == fleet::AttemptResult::Full {
+            let metrics = &self.forwarding.metrics;
+            telemetry::Metrics::count(&metrics.connections_refused, &self.send.service);
+        }
+        let refused = matches!(
+            result,
+            fleet::AttemptResult::Rejected | fleet::AttemptResult::Full
+        );
+        if failed || refused {
             slog::info!(self.forwarding.process.logger, "attempt failed";
                 "request" => &self.message.id,
                 "server" => &self.send.server, "service" => &self.send.service,
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -189,6 +189,9 @@
             self.process
                 .send_event(control::Event::Observed(observation));
         }
+        for service in fleet.take_withheld() {
+            telemetry::Metrics::count(&self.metrics.connections_withheld, &service);
+        }
     }
 
     /// Publishes the suspended backend servers to the control thread if they changed.
--- a/crates/fireflyspool/src/platform/http_backend_client.rs
+++ b/crates/fireflyspool/src/platform/http_backend_client.rs
@@ -32,7 +32,7 @@
                 return (forward::AttemptEnd::Rejected, backend::Condition::default());
             };
             tokio::select! {
-                ended = exchange(&client, send.address, request, &message.id) => ended,
+                ended = exchange(&client, &send, request, &message.id) => ended,
                 () = sleep => (forward::AttemptEnd::TimedOut, backend::Condition::default()),
             }
         })
@@ -76,11 +76,12 @@
 
 async fn exchange(
     client: &rim::ForwardClient,
-    address: net::SocketAddr,
+    send: &forward::Send,
     request: http::Request<http_body_util::Full<bytes::Bytes>>,
     id: &str,
 ) -> Ending {
-    match client.send(address, request).await {
+    let (address, kept) = (send.address, send.kept.unwrap_or(usize::MAX));
+    match client.send_keeping(address, kept, request).await {
         Ok(response) => decode(client, address, response, id).await,
         Err(rim::ForwardError::Connect(error)) => (
             forward::AttemptEnd::not_connected(&error),
--- a/crates/fireflyspool/src/rim/forward_body.rs
+++ b/crates/fireflyspool/src/rim/forward_body.rs
@@ -12,6 +12,8 @@
     pub(super) body: body::Incoming,
     pub(super) connection: forward_connection::ForwardConnection<forward_connection::Receiving>,
     pub(super) address: net::SocketAddr,
+    /// Idle connections that are kept at most.
+    pub(super) kept: usize,
     pub(super) idle: sync::Arc<idle_connections::IdleConnections>,
 }
 
@@ -32,7 +34,7 @@
             joined.extend_from_slice(&chunk);
         }
         if let Some(connection) = self.connection.finish().await {
-            self.idle.put(self.address, connection);
+            self.idle.put(self.address, connection, self.kept);
         }
         Ok(match joined.is_empty() {
             true => first,
--- a/crates/fireflyspool/src/rim/forward_client.rs
+++ b/crates/fireflyspool/src/rim/forward_client.rs
@@ -43,7 +43,7 @@
     }
 
     /// Sends a request, whose target must have no scheme and host, and receives the
-    /// head of the response.
+    /// head of the response. The connection is kept for the next request.
     ///
     /// # Errors
     ///
@@ -51,13 +51,28 @@
     pub async fn send(
         &self,
         address: net::SocketAddr,
+        request: http::Request<http_body_util::Full<bytes::Bytes>>,
+    ) -> Result<http::Response<rim::ForwardBody>, rim::ForwardError> {
+        self.send_keeping(address, usize::MAX, request).await
+    }
+
+    /// Sends a request like [`Self::send`], and closes its connection after the response if
+    /// `kept` idle ones are kept to the same server already.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`rim::ForwardError`] if no response arrives.
+    pub async fn send_keeping(
+        &self,
+        address: net::SocketAddr,
+        kept: usize,
         mut request: http::Request<http_body_util::Full<bytes::Bytes>>,
     ) -> Result<http::Response<rim::ForwardBody>, rim::ForwardError> {
         while let Some(idle) = self.idle.take(address) {
             let Some(connection) = idle.open().await else {
                 continue;
             };
-            match self.exchange(address, connection, request).await {
+            match self.exchange((address, kept), connection, request).await {
                 Ok(response) => return Ok(response),
                 Err(failure) => match failure.unsent {
                     Some(unsent) => request = unsent,
@@ -66,7 +81,7 @@
             }
         }
         let connection = self.connect(address).await?;
-        let sent = self.exchange(address, connection, request).await;
+        let sent = self.exchange((address, kept), connection, request).await;
         sent.map_err(|failure| rim::ForwardError::Broken(failure.source))
     }
 
@@ -80,7 +95,7 @@
             return Ok(());
         }
         let connection = self.connect(address).await?;
-        self.idle.put(address, connection.rest());
+        self.idle.put(address, connection.rest(), usize::MAX);
         Ok(())
     }
 
@@ -94,7 +109,7 @@
         };
         match connected {
             Ok(connection) => {
-                self.idle.put(address, connection.rest());
+                self.idle.put(address, connection.rest(), usize::MAX);
                 false
             }
             Err(rim::ForwardError::Connect(error)) => {
@@ -114,7 +129,7 @@
 
     async fn exchange(
         &self,
-        address: net::SocketAddr,
+        (address, kept): (net::SocketAddr, usize),
         connection: forward_connection::ForwardConnection<forward_connection::Open>,
         request: http::Request<forward_connection::RequestBody>,
     ) -> Result<http::Response<rim::ForwardBody>, rim::send_failure::SendFailure> {
@@ -123,6 +138,7 @@
             body,
             connection,
             address,
+            kept,
             idle: sync::Arc::clone(&self.idle),
         };
         Ok(http::Response::from_parts(head, body))
--- a/crates/fireflyspool/src/rim/idle_connections.rs
+++ b/crates/fireflyspool/src/rim/idle_connections.rs
@@ -52,15 +52,16 @@
         })
     }
 
-    /// Keeps a connection, unless enough of the same server are kept.
+    /// Keeps a connection, unless `kept` or enough of the same server are kept.
     pub(super) fn put(
         self: &sync::Arc<Self>,
         address: net::SocketAddr,
         connection: IdleConnection,
+        kept: usize,
     ) {
         let mut state = self.lock();
         let connections = state.idle.get_or_insert_with(address, Vec::new);
-        if connections.len() < MAX_IDLE_CONNECTIONS {
+        if connections.len() < kept.min(MAX_IDLE_CONNECTIONS) {
             connections.push(connection);
         }
         if !state.scheduled {
--- a/crates/fireflyspool/src/telemetry/metrics.rs
+++ b/crates/fireflyspool/src/telemetry/metrics.rs
@@ -33,6 +33,12 @@
     pub subrequests: Counters,
     /// Attempts sent to backend servers, by how they ended.
     pub attempts: Counters,
+    /// Connections that backend servers refused because they had as many as they accept, by
+    /// service.
+    pub connections_refused: Counters,
+    /// Attempts that avoided the best server, or waited, because of the limit of connections to
+    /// it, by service.
+    pub connections_withheld: Counters,
     /// State of this process by name: revision, lease, members, servers and others.
     pub state: Gauges,
     /// Log lines dropped because the queue was full.
@@ -62,6 +68,18 @@
             "Attempts at backend servers by end",
             attempts.clone(),
         );
+        let connections_refused = Counters::default();
+        registry.register(
+            "connections_refused",
+            "Connections refused by backend servers at their limit, by service",
+            connections_refused.clone(),
+        );
+        let connections_withheld = Counters::default();
+        registry.register(
+            "connections_withheld",
+            "Attempts that avoided a server because of the limit of connections, by service",
+            connections_withheld.clone(),
+        );
         let state = Gauges::default();
         registry.register("state", "State of this process by name", state.clone());
         let dropped_lines = gauge::Gauge::default();
@@ -77,6 +95,8 @@
             latency,
             subrequests,
             attempts,
+            connections_refused,
+            connections_withheld,
             state,
             dropped_lines,
         }
--- a/crates/fireflyspool/tests/fleet.rs
+++ b/crates/fireflyspool/tests/fleet.rs
@@ -421,3 +421,77 @@
         fleet.take_observations();
     }
 }
+
+/// Harness of a service whose servers accept fewer connections than there are entry VMs.
+fn bounded(members: usize) -> Harness {
+    let records = ["a", "b", "c"].map(|zone| record(zone, zone));
+    let mut harness = Harness::new(records.into());
+    harness.view.members = members;
+    harness.publish();
+    harness
+}
+
+/// Guards against an entry VM that opens connections again and again at a server that has as
+/// many as it accepts, and against one that never returns to it.
+#[test]
+fn a_server_that_refuses_connections_is_avoided_for_a_while() {
+    let mut harness = bounded(70);
+    let full = |harness: &mut Harness| harness.run_attempt(0, fleet::AttemptResult::Full);
+    assert_eq!(full(&mut harness).expect("a server"), "a");
+    let other = harness.run_attempt(0, FAST).expect("another server");
+    assert_ne!(other, "a");
+    harness.now += time::Duration::from_millis(390);
+    assert_ne!(harness.run_attempt(0, FAST).expect("a server"), "a");
+    harness.now += time::Duration::from_millis(830);
+    assert_eq!(full(&mut harness).expect("a server"), "a");
+    harness.now += time::Duration::from_millis(790);
+    assert_ne!(harness.run_attempt(0, FAST).expect("a server"), "a");
+    harness.now += time::Duration::from_secs(2);
+    assert_eq!(harness.run_attempt(0, FAST).expect("a server"), "a");
+}
+
+/// Guards against limits at a site whose servers have room for all entry VMs: a refused
+/// connection counts as a rejected request there, as it always did.
+#[test]
+fn sites_with_enough_connections_are_not_limited() {
+    let (mut limited, mut former) = (bounded(60), bounded(60));
+    for step in 0..40 {
+        let picked = limited.pick(step).expect("a server");
+        assert_eq!(picked.kept, None);
+        let key = ("shard", picked.server.as_str());
+        let (token, now) = (picked.token, limited.now);
+        let full = fleet::AttemptResult::Full;
+        limited.fleet.record_end(key, token, &route(), full, now);
+        let other = former.run_attempt(step, fleet::AttemptResult::Rejected);
+        assert_eq!(Some(picked.server), other);
+    }
+    assert_eq!(limited.fleet.take_withheld().len(), 0);
+}
+
+/// Guards against shares whose sum over all entry VMs exceeds what a server accepts, also when
+/// one of three servers is out of service.
+#[test]
+fn shares_of_all_entry_vms_stay_below_the_limit() {
+    for silent in [None, Some("a"), Some("b")] {
+        let mut kept = [0; 3];
+        for vm in 0..76_usize {
+            // A third of the entry VMs is in the zone of each server.
+            let zone = |index: usize| ["a", "b", "c"][(index + vm) % 3];
+            let records = ["a", "b", "c"].into_iter().enumerate();
+            let records = records.map(|(index, name)| registry::Record {
+                silent: silent == Some(name),
+                ..record(name, zone(index))
+            });
+            let mut harness = Harness::with_incarnation(500 + vm as u64, records.collect());
+            harness.view.members = 76;
+            harness.publish();
+            let mut excluded = Vec::new();
+            while let Some(picked) = harness.fleet.pick("shard", &excluded, 0, harness.now) {
+                kept[usize::from(picked.server.as_bytes()[0] - b'a')] += picked.kept.unwrap_or(9);
+                excluded.push(picked.server);
+            }
+        }
+        assert!(kept.iter().all(|kept| *kept <= 60), "{silent:?}: {kept:?}");
+        assert!(kept.iter().sum::<usize>() > 90, "{silent:?}: {kept:?}");
+    }
+}
--- a/crates/fireflyspool/tests/forward_client.rs
+++ b/crates/fireflyspool/tests/forward_client.rs
@@ -140,6 +140,26 @@
     assert_eq!(server.await.expect("the server ends"), 4, "one connection");
 }
 
+/// Guards against connections beyond the share of an entry VM that stay open while idle, which
+/// other entry VMs then lack.
+#[tokio::test]
+async fn a_connection_beyond_those_kept_is_closed_after_its_response() {
+    let (listener, address) = listen().await;
+    let server = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        read_request(&mut stream).await.expect("a request");
+        stream.write_all(RESPONSE).await.expect("a caller");
+        read_request(&mut stream).await
+    });
+    let client = client();
+    let request = http::Request::new(http_body_util::Full::default());
+    let response = client.send_keeping(address, 0, request).await;
+    let body = response.expect("a response").into_body().read().await;
+    assert_eq!(body.expect("a body"), "ok");
+    let ended = tokio::time::timeout(WAIT_LIMIT, server).await;
+    assert_eq!(ended.expect("it is closed").expect("the server ends"), None);
+}
+
 #[tokio::test]
 async fn the_request_target_arrives_as_it_was_sent() {
     let (listener, address) = listen().await;
