--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -164,6 +164,18 @@
         Some(picked)
     }
 
+    /// Whether all usable servers that are not excluded have just stated that they are slow or
+    /// full, so that a hedge would only add to their load.
+    pub fn is_congested(
+        &self,
+        service: &str,
+        excluded: &[ids::ServerName],
+        now: time::Instant,
+    ) -> bool {
+        let pool = self.pools.get(service);
+        pool.is_some_and(|pool| pool.is_congested(excluded, &self.notices, now))
+    }
+
     /// Servers to which connections are to be opened ahead of the first attempts, if none is
     /// kept; in an order that `entropy` decides.
     pub fn servers_to_open(&mut self, entropy: u64, now: time::Instant) -> Vec<net::SocketAddr> {
@@ -281,6 +293,9 @@
         }
         if let (Some(server), Some(load)) = (server, condition.load) {
             server.record_load(load, now);
+            if let Some(pace) = condition.pace {
+                server.record_pace(load, pace, now);
+            }
         }
         let leaves = self.notices.record(key.1, born, condition, now);
         if leaves {
--- a/crates/fireflyspool/src/fleet/mod.rs
+++ b/crates/fireflyspool/src/fleet/mod.rs
@@ -46,6 +46,7 @@
 mod server_score;
 mod server_state;
 mod split_state;
+mod stated_pace;
 mod suspects;
 mod view;
 
--- a/crates/fireflyspool/src/fleet/pool.rs
+++ b/crates/fireflyspool/src/fleet/pool.rs
@@ -121,6 +121,24 @@
         best.map(|(_, entry)| entry)
     }
 
+    /// Whether there are usable servers that are not excluded, and all have just stated that
+    /// they are slow or full.
+    pub(super) fn is_congested(
+        &self,
+        excluded: &[ids::ServerName],
+        notices: &fleet::notices::Notices,
+        now: time::Instant,
+    ) -> bool {
+        let is_candidate =
+            |(name, server): &(&ids::ServerName, &fleet::server_state::ServerState)| {
+                server.is_usable(now)
+                    && notices.allows(name, server.born, now)
+                    && !excluded.contains(name)
+            };
+        let mut candidates = self.servers.iter().filter(is_candidate).peekable();
+        candidates.peek().is_some() && candidates.all(|(_, server)| server.is_congested(now))
+    }
+
     /// Zones from which the service is reached best; empty if this VM's is one of them, and
     /// `None` if no server is usable.
     pub(super) fn best_zones(
--- a/crates/fireflyspool/src/fleet/server_state.rs
+++ b/crates/fireflyspool/src/fleet/server_state.rs
@@ -67,6 +67,8 @@
     /// Running and queued requests that it last reported.
     pub(super) load: f64,
     pub(super) load_at: time::Instant,
+    /// Latest figures with a pace; `None` if it has stated none.
+    pub(super) pace: Option<fleet::stated_pace::StatedPace>,
     /// Moving average of failures, 0 to 1.
     pub(super) failures: f64,
     pub(super) failures_at: time::Instant,
@@ -113,6 +115,7 @@
             outlier: false,
             load: 0.0,
             load_at: now,
+            pace: None,
             failures: 0.0,
             failures_at: now,
             failure_streak: 0,
@@ -176,6 +179,9 @@
     /// Counts an attempt that starts.
     pub(super) fn start(&mut self) {
         self.running += 1;
+        if let Some(pace) = &mut self.pace {
+            pace.start();
+        }
     }
 
     /// Records that an attempt takes longer than usual; `ratio` is its age as a
@@ -194,6 +200,25 @@
         self.load_at = now;
     }
 
+    /// Records the figures of a server that states its pace.
+    pub(super) fn record_pace(
+        &mut self,
+        load: backend::Load,
+        pace: backend::Pace,
+        now: time::Instant,
+    ) {
+        match &mut self.pace {
+            Some(stated) => stated.record(load, pace, now),
+            None => self.pace = Some(fleet::stated_pace::StatedPace::new(load, pace, now)),
+        }
+    }
+
+    /// Whether it has just stated that it is slow or full.
+    pub(super) fn is_congested(&self, now: time::Instant) -> bool {
+        let pace = self.pace.as_ref();
+        pace.is_some_and(|pace| pace.is_congested(now))
+    }
+
     /// Records that the server refused the connection of an attempt that ends by this; it says
     /// nothing about how the server handles requests.
     pub(super) fn record_full(&mut self, token: ids::Ticket, spread: f64, now: time::Instant) {
--- a/crates/fireflyspool/src/forward/exchange_sends.rs
+++ b/crates/fireflyspool/src/forward/exchange_sends.rs
@@ -9,6 +9,9 @@
 /// other sub-requests arrive meanwhile and show whether retries can complete the request.
 const REJECTION_WAIT: time::Duration = time::Duration::from_millis(3);
 
+/// Time for which a hedge is put off while all other servers are congested.
+const CONGESTION_WAIT: time::Duration = time::Duration::from_millis(20);
+
 /// Interval at which a queued first attempt looks for a free backend server.
 const QUEUE_POLL_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
@@ -66,6 +69,9 @@
             self.send_first(index, fleet, entropy, now);
         } else {
             self.report_overdue(index, fleet, now);
+            if self.defer_hedge(index, fleet, now) {
+                return;
+            }
             if !self.caution.is_suspected()
                 && self.may_retry(index, fleet, now)
                 && self.send(index, fleet, entropy, now)
@@ -134,6 +140,18 @@
         }
     }
 
+    /// Puts a hedge off while the other servers have just stated that they are slow or full.
+    fn defer_hedge(&mut self, index: usize, fleet: &fleet::Fleet, now: time::Instant) -> bool {
+        let Some(pending) = self.sub_requests[index].pending_mut() else {
+            return false;
+        };
+        let deferred = fleet.is_congested(&pending.service, &pending.state.tried, now);
+        if deferred {
+            pending.state.wake_at = Some(now + CONGESTION_WAIT);
+        }
+        deferred
+    }
+
     /// Whether one more attempt may run although an earlier one may have run; takes
     /// a retry from the budget.
     pub(super) fn may_retry(
--- a/crates/fireflyspool/src/platform/condition_wire.rs
+++ b/crates/fireflyspool/src/platform/condition_wire.rs
@@ -8,6 +8,13 @@
 /// Longest pause that is honoured; a longer one is taken for an error of the server.
 const MAX_PAUSE: time::Duration = time::Duration::from_secs(3_600);
 
+/// Most requests or slots that are believed; more is an error of the server.
+const MAX_REQUESTS: u32 = 100_000;
+
+/// Slowest pace that is believed, in percent. Slower machines miss every deadline, so a larger
+/// figure is an error, which must not keep requests from the server.
+const MAX_PERCENT: u32 = 10_000;
+
 /// Decodes what a backend server states about itself in the head of a response.
 ///
 /// A departure is stated by the value `1` only. A pause needs status 503 and a positive
@@ -21,7 +28,7 @@
             .filter_map(|value| value.to_str().ok())
             .map(str::trim)
     };
-    let load = values(headers::LOAD).find_map(parse_load);
+    let stated = values(headers::LOAD).find_map(parse_load);
     let leaving = values(headers::LEAVING).any(|value| value == "1");
     let pauses = values(http::header::RETRY_AFTER).filter_map(parse_pause);
     let pause = match status {
@@ -29,19 +36,34 @@
         _ => None,
     };
     backend::Condition {
-        load,
+        load: stated.map(|(load, _)| load),
+        pace: stated.and_then(|(_, pace)| pace),
         leaving,
         pause,
     }
 }
 
-/// Parses the numbers of running and queued requests; ignores the third, the capacity.
-fn parse_load(text: &str) -> Option<backend::Load> {
-    let mut numbers = text.split(',').map(|number| number.trim().parse().ok());
-    Some(backend::Load {
-        running: numbers.next()??,
-        queued: numbers.next()??,
-    })
+/// Parses two to four figures: running and queued requests, slots, and the pace in percent.
+///
+/// Every figure must be a plausible number, or the whole header is ignored.
+fn parse_load(text: &str) -> Option<(backend::Load, Option<backend::Pace>)> {
+    let parse = |figure: &str| figure.trim().parse::<u32>().ok();
+    let figures: Option<Vec<_>> = text.split(',').map(parse).collect();
+    let (running, queued, slots, percent) = match *figures? {
+        [running, queued] => (running, queued, None, None),
+        [running, queued, slots] => (running, queued, Some(slots), None),
+        [running, queued, slots, percent] => (running, queued, Some(slots), Some(percent)),
+        _ => return None,
+    };
+    let is_count = |count: u32| count <= MAX_REQUESTS;
+    let plausible = is_count(running)
+        && is_count(queued)
+        && slots.is_none_or(|slots| slots > 0 && is_count(slots))
+        && percent.is_none_or(|percent| (1..=MAX_PERCENT).contains(&percent));
+    let load = backend::Load { running, queued };
+    let pace = slots.zip(percent);
+    let pace = pace.map(|(slots, percent)| backend::Pace { slots, percent });
+    plausible.then_some((load, pace))
 }
 
 /// Parses a positive number of seconds; one that is too large gives [`MAX_PAUSE`].
--- a/crates/fireflyspool/tests/choice_site/mod.rs
+++ b/crates/fireflyspool/tests/choice_site/mod.rs
@@ -54,7 +54,7 @@
     Open(usize),
     Arrive(usize),
     Done(usize),
-    End(usize, forward::AttemptEnd, Option<backend::Load>),
+    End(usize, Box<(forward::AttemptEnd, backend::Condition)>),
     Cut(usize),
     Expire,
 }
@@ -156,7 +156,9 @@
             arrivals: 1,
             routes: routes.into_iter().map(sync::Arc::new).collect(),
             fleets: Vec::new(),
-            servers: (0..SHARDS * ZONES.len()).map(Server::new).collect(),
+            servers: (0..SHARDS * ZONES.len())
+                .map(|_| Server::default())
+                .collect(),
             idle: (0..VMS * SHARDS * ZONES.len())
                 .map(|_| Vec::new())
                 .collect(),
@@ -288,7 +290,7 @@
             Event::Done(live) => {
                 let server = self.lives[live].server;
                 self.servers[server].running -= 1;
-                let load = self.load(server);
+                let condition = self.condition(server);
                 let end = forward::AttemptEnd::Answered(forward::Response {
                     status: 200,
                     headers: http::HeaderMap::new(),
@@ -296,10 +298,10 @@
                     body: bytes::Bytes::from_static(&[1; 16]),
                 });
                 let at = self.now + self.delay(live);
-                self.schedule(at, Event::End(live, end, Some(load)));
+                self.schedule(at, Event::End(live, Box::new((end, condition))));
                 self.start_next(server);
             }
-            Event::End(live, end, load) => self.end(live, end, load),
+            Event::End(live, ended) => self.end(live, ended.0, ended.1),
             Event::Cut(query) => {
                 let live: Vec<_> = self.queries[query].live.drain(..).collect();
                 for (_, live) in live {
@@ -382,6 +384,8 @@
         });
         self.queries[query].live.push((attempt, live));
         self.tally.sends += 1;
+        let is_local = self.queries[query].vm % ZONES.len() == server % ZONES.len();
+        self.tally.crossings += usize::from(!is_local);
         let at = self.now + self.delay(live);
         match connected {
             true => self.schedule(at, Event::Arrive(live)),
@@ -398,7 +402,10 @@
         if server.connections >= CAP {
             self.tally.resets += 1;
             let end = forward::AttemptEnd::Full;
-            self.schedule(self.now + delay, Event::End(live, end, None));
+            self.schedule(
+                self.now + delay,
+                Event::End(live, Box::new((end, backend::Condition::default()))),
+            );
             return;
         }
         server.connections += 1;
@@ -414,9 +421,9 @@
         }
         let server = self.lives[live].server;
         if self.is_faulty(server) && self.chance() < self.play.rejected {
-            let (at, load) = (self.now + self.delay(live), self.load(server));
+            let (at, condition) = (self.now + self.delay(live), self.condition(server));
             let end = forward::AttemptEnd::Rejected;
-            self.schedule(at, Event::End(live, end, Some(load)));
+            self.schedule(at, Event::End(live, Box::new((end, condition))));
             return;
         }
         self.servers[server].queue.push_back(live);
@@ -444,11 +451,11 @@
         }
     }
 
-    fn load(&self, server: usize) -> backend::Load {
-        self.servers[server].load(self.play.paces.then(|| self.pace(server)))
+    fn condition(&self, server: usize) -> backend::Condition {
+        self.servers[server].condition(self.play.paces.then(|| self.pace(server)))
     }
 
-    fn end(&mut self, index: usize, end: forward::AttemptEnd, load: Option<backend::Load>) {
+    fn end(&mut self, index: usize, end: forward::AttemptEnd, condition: backend::Condition) {
         if self.lives[index].ended {
             return;
         }
@@ -463,7 +470,7 @@
             forward::AttemptEnd::Full => fleet::AttemptResult::Full,
             _ => fleet::AttemptResult::Rejected,
         };
-        self.record(index, result, load);
+        self.record(index, result, condition);
         if live_connection(&end) {
             let idle = &mut self.idle[vm * self.servers.len() + server];
             match idle.len() < send.kept.unwrap_or(MAX_IDLE).min(MAX_IDLE) {
@@ -489,20 +496,20 @@
             self.servers[self.lives[index].server].connections -= 1;
         }
         let elapsed = time::Duration::from_micros(self.now - self.lives[index].started);
-        self.record(index, fleet::AttemptResult::Abandoned { elapsed }, None);
+        self.record(
+            index,
+            fleet::AttemptResult::Abandoned { elapsed },
+            backend::Condition::default(),
+        );
     }
 
-    fn record(&mut self, live: usize, result: fleet::AttemptResult, load: Option<backend::Load>) {
+    fn record(&mut self, live: usize, result: fleet::AttemptResult, condition: backend::Condition) {
         let now = self.instant();
         let Live { query, send, .. } = &self.lives[live];
         let query = &self.queries[*query];
         let fleet = &mut self.fleets[query.vm];
         let key = (send.service.as_str(), send.server.as_str());
         fleet.record_end(key, send.token, &self.routes[query.kind], result, now);
-        let condition = backend::Condition {
-            load,
-            ..backend::Condition::default()
-        };
         fleet.record_condition(key, send.born, &condition, now);
         let _: Vec<hub::Observation> = fleet.take_observations();
         self.tally.withheld += fleet.take_withheld().len();
--- a/crates/fireflyspool/tests/choice_site/server.rs
+++ b/crates/fireflyspool/tests/choice_site/server.rs
@@ -14,14 +14,20 @@
 }
 
 impl Server {
-    pub(crate) fn new(_index: usize) -> Self {
-        Self::default()
-    }
-
-    pub(crate) fn load(&self, _pace: Option<f64>) -> backend::Load {
-        backend::Load {
+    /// What it states about itself; with its pace if there is one.
+    pub(crate) fn condition(&self, pace: Option<f64>) -> backend::Condition {
+        let load = backend::Load {
             running: self.running as u32,
             queued: self.queue.len() as u32,
+        };
+        let pace = pace.map(|pace| backend::Pace {
+            slots: SLOTS as u32,
+            percent: (pace * 100.0) as u32,
+        });
+        backend::Condition {
+            load: Some(load),
+            pace,
+            ..backend::Condition::default()
         }
     }
 }
--- a/crates/fireflyspool/tests/choice_site/tally.rs
+++ b/crates/fireflyspool/tests/choice_site/tally.rs
@@ -10,6 +10,8 @@
     pub(crate) queries: [usize; 2],
     pub(crate) value: [f64; 2],
     pub(crate) sends: usize,
+    /// Attempts at servers of other zones.
+    pub(crate) crossings: usize,
     pub(crate) opens: usize,
     /// Connections that servers refused.
     pub(crate) resets: usize,
@@ -43,10 +45,11 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
-            "value {:.3} {:.3}, sends {}, opens {}, resets {}, peak {}, withheld {}",
+            "value {:.3} {:.3}, sends {}, crossings {}, opens {}, resets {}, peak {}, withheld {}",
             self.mean(0),
             self.mean(1),
             self.sends,
+            self.crossings,
             self.opens,
             self.resets,
             self.peak,
--- a/crates/fireflyspool/tests/fleet.rs
+++ b/crates/fireflyspool/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use fireflyspool::{configuration, fleet, hub, registry};
+use fireflyspool::{backend, configuration, fleet, hub, registry};
 
 const LIMITS: fleet::RetryLimits = fleet::RetryLimits {
     ratio: 0.2,
@@ -495,3 +495,73 @@
         assert!(kept.iter().sum::<usize>() > 90, "{silent:?}: {kept:?}");
     }
 }
+
+/// Harness with two servers in the zone of the entry VM, of which `first` has stated figures:
+/// running and queued requests of its 2 slots, and its pace in percent.
+fn stated(first: (u32, u32), percent: Option<u32>) -> Harness {
+    let mut harness = Harness::new(vec![record("first", "a"), record("second", "a")]);
+    let (running, queued) = first;
+    let condition = backend::Condition {
+        load: Some(backend::Load { running, queued }),
+        pace: percent.map(|percent| backend::Pace { slots: 2, percent }),
+        ..backend::Condition::default()
+    };
+    let key = ("shard", "first");
+    let now = harness.now;
+    harness.fleet.record_condition(key, 1, &condition, now);
+    harness
+}
+
+/// Number of 60 picks that go to the first server, `age` milliseconds after its figures.
+fn picks_of_first((first, percent): ((u32, u32), Option<u32>), age: u64) -> usize {
+    let picks = (0..60).filter(|step| {
+        let mut harness = stated(first, percent);
+        harness.now += time::Duration::from_millis(age);
+        harness.pick(step * 77).expect("a server").server == "first"
+    });
+    picks.count()
+}
+
+/// Guards against requests to a server that has stated that it is slow or has requests waiting,
+/// and against a figure that keeps them away when it is old.
+#[test]
+fn a_stated_pace_counts_while_it_is_recent() {
+    assert_eq!(picks_of_first(((0, 0), Some(250)), 100), 0);
+    assert_eq!(picks_of_first(((2, 2), Some(100)), 100), 0);
+    let normal = picks_of_first(((0, 0), Some(100)), 100);
+    assert!((15..=45).contains(&normal), "{normal}");
+    // Free slots make a server as good as an idle one.
+    assert_eq!(picks_of_first(((1, 0), Some(100)), 100), normal);
+    // The usual pace has risen by a tenth of the difference.
+    let old = picks_of_first(((2, 2), Some(250)), 700);
+    assert!(old > 0, "{old}");
+}
+
+/// Guards against another choice for servers that state no pace.
+#[test]
+fn a_server_without_a_pace_is_compared_by_utilization() {
+    assert_eq!(picks_of_first(((1, 0), None), 100), 0);
+    let old = picks_of_first(((1, 0), None), 260);
+    assert_eq!(old, picks_of_first(((0, 0), None), 100));
+}
+
+/// Guards against hedges to servers that have just stated that they are slow or full, which
+/// delay the requests there and use up the budget of retries.
+#[test]
+fn only_recent_statements_of_all_other_servers_hold_hedges_back() {
+    let second = ["second".to_owned()];
+    let held = |first, percent, age, excluded: &[String]| {
+        let harness = stated(first, percent);
+        let now = harness.now + time::Duration::from_millis(age);
+        harness.fleet.is_congested("shard", excluded, now)
+    };
+    assert!(held((0, 0), Some(200), 100, &second));
+    assert!(held((2, 2), Some(100), 100, &second));
+    assert!(!held((2, 2), Some(100), 260, &second), "old");
+    assert!(
+        !held((2, 1), Some(190), 100, &second),
+        "neither slow nor full"
+    );
+    assert!(!held((2, 2), Some(300), 100, &[]), "another server");
+    assert!(!held((9, 9), None, 100, &second), "without a pace");
+}
--- a/crates/fireflyspool/tests/platform_wire.rs
+++ b/crates/fireflyspool/tests/platform_wire.rs
@@ -240,6 +240,60 @@
     assert_eq!(load, Some(expected));
 }
 
+/// Guards against a load that is made up from a malformed header, which would attract requests
+/// to a server or keep them from it.
+#[test]
+fn a_load_is_decoded_only_if_every_figure_is_plausible() {
+    let decode = |value: &str| decode_condition(200, &[("x-server-load", value)]);
+    let stated = decode(" 3, 1 ,8,250 ");
+    let load = backend::Load {
+        running: 3,
+        queued: 1,
+    };
+    let pace = backend::Pace {
+        slots: 8,
+        percent: 250,
+    };
+    assert_eq!((stated.load, stated.pace), (Some(load), Some(pace)));
+    for without_pace in ["3,1", "3,1,8"] {
+        let stated = decode(without_pace);
+        assert_eq!((stated.load, stated.pace), (Some(load), None));
+    }
+    let odd = [
+        "",
+        ",",
+        "3",
+        "3,",
+        ",1",
+        "3,1,",
+        "3,1,8,",
+        "3,1,8,100,",
+        "3,1,8,100,1",
+        "3,1,0",
+        "3,1,0,100",
+        "-3,1,8,100",
+        "3,-1,8,100",
+        "3,1,-8,100",
+        "3,1,8,-100",
+        "3,1,8,0",
+        "3,1,8,10001",
+        "3,1,8,1e2",
+        "3,1,8,100.5",
+        "3,1,8,NaN",
+        "3,1,8,inf",
+        "3;1;8;100",
+        "3 1 8 100",
+        "100001,1,8,100",
+        "3,100001,8,100",
+        "3,1,100001,100",
+        "99999999999,1,8,100",
+        "a,b,c,d",
+    ];
+    for value in odd {
+        assert_eq!(decode(value), backend::Condition::default(), "{value:?}");
+    }
+}
+
 fn with_accounts(accounts: &str) -> String {
     CONFIGURATION.replacen('{', &format!(r#"{{"Tenants":{accounts},"#), 1)
 }
--- a/crates/fireflyspool/tests/server_choice.rs
+++ b/crates/fireflyspool/tests/server_choice.rs
@@ -57,3 +57,24 @@
         assert!(shared.opens < 2 * (former.opens + former.resets), "churn");
     }
 }
+
+/// Entry VMs sent requests to servers that had stated that they were slow or had requests waiting.
+#[test]
+fn servers_that_state_their_pace_are_chosen_by_expected_completion() {
+    for play in [SLOW, REJECTING, SPREAD, MIXED] {
+        let former = Site::run(play);
+        let paced = Site::run(Play {
+            paces: true,
+            ..play
+        });
+        println!("unpaced: {former}");
+        println!("paced: {paced}");
+        assert!(paced.resets <= 5, "connections were refused");
+        assert!(paced.mean(0) > former.mean(0) - 0.01, "sweeps lost value");
+        assert!(paced.mean(1) > former.mean(1) - 0.01, "lookups lost value");
+        if play.share.is_none() {
+            let lost = |tally: &choice_site::Tally| 2.0 - tally.mean(0) - tally.mean(1);
+            assert!(lost(&paced) < 0.6 * lost(&former), "no gain");
+        }
+    }
+}
