--- a/crates/fireflyspool/src/forward/exchange_sends.rs
+++ b/crates/fireflyspool/src/forward/exchange_sends.rs
@@ -9,6 +9,9 @@
 /// other sub-requests arrive meanwhile and show whether retries can complete the request.
 const REJECTION_WAIT: time::Duration = time::Duration::from_millis(3);
 
+/// Time for which a hedge is put off while all other servers are congested.
+const CONGESTION_WAIT: time::Duration = time::Duration::from_millis(20);
+
 /// Interval at which a queued first attempt looks for a free backend server.
 const QUEUE_POLL_INTERVAL: time::Duration = time::Duration::from_millis(10);
 
@@ -66,6 +69,9 @@
             self.send_first(index, fleet, entropy, now);
         } else {
             self.report_overdue(index, fleet, now);
+            if self.defer_hedge(index, fleet, now) {
+                return;
+            }
             if !self.caution.is_suspected()
                 && self.may_retry(index, fleet, now)
                 && self.send(index, fleet, entropy, now)
@@ -109,6 +115,50 @@
         }
     }
 
+    /// Sends a sub-request to another server, because one refused the connection.
+    ///
+    /// Nothing has reached a server, so this takes no retry from the budget, and a hedge or retry
+    /// keeps the one that it has taken. A server that refused is not picked again for a while,
+    /// which bounds the number of attempts.
+    pub(super) fn send_elsewhere(
+        &mut self,
+        index: usize,
+        fleet: &mut fleet::Fleet,
+        entropy: u64,
+        now: time::Instant,
+    ) {
+        let Some(pending) = self.sub_requests[index].pending_mut() else {
+            return;
+        };
+        let is_first = pending.state.ran + pending.state.rejected == 0;
+        let is_alone = pending.state.running == 0;
+        if self.caution.is_suspected() {
+            self.park(index);
+            return;
+        }
+        let in_time = now < self.timing.deadline;
+        if in_time && is_alone && is_first {
+            self.send_first(index, fleet, entropy, now);
+            return;
+        }
+        let sent = in_time && self.send(index, fleet, entropy, now);
+        if !sent && is_alone {
+            self.fail(index, None);
+        }
+    }
+
+    /// Puts a hedge off while the other servers have just stated that they are slow or full.
+    fn defer_hedge(&mut self, index: usize, fleet: &fleet::Fleet, now: time::Instant) -> bool {
+        let Some(pending) = self.sub_requests[index].pending_mut() else {
+            return false;
+        };
+        let deferred = fleet.is_congested(&pending.service, &pending.state.tried, now);
+        if deferred {
+            pending.state.wake_at = Some(now + CONGESTION_WAIT);
+        }
+        deferred
+    }
+
     /// Whether one more attempt may run although an earlier one may have run; takes
     /// a retry from the budget.
     pub(super) fn may_retry(
@@ -176,6 +226,7 @@
             server: picked.server,
             born: picked.born,
             address: picked.address,
+            kept: picked.kept,
             deadline: self.timing.deadline,
         }));
         true
--- a/crates/fireflyspool/tests/fleet.rs
+++ b/crates/fireflyspool/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use fireflyspool::{configuration, fleet, hub, registry};
+use fireflyspool::{backend, configuration, fleet, hub, registry};
 
 const LIMITS: fleet::RetryLimits = fleet::RetryLimits {
     ratio: 0.2,
@@ -421,3 +421,147 @@
         fleet.take_observations();
     }
 }
+
+/// Harness of a service whose servers accept fewer connections than there are entry VMs.
+fn bounded(members: usize) -> Harness {
+    let records = ["a", "b", "c"].map(|zone| record(zone, zone));
+    let mut harness = Harness::new(records.into());
+    harness.view.members = members;
+    harness.publish();
+    harness
+}
+
+/// Guards against an entry VM that opens connections again and again at a server that has as
+/// many as it accepts, and against one that never returns to it.
+#[test]
+fn a_server_that_refuses_connections_is_avoided_for_a_while() {
+    let mut harness = bounded(70);
+    let full = |harness: &mut Harness| harness.run_attempt(0, fleet::AttemptResult::Full);
+    assert_eq!(full(&mut harness).expect("a server"), "a");
+    let other = harness.run_attempt(0, FAST).expect("another server");
+    assert_ne!(other, "a");
+    harness.now += time::Duration::from_millis(390);
+    assert_ne!(harness.run_attempt(0, FAST).expect("a server"), "a");
+    harness.now += time::Duration::from_millis(830);
+    assert_eq!(full(&mut harness).expect("a server"), "a");
+    harness.now += time::Duration::from_millis(790);
+    assert_ne!(harness.run_attempt(0, FAST).expect("a server"), "a");
+    harness.now += time::Duration::from_secs(2);
+    assert_eq!(harness.run_attempt(0, FAST).expect("a server"), "a");
+}
+
+/// Guards against limits at a site whose servers have room for all entry VMs: a refused
+/// connection counts as a rejected request there, as it always did.
+#[test]
+fn sites_with_enough_connections_are_not_limited() {
+    let (mut limited, mut former) = (bounded(60), bounded(60));
+    for step in 0..40 {
+        let picked = limited.pick(step).expect("a server");
+        assert_eq!(picked.kept, None);
+        let key = ("shard", picked.server.as_str());
+        let (token, now) = (picked.token, limited.now);
+        let full = fleet::AttemptResult::Full;
+        limited.fleet.record_end(key, token, &route(), full, now);
+        let other = former.run_attempt(step, fleet::AttemptResult::Rejected);
+        assert_eq!(Some(picked.server), other);
+    }
+    assert_eq!(limited.fleet.take_withheld().len(), 0);
+}
+
+/// Guards against shares whose sum over all entry VMs exceeds what a server accepts, also when
+/// one of three servers is out of service.
+#[test]
+fn shares_of_all_entry_vms_stay_below_the_limit() {
+    for silent in [None, Some("a"), Some("b")] {
+        let mut kept = [0; 3];
+        for vm in 0..76_usize {
+            // A third of the entry VMs is in the zone of each server.
+            let zone = |index: usize| ["a", "b", "c"][(index + vm) % 3];
+            let records = ["a", "b", "c"].into_iter().enumerate();
+            let records = records.map(|(index, name)| registry::Record {
+                silent: silent == Some(name),
+                ..record(name, zone(index))
+            });
+            let mut harness = Harness::with_incarnation(500 + vm as u64, records.collect());
+            harness.view.members = 76;
+            harness.publish();
+            let mut excluded = Vec::new();
+            while let Some(picked) = harness.fleet.pick("shard", &excluded, 0, harness.now) {
+                kept[usize::from(picked.server.as_bytes()[0] - b'a')] += picked.kept.unwrap_or(9);
+                excluded.push(picked.server);
+            }
+        }
+        assert!(kept.iter().all(|kept| *kept <= 60), "{silent:?}: {kept:?}");
+        assert!(kept.iter().sum::<usize>() > 90, "{silent:?}: {kept:?}");
+    }
+}
+
+/// Harness with two servers in the zone of the entry VM, of which `first` has stated figures:
+/// running and queued requests of its 2 slots, and its pace in percent.
+fn stated(first: (u32, u32), percent: Option<u32>) -> Harness {
+    let mut harness = Harness::new(vec![record("first", "a"), record("second", "a")]);
+    let (running, queued) = first;
+    let condition = backend::Condition {
+        load: Some(backend::Load { running, queued }),
+        pace: percent.map(|percent| backend::Pace { slots: 2, percent }),
+        ..backend::Condition::default()
+    };
+    let key = ("shard", "first");
+    let now = harness.now;
+    harness.fleet.record_condition(key, 1, &condition, now);
+    harness
+}
+
+/// Number of 60 picks that go to the first server, `age` milliseconds after its figures.
+fn picks_of_first((first, percent): ((u32, u32), Option<u32>), age: u64) -> usize {
+    let picks = (0..60).filter(|step| {
+        let mut harness = stated(first, percent);
+        harness.now += time::Duration::from_millis(age);
+        harness.pick(step * 77).expect("a server").server == "first"
+    });
+    picks.count()
+}
+
+/// Guards against requests to a server that has stated that it is slow or has requests waiting,
+/// and against a figure that keeps them away when it is old.
+#[test]
+fn a_stated_pace_counts_while_it_is_recent() {
+    assert_eq!(picks_of_first(((0, 0), Some(250)), 100), 0);
+    assert_eq!(picks_of_first(((2, 2), Some(100)), 100), 0);
+    let normal = picks_of_first(((0, 0), Some(100)), 100);
+    assert!((15..=45).contains(&normal), "{normal}");
+    // Free slots make a server as good as an idle one.
+    assert_eq!(picks_of_first(((1, 0), Some(100)), 100), normal);
+    // The usual pace has risen by a tenth of the difference.
+    let old = picks_of_first(((2, 2), Some(250)), 700);
+    assert!(old > 0, "{old}");
+}
+
+/// Guards against another choice for servers that state no pace.
+#[test]
+fn a_server_without_a_pace_is_compared_by_utilization() {
+    assert_eq!(picks_of_first(((1, 0), None), 100), 0);
+    let old = picks_of_first(((1, 0), None), 260);
+    assert_eq!(old, picks_of_first(((0, 0), None), 100));
+}
+
+/// Guards against hedges to servers that have just stated that they are slow or full, which
+/// delay the requests there and use up the budget of retries.
+#[test]
+fn only_recent_statements_of_all_other_servers_hold_hedges_back() {
+    let second = ["second".to_owned()];
+    let held = |first, percent, age, excluded: &[String]| {
+        let harness = stated(first, percent);
+        let now = harness.now + time::Duration::from_millis(age);
+        harness.fleet.is_congested("shard", excluded, now)
+    };
+    assert!(held((0, 0), Some(200), 100, &second));
+    assert!(held((2, 2), Some(100), 100, &second));
+    assert!(!held((2, 2), Some(100), 260, &second), "old");
+    assert!(
+        !held((2, 1), Some(190), 100, &second),
+        "neither slow nor full"
+    );
+    assert!(!held((2, 2), Some(300), 100, &[]), "another server");
+    assert!(!held((9, 9), None, 100, &second), "without a pace");
+}
