--- a/crates/fireflyspool/src/configuration/account.rs
+++ b/crates/fireflyspool/src/configuration/account.rs
@@ -18,6 +18,11 @@
 }
 
 impl Account {
+    /// Priority of its requests on a route.
+    pub fn priority_on(&self, route: &configuration::Route) -> u32 {
+        self.priority.unwrap_or(route.priority)
+    }
+
     /// Whether the account has a quota.
     pub fn is_limited(&self) -> bool {
         self.rate > 0.0
--- a/crates/fireflyspool/src/configuration/accounts.rs
+++ b/crates/fireflyspool/src/configuration/accounts.rs
@@ -37,14 +37,21 @@
 
     /// Account that holds a key.
     pub fn find(&self, key: &[u8]) -> Option<&sync::Arc<configuration::Account>> {
-        let digest = configuration::KeyDigest::of(key);
+        self.holder(&configuration::KeyDigest::of(key))
+    }
+
+    /// Account that holds the key with this digest.
+    pub fn holder(
+        &self,
+        digest: &configuration::KeyDigest,
+    ) -> Option<&sync::Arc<configuration::Account>> {
         let prefix = digest.prefix();
         let first = self.keys.partition_point(|(key, _)| key.prefix() < prefix);
         let mut same = self.keys[first..].iter();
         let (_, index) = same
             .by_ref()
             .take_while(|(key, _)| key.prefix() == prefix)
-            .find(|(key, _)| *key == digest)?;
+            .find(|(key, _)| key == digest)?;
         self.accounts.get(*index)
     }
 }
--- a/crates/fireflyspool/src/consensus/log.rs
+++ b/crates/fireflyspool/src/consensus/log.rs
@@ -88,6 +88,11 @@
         entries.unwrap_or_default()
     }
 
+    /// Entries after an index; `None` if the log no longer reaches back to it.
+    pub(super) fn entries_after(&self, index: ids::LogIndex) -> Option<&[consensus::Entry]> {
+        (index >= self.base_index).then(|| self.entries_from(index + 1))
+    }
+
     /// First entry of the term that the entry at `index` belongs to.
     pub(super) fn term_start(&self, index: ids::LogIndex) -> ids::LogIndex {
         let term = self.term_at(index);
--- a/crates/fireflyspool/src/consensus/members.rs
+++ b/crates/fireflyspool/src/consensus/members.rs
@@ -1,6 +1,6 @@
 //! Member list of the group.
 
-use crate::{consensus, ids};
+use crate::{consensus, hashing, ids};
 
 /// Members in ascending order of their numbers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -63,6 +63,18 @@
         self.list.len()
     }
 
+    /// Hash of the list, equal for equal lists.
+    pub fn checksum(&self) -> u64 {
+        let add = |hasher: hashing::StableHasher, member: &consensus::Member| {
+            let votes = member.kind == consensus::MemberKind::Voter;
+            let hasher = hasher.number(member.node).number(member.incarnation);
+            hasher.number(u64::from(votes))
+        };
+        let hasher = self.list.iter().fold(hashing::StableHasher::new(), add);
+        // 53 bits, which a JSON number holds exactly in any parser.
+        hasher.finish() >> 11
+    }
+
     /// Smallest number of voters that is a majority.
     pub fn quorum_size(&self) -> usize {
         self.voters().count() / 2 + 1
--- a/crates/fireflyspool/src/consensus/replica.rs
+++ b/crates/fireflyspool/src/consensus/replica.rs
@@ -112,6 +112,23 @@
         })
     }
 
+    /// Whether this replica votes by the latest member list of its log, committed or not.
+    pub fn is_voter(&self) -> bool {
+        let participant = self.participant.as_ref();
+        participant.is_some_and(|participant| {
+            let (core, config) = (participant.core(), &participant.core().config);
+            core.log
+                .members()
+                .has_voter(config.node, config.incarnation)
+        })
+    }
+
+    /// Entries after an index, committed or not; `None` if the log no longer reaches back to
+    /// it.
+    pub fn entries_after(&self, index: ids::LogIndex) -> Option<&[consensus::Entry]> {
+        self.participant.as_ref()?.core().log.entries_after(index)
+    }
+
     /// Current state for operators, logs and metrics.
     pub fn status(&self) -> consensus::Status {
         self.participant
--- a/crates/fireflyspool/src/control/control_thread.rs
+++ b/crates/fireflyspool/src/control/control_thread.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync::mpsc, thread, time};
 
-use crate::{control, ids};
+use crate::{control, ids, timer};
 
 /// Bounds the delay of messages and replies, which wait for the sync after a batch.
 const MAX_EVENTS_PER_SYNC: usize = 512;
@@ -117,9 +117,10 @@
     fn tick(&mut self) -> Result<(), control::ControlError> {
         self.reopen(time::Instant::now());
         self.tick_voter(time::Instant::now())?;
-        let now = time::Instant::now();
+        // Read after the events were handled and before anything is sent.
+        let (now, boot) = (time::Instant::now(), timer::boot_time());
         if let Some(hub) = &mut self.hub {
-            hub.tick(self.voter.as_ref(), &self.outlet, now);
+            hub.tick(self.voter.as_ref(), &self.outlet, now, boot);
             if hub.take_retired() {
                 self.voter = None;
                 self.reopen = Some((now, true));
@@ -129,7 +130,7 @@
             entry.tick(&self.control_addresses, &self.outlet, now);
         }
         if let Some(follow) = &mut self.follow {
-            follow.tick(&self.outlet, now);
+            follow.tick(&self.outlet, now, boot);
         }
         self.outlet.environment().wake_at(self.next_wake(now));
         Ok(())
@@ -204,7 +205,7 @@
             control::Event::Hub(event) => {
                 // Without a hub, the dropped reply channel makes the sender try another VM.
                 if let Some(hub) = &mut self.hub {
-                    hub.handle(event, now);
+                    hub.handle(event, self.voter.as_ref(), now);
                 }
             }
             control::Event::PollEnded(reply) => {
--- a/crates/fireflyspool/src/control/follower_driver.rs
+++ b/crates/fireflyspool/src/control/follower_driver.rs
@@ -36,7 +36,7 @@
     }
 
     /// Sends the waiting observations, and a poll if one is due.
-    pub fn tick(&mut self, outlet: &dyn control::Outlet, now: time::Instant) {
+    pub fn tick(&mut self, outlet: &dyn control::Outlet, now: time::Instant, boot: time::Duration) {
         let mut reports = sorted::SortedMap::new();
         for observation in self.observations.drain(..) {
             let hub = self.follower.observer(&observation);
@@ -48,7 +48,7 @@
         if self.follower.next_poll().is_none_or(|due| due > now) {
             return;
         }
-        if let Some(poll) = self.follower.poll(&outlet.suspended_servers(), now) {
+        if let Some(poll) = self.follower.poll(&outlet.suspended_servers(), now, boot) {
             outlet.send_poll(poll.hub, poll.request);
         }
     }
--- a/crates/fireflyspool/src/control/hub_driver.rs
+++ b/crates/fireflyspool/src/control/hub_driver.rs
@@ -83,7 +83,12 @@
     }
 
     /// Handles an event; the resulting actions are executed by the next [`Self::tick`].
-    pub fn handle(&mut self, event: control::HubEvent, now: time::Instant) {
+    pub fn handle(
+        &mut self,
+        event: control::HubEvent,
+        voter: Option<&control::Voter>,
+        now: time::Instant,
+    ) {
         match event {
             control::HubEvent::Report { report, reply } => {
                 if report.phase != registry::Phase::Serving {
@@ -111,6 +116,7 @@
                 self.hub.deregister(ticket, &server, born, now);
             }
             control::HubEvent::Batch { batch, reply } => {
+                self.hub.set_log(voter.and_then(control::Voter::log_state));
                 // The sending hub may have stopped waiting.
                 let _ = reply.send(self.hub.receive_batch(*batch, now));
             }
@@ -139,12 +145,14 @@
         voter: Option<&control::Voter>,
         outlet: &dyn control::Outlet,
         now: time::Instant,
+        boot: time::Duration,
     ) {
+        self.hub.set_log(voter.and_then(control::Voter::log_state));
         if let Some(voter) = voter {
             self.apply_log(voter, outlet, now);
             self.join(voter, outlet, now);
         }
-        for action in self.hub.advance(now) {
+        for action in self.hub.advance(now, boot) {
             self.execute(action, voter, outlet, now);
         }
         self.log_recovery();
--- a/crates/fireflyspool/src/control/voter.rs
+++ b/crates/fireflyspool/src/control/voter.rs
@@ -7,7 +7,7 @@
 use crate::{
     consensus,
     control::{self, waiter},
-    ids, roster, sorted, state, storage,
+    hub, ids, roster, sorted, state, storage,
 };
 
 /// Longest pause between two checks whether the membership of the log is the wanted one.
@@ -106,6 +106,31 @@
         self.replica.members()
     }
 
+    /// End of the log with its members; `None` if the log cannot be read up to its end.
+    ///
+    /// It is read anew each time, so an entry that was overwritten no longer counts.
+    pub fn log_state(&self) -> Option<hub::LogState> {
+        let applied = self.state.document.as_ref();
+        let mut version = applied.map_or(0, |document| document.version);
+        // A snapshot that is not restored yet leaves a gap after the applied entries.
+        for entry in self.replica.entries_after(self.applied)? {
+            if let consensus::Content::Command(payload) = &entry.content {
+                let configured = state::Entry::configured_version(payload).ok()?;
+                version = version.max(configured.unwrap_or(0));
+            }
+        }
+        let members = self.replica.members();
+        Some(hub::LogState {
+            tail: hub::LogTail {
+                node: self.folder.identity().node,
+                members: members.checksum(),
+                version,
+            },
+            voters: members.voters().collect(),
+            votes: self.replica.is_voter(),
+        })
+    }
+
     /// Sets the listener of a member, for use until the applied log lists it.
     pub fn learn_listener(&mut self, node: ids::NodeId, listener: net::SocketAddr) {
         self.learned_listeners.insert(node, listener);
--- a/crates/fireflyspool/src/fleet/view.rs
+++ b/crates/fireflyspool/src/fleet/view.rs
@@ -25,4 +25,7 @@
     pub members: usize,
     /// When a control VM that reaches a quorum last replied; `None` until then.
     pub confirmed: Option<time::Instant>,
+    /// Boot time before which every acknowledged configuration is in this view; `None` if that
+    /// is not known of any time.
+    pub authority: Option<time::Duration>,
 }
--- a/crates/fireflyspool/src/follow/follower.rs
+++ b/crates/fireflyspool/src/follow/follower.rs
@@ -27,6 +27,8 @@
     view: fleet::View,
     leaving: bool,
     in_flight: bool,
+    /// Boot time when the last poll was sent.
+    polled: time::Duration,
     due: time::Instant,
 }
 
@@ -51,6 +53,7 @@
             view: fleet::View::default(),
             leaving: false,
             in_flight: false,
+            polled: time::Duration::ZERO,
             due: now,
         })
     }
@@ -103,16 +106,19 @@
 
     /// The poll to send now, if one is due.
     ///
-    /// `suspended` are the backend servers that are not used until their next heartbeat.
+    /// `suspended` are the backend servers that are not used until their next heartbeat, and
+    /// `boot` is the boot time, which includes suspensions of this VM.
     pub fn poll(
         &mut self,
         suspended: &[ids::ServerName],
         now: time::Instant,
+        boot: time::Duration,
     ) -> Option<follow::Poll> {
         if self.in_flight || now < self.due {
             return None;
         }
         self.in_flight = true;
+        self.polled = boot;
         self.member.ready = self.view.table.is_some() && !self.leaving;
         let table = self.view.table.as_ref();
         let (incarnation, position) = self.choice.position();
@@ -188,9 +194,21 @@
                 false => self.choice.add_hubs(hubs),
             }
         }
-        reply
-            .document
-            .map_or(Ok(()), |document| self.apply_document(&document))
+        if let Some(document) = &reply.document {
+            self.apply_document(document)?;
+        }
+        self.extend_authority(reply.evidence_ms);
+        Ok(())
+    }
+
+    /// Takes the evidence of a reply whose configuration is in use.
+    ///
+    /// The reply was created after the poll was sent, so the view holds every configuration that
+    /// was acknowledged earlier than this age before the poll.
+    fn extend_authority(&mut self, evidence_ms: Option<u64>) {
+        let age = evidence_ms.map(time::Duration::from_millis);
+        let proven = age.and_then(|age| self.polled.checked_sub(age));
+        self.view.authority = self.view.authority.max(proven);
     }
 
     fn merge_contents(&mut self, reply: &hub::FollowReply, now: time::Instant) {
--- a/crates/fireflyspool/src/forward/action.rs
+++ b/crates/fireflyspool/src/forward/action.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::forward;
+use crate::{forward, ids};
 
 /// What the driver of an exchange must do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,3 +20,14 @@
     /// Answer the caller; running attempts need not be awaited.
     Finish(forward::Outcome),
 }
+
+impl Action {
+    /// Number of the attempt or group that is sent, if one is.
+    pub fn attempt(&self) -> Option<ids::AttemptId> {
+        match self {
+            Self::Send(send) => Some(send.attempt),
+            Self::Delegate(delegation) => Some(delegation.attempt),
+            Self::WakeAt(_) | Self::Report(_) | Self::Finish(_) => None,
+        }
+    }
+}
--- a/crates/fireflyspool/src/forward/exchange.rs
+++ b/crates/fireflyspool/src/forward/exchange.rs
@@ -23,6 +23,8 @@
     /// Responses that make a sufficient answer.
     pub(super) required: usize,
     pub(super) finished: bool,
+    /// Whether nothing more may be sent.
+    pub(super) barred: bool,
     pub(super) hedges: u32,
     pub(super) retries: u32,
     /// Not yet returned to the driver.
@@ -108,6 +110,7 @@
             next_attempt: 0,
             required,
             finished: false,
+            barred: false,
             hedges: 0,
             retries: 0,
             actions: Vec::with_capacity(count + 1),
--- a/crates/fireflyspool/src/forward/exchange_sends.rs
+++ b/crates/fireflyspool/src/forward/exchange_sends.rs
@@ -145,6 +145,9 @@
         entropy: u64,
         now: time::Instant,
     ) -> bool {
+        if self.barred {
+            return false;
+        }
         let delay = forward::Timing::hedge_delay(&self.route, fleet.high_latency(&self.route));
         let hedged = self.route.idempotent;
         let Some(pending) = self.sub_requests[index].pending_mut() else {
--- a/crates/fireflyspool/src/forward/mod.rs
+++ b/crates/fireflyspool/src/forward/mod.rs
@@ -43,6 +43,7 @@
 mod caution;
 mod delegation;
 mod exchange;
+mod exchange_bar;
 mod exchange_caution;
 mod exchange_ends;
 mod exchange_gathering;
--- a/crates/fireflyspool/src/forward/outcome.rs
+++ b/crates/fireflyspool/src/forward/outcome.rs
@@ -23,6 +23,8 @@
         /// Time after which the caller may try again.
         retry_after: time::Duration,
     },
+    /// The request carries no key of a client account; it did not run.
+    Unauthorized,
     /// No route matches the request.
     NoRoute,
     /// No backend server gave a usable response; the request may have run.
@@ -39,6 +41,7 @@
             Self::Gathered { missing: 0, .. } => "complete",
             Self::Gathered { .. } => "partial",
             Self::Refused { .. } => "refused",
+            Self::Unauthorized => "unauthorized",
             Self::NoRoute => "no_route",
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
--- a/crates/fireflyspool/src/hub/ack.rs
+++ b/crates/fireflyspool/src/hub/ack.rs
@@ -1,6 +1,6 @@
 //! Acknowledgement of a batch.
 
-use crate::ids;
+use crate::{hub, ids};
 
 /// Confirms to the sender of a batch that it was received and merged.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -12,4 +12,7 @@
     /// expect their records in each regular batch.
     #[serde(default)]
     pub sightings: bool,
+    /// End of the log of the receiving VM; absent if it is no voter, and from earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub log: Option<hub::LogTail>,
 }
--- a/crates/fireflyspool/src/hub/covered.rs
+++ b/crates/fireflyspool/src/hub/covered.rs
@@ -1,5 +1,7 @@
 //! What one batch tells another hub.
 
+use std::time;
+
 use crate::ids;
 
 /// Changes that the receiver of a batch has once it has acknowledged it.
@@ -11,4 +13,6 @@
     pub(super) contents: u64,
     /// Revision of the followers; `None` if the batch lists none.
     pub(super) followers: Option<ids::Revision>,
+    /// Boot time when the batch was sent.
+    pub(super) sent: time::Duration,
 }
--- a/crates/fireflyspool/src/hub/follow_reply.rs
+++ b/crates/fireflyspool/src/hub/follow_reply.rs
@@ -10,6 +10,10 @@
     pub incarnation: ids::Incarnation,
     /// Whether the hub reaches a majority of the control VMs and does not lag behind them.
     pub current: bool,
+    /// Age in milliseconds, when the reply is created, of the evidence that the hub holds every
+    /// acknowledged configuration; absent without evidence, and from earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evidence_ms: Option<u64>,
     /// Configuration; absent if the entry VM has this version.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub document: Option<configuration::Document>,
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -17,6 +17,8 @@
     /// Listeners of the members of the control group, including this VM's.
     pub(super) group: Vec<net::SocketAddr>,
     pub(super) document: Option<configuration::Document>,
+    /// Log of the replica on this VM; `None` if there is none.
+    pub(super) log: Option<hub::LogState>,
     pub(super) zones: hub::ZonesOut,
     /// Since when another hub has held a newer configuration or catalog; `None` if none does.
     pub(super) behind_since: Option<time::Instant>,
@@ -54,6 +56,7 @@
             peers: sorted::SortedMap::new(),
             group: contacts.to_vec(),
             document: None,
+            log: None,
             zones: hub::ZonesOut::default(),
             behind_since: None,
             outliers: hub::outliers::Outliers::default(),
@@ -186,16 +189,18 @@
     }
 
     /// Does what is due and returns the actions since the last call.
-    pub fn advance(&mut self, now: time::Instant) -> Vec<hub::Action> {
+    ///
+    /// `boot` is the boot time, which includes suspensions of this VM.
+    pub fn advance(&mut self, now: time::Instant, boot: time::Duration) -> Vec<hub::Action> {
         self.registry.expire(now);
         self.outliers.expire(now);
         self.outliers.publish(now);
         self.contents.expire(now);
         self.track_lag(now);
-        self.exchange_due(now);
+        self.exchange_due(now, boot);
         self.record_due(now);
         self.acknowledge_due(now);
-        self.reply_due(now);
+        self.reply_due(now, boot);
         self.publish_addresses(now);
         std::mem::take(&mut self.actions)
     }
--- a/crates/fireflyspool/src/hub/hub_followers.rs
+++ b/crates/fireflyspool/src/hub/hub_followers.rs
@@ -58,11 +58,11 @@
     }
 
     /// Replies to polls for which there are changes or whose time is over.
-    pub(super) fn reply_due(&mut self, now: time::Instant) {
+    pub(super) fn reply_due(&mut self, now: time::Instant, boot: time::Duration) {
         let pending = std::mem::take(&mut self.pending_polls);
         for poll in pending {
             if poll.deadline <= now || self.has_changes(&poll.request) {
-                let reply = Box::new(self.reply_to(&poll.request, now));
+                let reply = Box::new(self.reply_to(&poll.request, now, boot));
                 let ticket = poll.ticket;
                 self.actions.push(hub::Action::Reply { ticket, reply });
             } else {
@@ -80,7 +80,12 @@
             || self.zones.revision > request.revision
     }
 
-    fn reply_to(&self, request: &hub::FollowRequest, now: time::Instant) -> hub::FollowReply {
+    fn reply_to(
+        &self,
+        request: &hub::FollowRequest,
+        now: time::Instant,
+        boot: time::Duration,
+    ) -> hub::FollowReply {
         let known = request.incarnation == self.own.incarnation;
         let changes = match (known, request.records) {
             _ if !self.has_recovered() => self.known_departures(now),
@@ -116,6 +121,7 @@
         hub::FollowReply {
             incarnation: self.own.incarnation,
             current: self.is_current(now),
+            evidence_ms: self.evidence_ms(boot),
             document: self.document.as_ref().filter(lacking).cloned(),
             zones: (self.zones.revision > request.revision).then(|| self.zones.clone()),
             changes,
--- a/crates/fireflyspool/src/hub/hub_peers.rs
+++ b/crates/fireflyspool/src/hub/hub_peers.rs
@@ -50,6 +50,11 @@
         hub::Ack {
             incarnation: self.own.incarnation,
             sightings: true,
+            log: self
+                .log
+                .as_ref()
+                .filter(|log| log.votes)
+                .map(|log| log.tail),
         }
     }
 
@@ -72,6 +77,10 @@
         };
         peer.paused_until = None;
         peer.last_seen = Some(now);
+        if let (Some(covered), Some(tail)) = (covered, ack.log) {
+            let sent = covered.sent;
+            peer.proof = Some(hub::proof::Proof { sent, tail });
+        }
         let first = peer.incarnation.is_none() && peer.acked == 0;
         if first || peer.incarnation == Some(ack.incarnation) {
             peer.incarnation = Some(ack.incarnation);
@@ -93,7 +102,7 @@
         }
     }
 
-    pub(super) fn exchange_due(&mut self, now: time::Instant) {
+    pub(super) fn exchange_due(&mut self, now: time::Instant, boot: time::Duration) {
         let position = self.registry.position();
         let interval = self.config.exchange_interval;
         let ready = |peer: &hub::peer::Peer| {
@@ -110,11 +119,11 @@
             .map(|(listener, _)| *listener)
             .collect();
         for listener in due {
-            self.send_batch(listener, now);
+            self.send_batch(listener, now, boot);
         }
     }
 
-    fn send_batch(&mut self, listener: net::SocketAddr, now: time::Instant) {
+    fn send_batch(&mut self, listener: net::SocketAddr, now: time::Instant, boot: time::Duration) {
         let regular = self.peers.get(&listener).and_then(|peer| peer.regular_sent);
         let interval = self.config.exchange_interval;
         let regular = regular.is_none_or(|sent| now.saturating_duration_since(sent) >= interval);
@@ -138,6 +147,7 @@
             position: changes.position,
             contents: self.contents.position(),
             followers: regular.then_some(self.follower_revision),
+            sent: boot,
         });
         if regular {
             peer.regular_sent = Some(now);
--- a/crates/fireflyspool/src/hub/peer.rs
+++ b/crates/fireflyspool/src/hub/peer.rs
@@ -32,6 +32,8 @@
     pub(super) paused_until: Option<time::Instant>,
     /// When the last batch or acknowledgement of the peer arrived.
     pub(super) last_seen: Option<time::Instant>,
+    /// Last answer that stated the end of the peer's log.
+    pub(super) proof: Option<hub::proof::Proof>,
     /// Backend servers whose heartbeats arrived here since the last batch.
     pub(super) refreshed: sorted::SortedMap<ids::ServerName, ()>,
 }
--- a/crates/fireflyspool/src/lib.rs
+++ b/crates/fireflyspool/src/lib.rs
@@ -13,6 +13,7 @@
 //! clocks, threads or random sources: an event and the current time go in,
 //! actions come out. `docs/design.md` explains the reasons.
 
+pub mod access;
 pub mod admission;
 pub mod backend;
 pub mod cli;
--- a/crates/fireflyspool/src/node/backend_client.rs
+++ b/crates/fireflyspool/src/node/backend_client.rs
@@ -2,7 +2,7 @@
 
 use std::{net, pin, sync};
 
-use crate::{backend, forward, node};
+use crate::{backend, configuration, forward, node};
 
 /// Attempt in progress; dropping it closes its connection.
 pub type AttemptFuture =
@@ -16,6 +16,10 @@
     /// Sends a request and reads the whole response, with what the server states about itself.
     fn send(&self, send: forward::Send, message: sync::Arc<node::Message>) -> AttemptFuture;
 
+    /// Replaces what a caller stated about its identity by the account that its request runs for,
+    /// or removes it if there is none; its key is removed in both cases.
+    fn identify(&self, headers: &mut http::HeaderMap, account: Option<&configuration::Account>);
+
     /// Opens a connection for a later attempt; does nothing if one is kept already.
     fn open(&self, address: net::SocketAddr) -> OpenFuture;
 }
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -57,7 +57,7 @@
             .start(drop)?;
         let fleet = fleet::Fleet::new(settings.zone, incarnation, settings.limits);
         let forwarding = node::Forwarding::new(sync::Arc::clone(&process), fleet, client);
-        let forwarding = sync::Arc::new(forwarding);
+        let forwarding = sync::Arc::new(forwarding.with_account_limits(&settings.accounts));
         let opening = node::first_connections::open(sync::Arc::clone(&forwarding));
         tokio::spawn(opening);
         Ok(sync::Arc::new(Self {
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -1,11 +1,11 @@
 //! Task that forwards one request.
 
-use std::{collections, sync, time};
+use std::{collections, net, sync, time};
 
 use futures_util::{FutureExt as _, StreamExt as _, future, stream};
 use tokio::{sync::watch, task};
 
-use crate::{configuration, fleet, forward, ids, node, rim, shutdown, telemetry, timer};
+use crate::{access, configuration, fleet, forward, ids, node, rim, shutdown, telemetry, timer};
 
 /// Time for which attempts go on after the request is answered, so that their
 /// connections can be reused. A longer one is cut: its server is slow or silent.
@@ -97,7 +97,7 @@
             let entropy = rand::random();
             forward::Exchange::start(route, self.content, timing, &mut fleet, entropy, now)
         };
-        self.execute(actions);
+        self.execute(&mut exchange, actions);
         while self.outcome.is_none() && !exchange.is_finished() {
             self.step(&mut exchange).await;
         }
@@ -108,12 +108,12 @@
 
     /// Sends the first attempts of a group that another entry VM has delegated.
     pub(super) fn start_group(&mut self, group: &forward::Group) -> forward::Exchange {
-        let (exchange, actions) = {
+        let (mut exchange, actions) = {
             let mut fleet = self.forwarding.updated_fleet(&self.view);
             let now = time::Instant::now();
             forward::Exchange::start_group(group, &mut fleet, rand::random(), now)
         };
-        self.execute(actions);
+        self.execute(&mut exchange, actions);
         exchange
     }
 
@@ -149,7 +149,7 @@
                 () = &mut self.sleep => self.wake(exchange).await,
             }
         };
-        self.execute(actions);
+        self.execute(exchange, actions);
     }
 
     /// Polls new attempts, which writes them; the poll ends early if an attempt ends.
@@ -226,7 +226,12 @@
         actions
     }
 
-    fn execute(&mut self, actions: Vec<forward::Action>) {
+    fn execute(&mut self, exchange: &mut forward::Exchange, actions: Vec<forward::Action>) {
+        let sends = actions.iter().any(|action| action.attempt().is_some());
+        let actions = match !sends || self.forwarding.may_send(&self.request) {
+            true => actions,
+            false => self.bar(exchange, &actions),
+        };
         for action in actions {
             match action {
                 forward::Action::Send(send) => self.send(send),
@@ -241,17 +246,56 @@
         }
     }
 
+    /// Sends none of the attempts and groups, and ends the request once nothing of it runs.
+    fn bar(
+        &self,
+        exchange: &mut forward::Exchange,
+        actions: &[forward::Action],
+    ) -> Vec<forward::Action> {
+        let cause = access::Cause::Expired.label();
+        slog::info!(self.forwarding.process.logger, "attempts not sent";
+            "request" => &self.request.id, "route" => &self.route.name, "cause" => cause);
+        telemetry::Metrics::count(&self.forwarding.metrics.refusals, cause);
+        for action in actions {
+            // Dropping the guard gives back what was taken for the attempt.
+            match action {
+                forward::Action::Send(send) => drop(self.attempt_guard(send)),
+                forward::Action::Delegate(delegation) => {
+                    drop(self.group_guard(delegation.delegate));
+                }
+                _ => {}
+            }
+        }
+        let unsent: Vec<_> = actions
+            .iter()
+            .filter_map(forward::Action::attempt)
+            .collect();
+        exchange.bar(&unsent, &self.forwarding.fleet(), time::Instant::now())
+    }
+
+    fn attempt_guard(&self, send: &forward::Send) -> node::attempt_guard::AttemptGuard {
+        node::attempt_guard::AttemptGuard::new(
+            sync::Arc::clone(&self.forwarding),
+            sync::Arc::clone(&self.route),
+            sync::Arc::clone(&self.message),
+            send.clone(),
+        )
+    }
+
+    fn group_guard(&self, delegate: net::SocketAddr) -> node::group_guard::GroupGuard {
+        node::group_guard::GroupGuard::new(
+            sync::Arc::clone(&self.forwarding),
+            sync::Arc::clone(&self.route),
+            delegate,
+        )
+    }
+
     fn send(&mut self, send: forward::Send) {
         use std::fmt::Write as _;
         let elapsed = self.received.elapsed().as_millis();
         // Writing to a string cannot fail.
         let _ = write!(self.send_log, "{}>{}@{elapsed} ", send.service, send.server);
-        let mut guard = node::attempt_guard::AttemptGuard::new(
-            sync::Arc::clone(&self.forwarding),
-            sync::Arc::clone(&self.route),
-            sync::Arc::clone(&self.message),
-            send.clone(),
-        );
+        let mut guard = self.attempt_guard(&send);
         let sending = self
             .forwarding
             .client
@@ -271,11 +315,7 @@
         let (delegate, shards) = (delegation.delegate, delegation.group.services.len());
         // Writing to a string cannot fail.
         let _ = write!(self.send_log, "{shards}_shards>{delegate}@{elapsed} ");
-        let mut guard = node::group_guard::GroupGuard::new(
-            sync::Arc::clone(&self.forwarding),
-            sync::Arc::clone(&self.route),
-            delegate,
-        );
+        let mut guard = self.group_guard(delegate);
         let timer = self.forwarding.process.timer.clone();
         let client = (self.forwarding.delegates.clone(), timer);
         let call = rim::GroupCall::new(client, delegation, &self.message);
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::watch;
 
-use crate::{control, fleet, forward, node, rim, shutdown, telemetry};
+use crate::{access, control, fleet, forward, node, rim, shutdown, telemetry, timer};
 
 /// Time after which a caller may try again that is refused because the view is too old.
 const RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
@@ -29,6 +29,8 @@
     pub(super) answer_delay: node::answer_delay::AnswerDelay,
     running: sync::Arc<atomic::AtomicUsize>,
     drain: watch::Sender<shutdown::AnyDrain>,
+    /// Time within which a withdrawn key stops working; `None` if there is no bound.
+    revocation: Option<time::Duration>,
     started: time::Instant,
 }
 
@@ -49,10 +51,18 @@
             answer_delay: node::answer_delay::AnswerDelay::default(),
             running: sync::Arc::default(),
             drain: watch::Sender::new(shutdown::AnyDrain::default()),
+            revocation: None,
             started: time::Instant::now(),
         }
     }
 
+    /// Sets the bounds on client accounts.
+    #[must_use]
+    pub fn with_account_limits(mut self, limits: &node::AccountLimits) -> Self {
+        self.revocation = limits.revocation;
+        self
+    }
+
     /// Number of requests that are not answered yet.
     pub fn running(&self) -> usize {
         self.running.load(atomic::Ordering::Relaxed)
@@ -92,8 +102,8 @@
     /// Dropping the future stops all its attempts.
     pub async fn run(
         self: &sync::Arc<Self>,
-        request: forward::Request,
-        message: node::Message,
+        mut request: forward::Request,
+        mut message: node::Message,
     ) -> forward::Outcome {
         let _running = node::running_guard::RunningGuard::new(&self.running);
         let received = time::Instant::now();
@@ -116,6 +126,20 @@
             return forward::Outcome::NoRoute;
         };
         let route = sync::Arc::clone(route);
+        let accounts = table.accounts();
+        let freshness = self.freshness(&view);
+        match access::authorize(&route, accounts, &request.credentials, freshness) {
+            access::Decision::NotNeeded => {}
+            access::Decision::Allowed(grant) => request.grant = Some(grant),
+            access::Decision::Unsure(cause) => {
+                return self.refuse(&request, cause.label(), RETRY_AFTER, received);
+            }
+            access::Decision::Unauthorized(cause) => return self.deny(&request, cause, received),
+        }
+        if !accounts.is_empty() {
+            let account = request.account().map(sync::Arc::as_ref);
+            self.client.identify(&mut message.headers, account);
+        }
         let forwarding = sync::Arc::clone(self);
         let content = (request, message);
         let task = node::forward_task::ForwardTask::new(
@@ -153,6 +177,34 @@
         Some(node::GroupTask::start(task, group, running))
     }
 
+    /// Freshness of a view with respect to keys, now.
+    fn freshness(&self, view: &fleet::View) -> access::Freshness {
+        access::Freshness::new(view.authority, self.revocation, timer::boot_time())
+    }
+
+    fn deny(
+        &self,
+        request: &forward::Request,
+        cause: access::Cause,
+        received: time::Instant,
+    ) -> forward::Outcome {
+        slog::info!(self.process.logger, "request unauthorized"; "request" => &request.id,
+            "cause" => cause.label(), "elapsed_us" => micros(received.elapsed()));
+        telemetry::Metrics::count(&self.metrics.refusals, cause.label());
+        forward::Outcome::Unauthorized
+    }
+
+    /// Whether attempts of a request may still be sent, by the newest view.
+    pub(super) fn may_send(&self, request: &forward::Request) -> bool {
+        let Some(grant) = &request.grant else {
+            return true;
+        };
+        let view = self.process.view.load();
+        let freshness = access::Freshness::new(view.authority, self.revocation, timer::boot_time());
+        let table = view.table.as_ref();
+        table.is_some_and(|table| grant.holds(table.accounts(), freshness))
+    }
+
     fn refuse(
         &self,
         request: &forward::Request,
--- a/crates/fireflyspool/src/platform/caller_service.rs
+++ b/crates/fireflyspool/src/platform/caller_service.rs
@@ -56,6 +56,8 @@
         host: host.to_owned(),
         path: head.uri.path().to_owned(),
         timeout,
+        credentials: headers::credentials(&head.headers),
+        grant: None,
     };
     let limit = node.limits().body_bytes;
     let Ok(body) = http_body_util::Limited::new(body, limit).collect().await else {
@@ -103,6 +105,13 @@
             }
             response
         }
+        forward::Outcome::Unauthorized => {
+            let mut response = text_response(http::StatusCode::UNAUTHORIZED, "no valid key");
+            let challenge = http::HeaderValue::from_static("Bearer");
+            let headers = response.headers_mut();
+            headers.insert(http::header::WWW_AUTHENTICATE, challenge);
+            response
+        }
         forward::Outcome::NoRoute => text_response(http::StatusCode::NOT_FOUND, "no route"),
         forward::Outcome::Failed => {
             text_response(http::StatusCode::BAD_GATEWAY, "no usable answer")
--- a/crates/fireflyspool/src/platform/headers.rs
+++ b/crates/fireflyspool/src/platform/headers.rs
@@ -1,5 +1,7 @@
 //! HTTP headers of the platform, and the rule which headers are forwarded.
 
+use crate::{access, configuration};
+
 /// Identifier that the caller gave its attempt.
 pub(super) const REQUEST_ID: &str = "x-request-id";
 
@@ -15,6 +17,9 @@
 /// Present if a backend server did not run the request.
 pub(super) const NOT_EXECUTED: &str = "x-not-executed";
 
+/// Name of the client account that a request runs for.
+const ACCOUNT: http::HeaderName = http::HeaderName::from_static("x-tenant-id");
+
 /// Running and queued requests of a backend server, and its capacity.
 pub(super) const LOAD: http::HeaderName = http::HeaderName::from_static("x-server-load");
 
@@ -54,12 +59,33 @@
         let is_hop_by_hop = CONNECTION_HEADERS.binary_search(&name.as_str()).is_ok()
             || named.iter().any(|listed| listed == name.as_str());
         if !is_hop_by_hop {
-            forwarded.append(name, value.clone());
+            let mut value = value.clone();
+            // Debug output leaves the key out.
+            value.set_sensitive(name == http::header::AUTHORIZATION);
+            forwarded.append(name, value);
         }
     }
     forwarded
 }
 
+/// Values of the headers that carry the key of a client account.
+pub(super) fn credentials(headers: &http::HeaderMap) -> access::Credentials {
+    let values = headers.get_all(http::header::AUTHORIZATION).iter();
+    let copy = |value: &http::HeaderValue| bytes::Bytes::copy_from_slice(value.as_bytes());
+    access::Credentials::new(values.map(copy).collect())
+}
+
+/// Removes the key, and replaces what the caller stated as its account.
+pub(super) fn identify(headers: &mut http::HeaderMap, account: Option<&configuration::Account>) {
+    headers.remove(http::header::AUTHORIZATION);
+    headers.remove(ACCOUNT);
+    // Names that cannot stand in a header are rejected with the configuration.
+    let name = account.and_then(|account| http::HeaderValue::from_str(&account.name).ok());
+    if let Some(name) = name {
+        headers.insert(ACCOUNT, name);
+    }
+}
+
 /// Copies the headers of a response that are forwarded to its caller.
 ///
 /// What a backend server states to its client, this VM, says nothing about the tier.
--- a/crates/fireflyspool/src/platform/http_backend_client.rs
+++ b/crates/fireflyspool/src/platform/http_backend_client.rs
@@ -3,7 +3,7 @@
 use std::{net, sync, time};
 
 use crate::platform::headers;
-use crate::{backend, forward, node, platform, rim, timer};
+use crate::{backend, configuration, forward, node, platform, rim, timer};
 
 type Response = http::Response<rim::ForwardBody>;
 type Ending = (forward::AttemptEnd, backend::Condition);
@@ -38,6 +38,10 @@
         })
     }
 
+    fn identify(&self, headers: &mut http::HeaderMap, account: Option<&configuration::Account>) {
+        headers::identify(headers, account);
+    }
+
     fn open(&self, address: net::SocketAddr) -> node::OpenFuture {
         let client = self.client.clone();
         Box::pin(async move {
--- a/crates/fireflyspool/src/state/entry.rs
+++ b/crates/fireflyspool/src/state/entry.rs
@@ -1,6 +1,10 @@
 //! Payload of the replicated log.
 
-use crate::state;
+use crate::{ids, state};
+
+/// Beginning of the payload of each entry that carries a configuration. It spares decoding the
+/// others.
+const CONFIGURE_PREFIX: &[u8] = br#"{"order":{"configure":"#;
 
 /// One entry of the replicated log as the control state applies it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -38,4 +42,23 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, state::DecodeError> {
         Ok(serde_json::from_slice(bytes)?)
     }
+
+    /// Version of the configuration that a payload carries, if it carries one.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`state::DecodeError`] if a configuration cannot be read.
+    pub fn configured_version(
+        bytes: &[u8],
+    ) -> Result<Option<ids::ConfigVersion>, state::DecodeError> {
+        if !bytes.starts_with(CONFIGURE_PREFIX) {
+            return Ok(None);
+        }
+        Ok(match Self::decode(bytes)? {
+            Self::Idempotent(state::IdempotentCommand::Configure(document)) => {
+                Some(document.version)
+            }
+            _ => None,
+        })
+    }
 }
--- a/crates/fireflyspool/src/timer/mod.rs
+++ b/crates/fireflyspool/src/timer/mod.rs
@@ -9,12 +9,14 @@
 //! want to be called again, and their drivers subscribe here.
 
 mod alarm;
+mod boot_time;
 mod sleep;
 mod stopwatch;
 mod timer_service;
 mod timer_token;
 
 pub use alarm::Alarm;
+pub use boot_time::boot_time;
 pub use sleep::Sleep;
 pub use stopwatch::Stopwatch;
 pub use timer_service::TimerService;
--- a/crates/fireflyspool/src/timer/stopwatch.rs
+++ b/crates/fireflyspool/src/timer/stopwatch.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use rustix::time as clocks;
+use crate::timer;
 
 /// Measures how old something is for others, who are not suspended with this machine.
 ///
@@ -17,18 +17,12 @@
     /// Starts a measurement.
     pub fn start() -> Self {
         Self {
-            started: since_boot(),
+            started: timer::boot_time(),
         }
     }
 
     /// Time since the start.
     pub fn elapsed(&self) -> time::Duration {
-        since_boot().saturating_sub(self.started)
+        timer::boot_time().saturating_sub(self.started)
     }
 }
-
-fn since_boot() -> time::Duration {
-    let now = clocks::clock_gettime(clocks::ClockId::Boottime);
-    // The clock starts at zero and does not go back.
-    time::Duration::try_from(now).unwrap_or_default()
-}
--- a/crates/fireflyspool/tests/control_site/mod.rs
+++ b/crates/fireflyspool/tests/control_site/mod.rs
@@ -243,7 +243,7 @@
 
     fn send_polls(&mut self) {
         for number in 0..self.followers.len() {
-            if let Some(poll) = self.followers[number].poll(&[], self.now) {
+            if let Some(poll) = self.followers[number].poll(&[], self.now, time::Duration::ZERO) {
                 if self.cut == Some(host(poll.hub)) {
                     let ended = self.followers[number].poll_ended(None, self.now);
                     ended.expect("there is no configuration");
@@ -257,7 +257,7 @@
 
     fn advance_hubs(&mut self) {
         for index in 0..self.hubs.len() {
-            for action in self.hubs[index].advance(self.now) {
+            for action in self.hubs[index].advance(self.now, time::Duration::ZERO) {
                 self.execute(index, action);
             }
         }
--- a/crates/fireflyspool/tests/departures_fuzz.rs
+++ b/crates/fireflyspool/tests/departures_fuzz.rs
@@ -149,7 +149,7 @@
     fn deliver(&mut self) {
         for _ in 0..6 {
             for index in 0..HUBS {
-                for action in self.hubs[index].advance(self.now) {
+                for action in self.hubs[index].advance(self.now, time::Duration::ZERO) {
                     self.execute(index, action);
                 }
                 if self.cut != Some(index) {
@@ -184,7 +184,7 @@
         };
         self.hubs[index].follow(0, request, self.now);
         let mut records = Vec::new();
-        for action in self.hubs[index].advance(self.now) {
+        for action in self.hubs[index].advance(self.now, time::Duration::ZERO) {
             match action {
                 hub::Action::Reply { reply, .. } => records.extend(reply.changes.records),
                 other => self.execute(index, other),
--- a/crates/fireflyspool/tests/follow.rs
+++ b/crates/fireflyspool/tests/follow.rs
@@ -20,6 +20,7 @@
     hub::FollowReply {
         incarnation,
         current: true,
+        evidence_ms: None,
         document: None,
         zones: None,
         changes: registry::ChangeSet {
@@ -116,18 +117,30 @@
     let mut follower = follower(now);
     let mut first = reply(1);
     first.document = Some(document(5));
-    let mut hubs = vec![follower.poll(&[], now).expect("a poll is due").hub];
+    let mut hubs = vec![
+        follower
+            .poll(&[], now, time::Duration::ZERO)
+            .expect("a poll is due")
+            .hub,
+    ];
     follower.poll_ended(Some(first), now).expect("it decodes");
     for lost in [true, false, true] {
         now += time::Duration::from_secs(1);
-        hubs.push(follower.poll(&[], now).expect("a poll is due").hub);
+        hubs.push(
+            follower
+                .poll(&[], now, time::Duration::ZERO)
+                .expect("a poll is due")
+                .hub,
+        );
         let mut partitioned = reply(1);
         partitioned.current = false;
         let answer = (!lost).then_some(partitioned);
         follower.poll_ended(answer, now).expect("nothing to decode");
     }
     now += time::Duration::from_secs(1);
-    let poll = follower.poll(&[], now).expect("a poll is due");
+    let poll = follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     hubs.push(poll.hub);
     assert_ne!(hubs[1], hubs[2]);
     assert_ne!(hubs[2], hubs[3]);
@@ -147,13 +160,18 @@
         zone: zone.to_owned(),
         incarnation: 1,
     };
-    follower.poll(&[], now).expect("a poll is due");
+    follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     let mut first = reply(1);
     first.hubs = Some(vec![origin(1, "a"), origin(9, "b")]);
     follower.poll_ended(Some(first), now).expect("it decodes");
     now += time::Duration::from_secs(1);
     assert_eq!(
-        follower.poll(&[], now).expect("a poll is due").hub,
+        follower
+            .poll(&[], now, time::Duration::ZERO)
+            .expect("a poll is due")
+            .hub,
         address(9)
     );
 }
@@ -165,10 +183,14 @@
     let mut follower = follower(now);
     let mut first = reply(1);
     first.document = Some(document(5));
-    follower.poll(&[], now).expect("a poll is due");
+    follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     follower.poll_ended(Some(first), now).expect("it decodes");
     follower.leave(now);
-    let poll = follower.poll(&[], now).expect("a poll is due");
+    let poll = follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     assert!(!poll.request.member.ready);
 }
 
@@ -199,7 +221,9 @@
     let mut asked = Vec::new();
     for _ in 0..polls {
         *now += time::Duration::from_millis(250);
-        let poll = follower.poll(&[], *now).expect("a poll is due");
+        let poll = follower
+            .poll(&[], *now, time::Duration::ZERO)
+            .expect("a poll is due");
         let incarnation = u64::from(poll.hub.port());
         let known = poll.request.incarnation == incarnation;
         let mut answer = reply(incarnation);
@@ -265,7 +289,9 @@
 fn a_hub_that_is_only_asked_whether_it_is_current_confirms_nothing() {
     let now = time::Instant::now();
     let mut follower = follower(now);
-    let poll = follower.poll(&[], now).expect("a poll is due");
+    let poll = follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     assert!(!poll.request.records, "its zone is not known");
     follower
         .poll_ended(Some(reply(1)), now)
@@ -332,7 +358,9 @@
         zone: "b".to_owned(),
         incarnation: 4,
     }];
-    let poll = follower.poll(&[], now).expect("a poll is due");
+    let poll = follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     assert_eq!(
         poll.request.delegates, None,
         "no hub of the own zone is known"
@@ -343,7 +371,9 @@
     };
     follower.poll_ended(Some(first), now).expect("it is valid");
     let now = now + time::Duration::from_millis(100);
-    let poll = follower.poll(&[], now).expect("a poll is due");
+    let poll = follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     assert_eq!(poll.request.delegates, Some(0));
     let second = hub::FollowReply {
         delegates: Some(delegates.clone()),
@@ -352,7 +382,9 @@
     follower.poll_ended(Some(second), now).expect("it is valid");
     assert_eq!(follower.view().delegates, delegates);
     let now = now + time::Duration::from_millis(100);
-    let poll = follower.poll(&[], now).expect("a poll is due");
+    let poll = follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     let checksum = hub::Delegate::checksum(&delegates);
     assert_eq!(poll.request.delegates, Some(checksum));
     follower
@@ -373,14 +405,18 @@
         zone: ["a", "b", "c"][usize::from(port % 3)].to_owned(),
         incarnation: u64::from(port),
     };
-    let poll = follower.poll(&[], now).expect("a poll");
+    let poll = follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll");
     let mut first = reply(u64::from(poll.hub.port()));
     first.hubs = Some((1..10).map(info).collect());
     follower.poll_ended(Some(first), now).expect("it decodes");
     let majority = 5..10;
     for _ in 0..40 {
         now += time::Duration::from_millis(200);
-        let poll = follower.poll(&[], now).expect("a poll");
+        let poll = follower
+            .poll(&[], now, time::Duration::ZERO)
+            .expect("a poll");
         if majority.contains(&poll.hub.port()) {
             return;
         }
--- a/crates/fireflyspool/tests/forwarding.rs
+++ b/crates/fireflyspool/tests/forwarding.rs
@@ -6,7 +6,7 @@
     thread, time,
 };
 
-use fireflyspool::{backend, configuration, fleet, forward, node, registry};
+use fireflyspool::{access, backend, configuration, fleet, forward, node, registry};
 
 const SHARDS: usize = 36;
 const OBJECTIVE: time::Duration = time::Duration::from_millis(200);
@@ -24,6 +24,8 @@
 }
 
 impl node::BackendClient for Servers {
+    fn identify(&self, _: &mut http::HeaderMap, _: Option<&configuration::Account>) {}
+
     fn send(&self, send: forward::Send, _: sync::Arc<node::Message>) -> node::AttemptFuture {
         self.sends.fetch_add(1, atomic::Ordering::Relaxed);
         Box::pin(async move {
@@ -124,6 +126,8 @@
         host: "h.example".to_owned(),
         path: "/".to_owned(),
         timeout: None,
+        credentials: access::Credentials::default(),
+        grant: None,
     };
     let message = node::Message {
         id: id.to_owned(),
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -141,7 +141,7 @@
         // A batch can cause another one; six rounds deliver all of them.
         for _ in 0..6 {
             for index in 0..self.hubs.len() {
-                for action in self.hubs[index].advance(self.now) {
+                for action in self.hubs[index].advance(self.now, time::Duration::ZERO) {
                     self.execute(index, action);
                 }
             }
@@ -325,11 +325,11 @@
         zone: "a".to_owned(),
         region: "r".to_owned(),
     };
-    let book = published(hub.advance(now));
+    let book = published(hub.advance(now, time::Duration::ZERO));
     assert_eq!(book.answer(&query), [address(101), address(103)]);
     let later = now + time::Duration::from_secs(3);
     follow(&mut hub, 103, true, later);
-    let book = published(hub.advance(later));
+    let book = published(hub.advance(later, time::Duration::ZERO));
     assert_eq!(book.answer(&query), [address(103)], "101 has been silent");
 }
 
--- a/crates/fireflyspool/tests/odd_heartbeats.rs
+++ b/crates/fireflyspool/tests/odd_heartbeats.rs
@@ -137,16 +137,16 @@
         );
         for millis in (0..3_000).step_by(100) {
             let now = now + time::Duration::from_millis(millis);
-            for action in first.advance(now) {
+            for action in first.advance(now, time::Duration::ZERO) {
                 if let hub::Action::Exchange { peer, batch } = action {
                     let ack = second.receive_batch(transmit(&*batch), now);
                     first.exchange_ended(peer, Some(&ack), now);
                 }
             }
-            if let Some(poll) = follower.poll(&[], now) {
+            if let Some(poll) = follower.poll(&[], now, time::Duration::ZERO) {
                 second.follow(2, transmit(&poll.request), now);
             }
-            for action in second.advance(now) {
+            for action in second.advance(now, time::Duration::ZERO) {
                 if let hub::Action::Reply { reply, .. } = action {
                     follower
                         .poll_ended(Some(transmit(&*reply)), now)
