--- a/crates/fireflyspool/tests/platform_site/mod.rs
+++ b/crates/fireflyspool/tests/platform_site/mod.rs
@@ -9,6 +9,7 @@
 
 mod caller;
 mod crashes;
+mod identity;
 mod process;
 mod stand_in_server;
 mod stated_notices;
@@ -20,6 +21,7 @@
 };
 
 pub(crate) use caller::Caller;
+pub(crate) use identity::Identity;
 pub(crate) use process::Process;
 pub(crate) use stand_in_server::{StandInServer, record};
 pub(crate) use stated_notices::StatedNotices;
@@ -38,6 +40,8 @@
     folder: path::PathBuf,
     network: u8,
     ports: [u16; 4],
+    /// Further lines of the table of bounds in the settings.
+    pub(crate) bounds: &'static str,
     pub(crate) http: reqwest::Client,
 }
 
@@ -70,6 +74,7 @@
             folder,
             network,
             ports,
+            bounds: "",
             http: reqwest::Client::builder()
                 .no_proxy()
                 .timeout(time::Duration::from_secs(2))
@@ -133,10 +138,11 @@
             "NodeName = \"{role}-{vm}\"\nIp = \"{ip}\"\nZone = \"{zone}\"\nRegion = \"r\"\n\
              InternalPortRange = [{internal}, {}]\nSeeds = [{}]\nBootstrap = {bootstrap}\n\
              DataDir = \"{}\"\nHeartbeatMs = 300\n[ListenAddrs]\n{addresses}\n[Bounds]\n\
-             RetryBudgetRatio = 0.2\nBudgetSlack = 500\nRetryWindowS = 10\nGraceS = 4\n",
+             RetryBudgetRatio = 0.2\nBudgetSlack = 500\nRetryWindowS = 10\nGraceS = 4\n{}",
             self.ports[3],
             seeds.join(","),
             self.data_folder(vm).display(),
+            self.bounds,
         );
         let path = self.folder.join(format!("{role}-{vm}.toml"));
         std::fs::write(&path, text).expect("settings");
--- a/crates/fireflyspool/tests/platform_site/stand_in_server.rs
+++ b/crates/fireflyspool/tests/platform_site/stand_in_server.rs
@@ -8,7 +8,7 @@
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 
-use super::{Site, StatedNotices, WAIT_LIMIT, crashes};
+use super::{Identity, Site, StatedNotices, WAIT_LIMIT, crashes};
 
 /// Number of requests after which each kind of fault repeats.
 const PAUSE_PERIOD: usize = 11;
@@ -24,6 +24,8 @@
     count: atomic::AtomicUsize,
     executions: sync::Mutex<collections::BTreeMap<String, usize>>,
     starts: sync::Mutex<Vec<time::Instant>>,
+    /// Identities of the requests that carried any.
+    identities: sync::Mutex<Vec<Identity>>,
     silent: atomic::AtomicBool,
     notices: StatedNotices,
     crashes: crashes::Crashes,
@@ -70,6 +72,7 @@
             count: atomic::AtomicUsize::new(number),
             executions: sync::Mutex::default(),
             starts: sync::Mutex::default(),
+            identities: sync::Mutex::default(),
             silent: atomic::AtomicBool::default(),
             notices: StatedNotices::default(),
             crashes: crashes::Crashes::default(),
@@ -127,6 +130,12 @@
         self.executions().values().sum()
     }
 
+    /// Identities of the requests that carried any, in order.
+    pub(crate) fn identities(&self) -> Vec<Identity> {
+        let identities = self.shared.identities.lock();
+        identities.expect("the lock is not poisoned").clone()
+    }
+
     /// Times at which requests began to run, in order.
     pub(crate) fn starts(&self) -> Vec<time::Instant> {
         self.shared
@@ -278,6 +287,15 @@
         }
         buffer.drain(..end + 4 + length);
         let id = field("x-request-id").unwrap_or_default();
+        let identity = Identity {
+            id: id.clone(),
+            account: field("x-tenant-id"),
+            credentials: field("authorization"),
+        };
+        if identity.account.is_some() || identity.credentials.is_some() {
+            let mut identities = shared.identities.lock().expect("the lock is not poisoned");
+            identities.push(identity);
+        }
         let expected = field("x-expect-instance");
         let path = head.split(' ').nth(1).unwrap_or_default();
         if !answer(&mut stream, &shared, (path, &id), expected.as_deref()).await {
