--- a/crates/fireflyspool/src/follow/follower.rs
+++ b/crates/fireflyspool/src/follow/follower.rs
@@ -17,6 +17,10 @@
 /// Shortest time between two polls, so that changes in quick succession share a reply.
 const POLL_SPACING: time::Duration = time::Duration::from_millis(20);
 
+/// Age of a hub's evidence beyond which another hub is asked; it leaves time to find one before
+/// keys are refused.
+const EVIDENCE_LIMIT: time::Duration = time::Duration::from_millis(2_500);
+
 /// Polls one control VM at a time and builds the entry VM's view from the replies.
 pub struct Follower {
     member: hub::Member,
@@ -181,7 +185,7 @@
         if reply.current && with_records {
             self.view.confirmed = Some(now);
         }
-        match reply.current {
+        match reply.current && !self.lacks_evidence(reply.evidence_ms) {
             true => self.choice.confirm(with_records),
             false => self.switch_hub(now),
         }
@@ -201,6 +205,14 @@
         Ok(())
     }
 
+    /// Whether a hub cannot prove that it holds all configurations, and keys depend on it.
+    fn lacks_evidence(&self, evidence_ms: Option<u64>) -> bool {
+        let table = self.view.table.as_ref();
+        let age = evidence_ms.map(time::Duration::from_millis);
+        table.is_some_and(|table| !table.accounts().is_empty())
+            && age.is_none_or(|age| age > EVIDENCE_LIMIT)
+    }
+
     /// Takes the evidence of a reply whose configuration is in use.
     ///
     /// The reply was created after the poll was sent, so the view holds every configuration that
--- a/crates/fireflyspool/tests/follow.rs
+++ b/crates/fireflyspool/tests/follow.rs
@@ -427,3 +427,73 @@
     }
     panic!("no hub of the majority is asked");
 }
+
+/// Reply with a configuration that has a client account, and evidence of this age.
+fn keyed_reply(version: u64, evidence_ms: Option<u64>) -> hub::FollowReply {
+    let text = format!(
+        r#"{{"Version":{version},"Routes":[],"Backends":[],
+        "Tenants":[{{"Name":"t","ApiKeys":["k"]}}]}}"#
+    );
+    hub::FollowReply {
+        evidence_ms,
+        document: Some(configuration::Document {
+            version,
+            text: text.into(),
+        }),
+        ..reply(1)
+    }
+}
+
+/// Guards against an authority that counts from the arrival of a reply, goes back, or comes with a
+/// configuration that is not in use.
+#[test]
+fn the_authority_is_the_time_of_the_poll_less_the_age_of_the_evidence() {
+    let second = time::Duration::from_secs(1);
+    let mut now = time::Instant::now();
+    let mut follower = follower(now);
+    let mut unreadable = keyed_reply(9, Some(0));
+    unreadable.document = Some(configuration::Document {
+        version: 9,
+        text: "{".into(),
+    });
+    let cases = [
+        // Evidence from before the start of this machine is none.
+        (5, keyed_reply(1, Some(6_000)), None),
+        (10, keyed_reply(2, Some(1_000)), Some(9)),
+        (20, keyed_reply(2, None), Some(9)),
+        (21, keyed_reply(2, Some(15_000)), Some(9)),
+        (22, unreadable, Some(9)),
+        (30, keyed_reply(2, Some(0)), Some(30)),
+    ];
+    for (boot, reply, expected) in cases {
+        now += second;
+        let poll = follower.poll(&[], now, second * boot);
+        assert!(poll.is_some(), "a poll is due");
+        let readable = reply.document.as_ref().is_some_and(|held| held.version < 9);
+        assert_eq!(follower.poll_ended(Some(reply), now).is_ok(), readable);
+        let expected = expected.map(|seconds| second * seconds);
+        assert_eq!(follower.view().authority, expected, "after {boot} s");
+    }
+}
+
+/// Guards against an entry VM that refuses all keys because it stays with a hub whose log fails.
+#[test]
+fn a_hub_without_evidence_is_left_if_there_are_accounts() {
+    let second = time::Duration::from_secs(1);
+    for (first, stays) in [(keyed_reply(1, Some(0)), false), (reply(1), true)] {
+        let mut now = time::Instant::now();
+        let mut follower = follower(now);
+        follower.poll_ended(Some(first), now).expect("it decodes");
+        for evidence_ms in [None, Some(2_501)] {
+            let former = follower.hub();
+            now += second;
+            follower.poll(&[], now, second).expect("a poll is due");
+            let mut answer = reply(1);
+            answer.evidence_ms = evidence_ms;
+            follower
+                .poll_ended(Some(answer), now)
+                .expect("nothing to decode");
+            assert_eq!(follower.hub() == former, stays, "{evidence_ms:?}");
+        }
+    }
+}
--- a/crates/fireflyspool/tests/forward.rs
+++ b/crates/fireflyspool/tests/forward.rs
@@ -673,3 +673,45 @@
         .report_sub_requests(&mut harness.fleet, harness.now);
     assert!(harness.fleet.failure_rate("service", harness.now) > 0.0);
 }
+
+/// Guards against attempts after the key of a request was withdrawn, and against a refusal of one
+/// that runs.
+#[test]
+fn a_barred_request_sends_nothing_more_and_is_refused_only_if_nothing_ran() {
+    for sent in 0..=2 {
+        let mut harness = Harness::gather(2, 1.0, 3);
+        // The others were not sent.
+        let unsent: Vec<_> = harness.sends[sent..]
+            .iter()
+            .map(|send| send.attempt)
+            .collect();
+        let actions = harness.exchange.bar(&unsent, &harness.fleet, harness.now);
+        harness.execute(actions);
+        match sent {
+            0 => assert!(matches!(
+                harness.outcome,
+                Some(forward::Outcome::Refused { .. })
+            )),
+            1 => assert_eq!(harness.outcome, Some(forward::Outcome::Failed)),
+            _ => {
+                assert_eq!(harness.outcome, None);
+                harness.advance_to(60);
+                harness.end_attempt(0, success(&[1; 16]));
+                harness.end_attempt(1, forward::AttemptEnd::Rejected);
+                harness.advance_to(100);
+                assert_eq!(harness.outcome, Some(forward::Outcome::Failed));
+            }
+        }
+        assert_eq!(harness.sends.len(), 2, "neither a hedge nor a retry");
+    }
+    let mut harness = Harness::single(true, 3);
+    let actions = harness.exchange.bar(&[], &harness.fleet, harness.now);
+    harness.execute(actions);
+    harness.end_attempt(0, forward::AttemptEnd::Rejected);
+    harness.advance_to(100);
+    assert!(matches!(
+        harness.outcome,
+        Some(forward::Outcome::Refused { .. })
+    ));
+    assert_eq!(harness.sends.len(), 1);
+}
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -839,3 +839,100 @@
     let seen = all_serving(&mut site);
     assert!(seen.iter().all(Vec::is_empty), "{seen:?}");
 }
+
+/// End of the log of the control VM on a port.
+fn log_of(port: u16, voters: &[u64], version: u64) -> hub::LogState {
+    let node = u64::from(port);
+    hub::LogState {
+        tail: hub::LogTail {
+            node,
+            members: voters.iter().sum(),
+            version,
+        },
+        voters: voters.to_vec(),
+        votes: voters.contains(&node),
+    }
+}
+
+/// Age of the evidence that a follower of a hub receives.
+fn evidence_of(site: &mut Site, index: usize) -> Option<u64> {
+    let now = site.now;
+    site.hubs[index].follow(1, poll(member(100, "c", true)), now);
+    site.advance(1);
+    site.replies.pop().expect("an answer").evidence_ms
+}
+
+/// Guards against evidence of a hub that has none: one that is alone in a larger group, has just
+/// started, is no member or misses a configuration, and against a hub that never has any.
+#[test]
+fn a_hub_has_evidence_once_a_majority_confirms_its_configuration() {
+    let mut site = Site::new();
+    let set = |site: &mut Site, voters: &[u64], versions: [u64; 3]| {
+        for (index, version) in (0..3).zip(versions) {
+            let log = log_of(index as u16 + 1, voters, version);
+            site.hubs[index].set_log(Some(log));
+        }
+        site.advance(1_100);
+    };
+    assert_eq!(evidence_of(&mut site, 0), None, "no log");
+    set(&mut site, &[1, 2, 3], [0; 3]);
+    assert!(evidence_of(&mut site, 0).is_some());
+    // Another VM holds a newer configuration, committed or not.
+    set(&mut site, &[1, 2, 3], [0, 7, 0]);
+    assert!(
+        evidence_of(&mut site, 0).is_some(),
+        "two of three are a majority"
+    );
+    set(&mut site, &[1, 2, 3], [7, 7, 0]);
+    assert_eq!(
+        evidence_of(&mut site, 0),
+        None,
+        "the hub has not applied version 7"
+    );
+    let document = configuration::Document {
+        version: 7,
+        text: "".into(),
+    };
+    site.hubs[0].set_document(&document);
+    assert!(evidence_of(&mut site, 0).is_some());
+    // Its own log is replaced by one that lacks the entry.
+    set(&mut site, &[1, 2, 3], [0; 3]);
+    assert!(
+        evidence_of(&mut site, 1).is_some(),
+        "an overwritten entry does not count"
+    );
+    // A group of one, seen by its member and by another VM.
+    set(&mut site, &[2], [0; 3]);
+    assert!(evidence_of(&mut site, 1).is_some());
+    assert!(
+        evidence_of(&mut site, 2).is_some(),
+        "a VM that does not vote asks the voter"
+    );
+    // A member list that no other log ends with.
+    let alone = log_of(3, &[1, 3, 4], 0);
+    site.hubs[2].set_log(Some(alone));
+    site.advance(1_100);
+    assert_eq!(evidence_of(&mut site, 2), None);
+    set(&mut site, &[1, 2, 3], [0; 3]);
+    site.partitioned = vec![2];
+    site.restart(2..3);
+    site.hubs[2].set_log(Some(log_of(3, &[1, 2, 3], 0)));
+    assert_eq!(evidence_of(&mut site, 2), None, "it has just started");
+}
+
+/// Guards against messages between releases that cannot be read.
+#[test]
+fn messages_of_earlier_releases_carry_no_evidence() {
+    let ack: hub::Ack = serde_json::from_str(r#"{"incarnation":1}"#).expect("it decodes");
+    assert_eq!(ack.log, None);
+    let mut site = Site::new();
+    assert_eq!(evidence_of(&mut site, 0), None);
+    let now = site.now;
+    site.hubs[0].follow(1, poll(member(100, "c", true)), now);
+    site.advance(1);
+    let reply = site.replies.pop().expect("an answer");
+    let text = serde_json::to_string(&reply).expect("it encodes");
+    assert!(!text.contains("evidence"), "{text}");
+    let read: hub::FollowReply = serde_json::from_str(&text).expect("it decodes");
+    assert_eq!(read, reply);
+}
