--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -5,7 +5,9 @@
     time,
 };
 
-use crate::{configuration, control, fleet, follow, forward, hub, node, shutdown, telemetry};
+use crate::{
+    configuration, control, fleet, follow, forward, hub, node, shutdown, telemetry, timer,
+};
 
 /// Reserve at the end of the grace period for the exit of the process.
 const EXIT_MARGIN: time::Duration = time::Duration::from_millis(700);
@@ -93,6 +95,11 @@
         );
         metrics.set_state("outlier_servers", count(view.outliers.len()));
         metrics.set_state("suspect_contents", count(view.contents.len()));
+        let age = view
+            .authority
+            .map(|authority| timer::boot_time().saturating_sub(authority));
+        let age_ms = age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        metrics.set_state("view_authority_ms", age_ms);
         metrics.encode()
     }
 
--- a/crates/fireflyspool/tests/account_keys.rs
+++ b/crates/fireflyspool/tests/account_keys.rs
@@ -20,6 +20,9 @@
 /// Time after which an entry VM that no control VM confirms must refuse keys.
 const SERVING_TIME: time::Duration = time::Duration::from_secs(4);
 
+/// Services with servers in zone `b` only, enough for a group that another entry VM gathers.
+const FAR: [&str; 4] = ["far-1", "far-2", "far-3", "far-4"];
+
 /// Keys of the accounts; none may appear in a log line or metric.
 const KEYS: [&str; 3] = ["alpha-9f86d081", "beta-60303ae2", "gamma-fd61a03a"];
 
@@ -41,11 +44,17 @@
         let controls = CONTROLS.iter().zip(["a", "b", "c"]);
         let controls = controls.map(|(vm, zone)| site.start(*vm, "control", zone, true));
         let controls = controls.collect();
-        let entries = ENTRIES.map(|vm| site.start(vm, "entry", "a", true)).into();
+        let entries = ENTRIES.into_iter().zip(["a", "b"]);
+        let entries = entries
+            .map(|(vm, zone)| site.start(vm, "entry", zone, true))
+            .collect();
         let mut servers = Vec::new();
         for service in SHARDS.iter().chain([&SINGLE_SERVICE]) {
             servers.push(StandInServer::start(service, 0, "a", false).await);
         }
+        for service in FAR {
+            servers.push(StandInServer::start(service, 0, "b", false).await);
+        }
         let servers = sync::Arc::new(Mutex::new(servers));
         let (reporting, reported) = (sync::Arc::clone(&servers), sync::Arc::clone(&site));
         tokio::spawn(async move {
@@ -87,10 +96,16 @@
         );
         let open = r#""Routes":[{"Name":"open","Hostname":"h.example","PathPrefix":"/open/",
             "RouteType":"idempotent","TimeoutMs":2000,"TargetLatencyMs":400,"Priority":2,
-            "Backend":"desk","Attempts":2,"NoAuth":true},"#;
+            "Backend":"desk","Attempts":2,"NoAuth":true},{"Name":"far","Hostname":"h.example",
+            "PathPrefix":"/far/","RouteType":"idempotent","TimeoutMs":2000,"TargetLatencyMs":400,
+            "Priority":2,"Gather":["far-1","far-2","far-3","far-4"],"Attempts":2,"TopK":4,
+            "MinCoverage":1},"#;
+        let services = FAR.map(|name| format!(r#"{{"Name":"{name}","MaxConnections":60}}"#));
+        let services = format!(r#""Backends":[{},"#, services.join(","));
         let text = self.site.configuration(version, 1_500);
         let text = text.replacen('{', &tenants, 1);
         let text = text.replacen(r#""Routes":["#, open, 1);
+        let text = text.replacen(r#""Backends":["#, &services, 1);
         let path = "/fireflyspool/Config.Replace";
         self.site.order(&CONTROLS, path, text).await;
         time::Instant::now()
@@ -313,3 +328,27 @@
     }
     running.search_for_keys().await;
 }
+
+/// Guards against a key that travels to another entry VM in a group, and from there to servers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn groups_carry_the_account_and_no_key() {
+    let mut running = Running::start(78).await;
+    running.configure(7, [KEYS[0], KEYS[1]]).await;
+    let start = time::Instant::now();
+    let gathered = |running: &Running| {
+        let log = running.site.log(ENTRIES[1], "entry");
+        log.matches("group answered").count()
+    };
+    while gathered(&running) < 3 {
+        assert!(
+            start.elapsed() < platform_site::WAIT_LIMIT,
+            "no group was delegated"
+        );
+        let (id, status) = running.send_key(0, "/far/", KEYS[0]).await;
+        if status == 200 {
+            assert_eq!(running.accounts_of(&id).await, vec!["first"; FAR.len()]);
+        }
+        tokio::time::sleep(time::Duration::from_millis(20)).await;
+    }
+    assert!(!running.site.log(ENTRIES[1], "entry").contains(KEYS[0]));
+}
