--- a/crates/fireflyspool/src/follow/follower.rs
+++ b/crates/fireflyspool/src/follow/follower.rs
@@ -17,6 +17,10 @@
 /// Shortest time between two polls, so that changes in quick succession share a reply.
 const POLL_SPACING: time::Duration = time::Duration::from_millis(20);
 
+/// Age of a hub's evidence beyond which another hub is asked; it leaves time to find one before
+/// keys are refused.
+const EVIDENCE_LIMIT: time::Duration = time::Duration::from_millis(2_500);
+
 /// Polls one control VM at a time and builds the entry VM's view from the replies.
 pub struct Follower {
     member: hub::Member,
@@ -27,6 +31,8 @@
     view: fleet::View,
     leaving: bool,
     in_flight: bool,
+    /// Boot time when the last poll was sent.
+    polled: time::Duration,
     due: time::Instant,
 }
 
@@ -51,6 +57,7 @@
             view: fleet::View::default(),
             leaving: false,
             in_flight: false,
+            polled: time::Duration::ZERO,
             due: now,
         })
     }
@@ -103,16 +110,19 @@
 
     /// The poll to send now, if one is due.
     ///
-    /// `suspended` are the backend servers that are not used until their next heartbeat.
+    /// `suspended` are the backend servers that are not used until their next heartbeat, and
+    /// `boot` is the boot time, which includes suspensions of this VM.
     pub fn poll(
         &mut self,
         suspended: &[ids::ServerName],
         now: time::Instant,
+        boot: time::Duration,
     ) -> Option<follow::Poll> {
         if self.in_flight || now < self.due {
             return None;
         }
         self.in_flight = true;
+        self.polled = boot;
         self.member.ready = self.view.table.is_some() && !self.leaving;
         let table = self.view.table.as_ref();
         let (incarnation, position) = self.choice.position();
@@ -175,7 +185,7 @@
         if reply.current && with_records {
             self.view.confirmed = Some(now);
         }
-        match reply.current {
+        match reply.current && !self.lacks_evidence(reply.evidence_ms) {
             true => self.choice.confirm(with_records),
             false => self.switch_hub(now),
         }
@@ -188,9 +198,29 @@
                 false => self.choice.add_hubs(hubs),
             }
         }
-        reply
-            .document
-            .map_or(Ok(()), |document| self.apply_document(&document))
+        if let Some(document) = &reply.document {
+            self.apply_document(document)?;
+        }
+        self.extend_authority(reply.evidence_ms);
+        Ok(())
+    }
+
+    /// Whether a hub cannot prove that it holds all configurations, and keys depend on it.
+    fn lacks_evidence(&self, evidence_ms: Option<u64>) -> bool {
+        let table = self.view.table.as_ref();
+        let age = evidence_ms.map(time::Duration::from_millis);
+        table.is_some_and(|table| !table.accounts().is_empty())
+            && age.is_none_or(|age| age > EVIDENCE_LIMIT)
+    }
+
+    /// Takes the evidence of a reply whose configuration is in use.
+    ///
+    /// The reply was created after the poll was sent, so the view holds every configuration that
+    /// was acknowledged earlier than this age before the poll.
+    fn extend_authority(&mut self, evidence_ms: Option<u64>) {
+        let age = evidence_ms.map(time::Duration::from_millis);
+        let proven = age.and_then(|age| self.polled.checked_sub(age));
+        self.view.authority = self.view.authority.max(proven);
     }
 
     fn merge_contents(&mut self, reply: &hub::FollowReply, now: time::Instant) {
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -5,7 +5,9 @@
     time,
 };
 
-use crate::{configuration, control, fleet, follow, forward, hub, node, shutdown, telemetry};
+use crate::{
+    configuration, control, fleet, follow, forward, hub, node, shutdown, telemetry, timer,
+};
 
 /// Reserve at the end of the grace period for the exit of the process.
 const EXIT_MARGIN: time::Duration = time::Duration::from_millis(700);
@@ -57,7 +59,7 @@
             .start(drop)?;
         let fleet = fleet::Fleet::new(settings.zone, incarnation, settings.limits);
         let forwarding = node::Forwarding::new(sync::Arc::clone(&process), fleet, client);
-        let forwarding = sync::Arc::new(forwarding);
+        let forwarding = sync::Arc::new(forwarding.with_account_limits(&settings.accounts));
         let opening = node::first_connections::open(sync::Arc::clone(&forwarding));
         tokio::spawn(opening);
         Ok(sync::Arc::new(Self {
@@ -93,6 +95,11 @@
         );
         metrics.set_state("outlier_servers", count(view.outliers.len()));
         metrics.set_state("suspect_contents", count(view.contents.len()));
+        let age = view
+            .authority
+            .map(|authority| timer::boot_time().saturating_sub(authority));
+        let age_ms = age.map_or(-1, |age| i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+        metrics.set_state("view_authority_ms", age_ms);
         metrics.encode()
     }
 
--- a/crates/fireflyspool/tests/follow.rs
+++ b/crates/fireflyspool/tests/follow.rs
@@ -20,6 +20,7 @@
     hub::FollowReply {
         incarnation,
         current: true,
+        evidence_ms: None,
         document: None,
         zones: None,
         changes: registry::ChangeSet {
@@ -116,18 +117,30 @@
     let mut follower = follower(now);
     let mut first = reply(1);
     first.document = Some(document(5));
-    let mut hubs = vec![follower.poll(&[], now).expect("a poll is due").hub];
+    let mut hubs = vec![
+        follower
+            .poll(&[], now, time::Duration::ZERO)
+            .expect("a poll is due")
+            .hub,
+    ];
     follower.poll_ended(Some(first), now).expect("it decodes");
     for lost in [true, false, true] {
         now += time::Duration::from_secs(1);
-        hubs.push(follower.poll(&[], now).expect("a poll is due").hub);
+        hubs.push(
+            follower
+                .poll(&[], now, time::Duration::ZERO)
+                .expect("a poll is due")
+                .hub,
+        );
         let mut partitioned = reply(1);
         partitioned.current = false;
         let answer = (!lost).then_some(partitioned);
         follower.poll_ended(answer, now).expect("nothing to decode");
     }
     now += time::Duration::from_secs(1);
-    let poll = follower.poll(&[], now).expect("a poll is due");
+    let poll = follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     hubs.push(poll.hub);
     assert_ne!(hubs[1], hubs[2]);
     assert_ne!(hubs[2], hubs[3]);
@@ -147,13 +160,18 @@
         zone: zone.to_owned(),
         incarnation: 1,
     };
-    follower.poll(&[], now).expect("a poll is due");
+    follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     let mut first = reply(1);
     first.hubs = Some(vec![origin(1, "a"), origin(9, "b")]);
     follower.poll_ended(Some(first), now).expect("it decodes");
     now += time::Duration::from_secs(1);
     assert_eq!(
-        follower.poll(&[], now).expect("a poll is due").hub,
+        follower
+            .poll(&[], now, time::Duration::ZERO)
+            .expect("a poll is due")
+            .hub,
         address(9)
     );
 }
@@ -165,10 +183,14 @@
     let mut follower = follower(now);
     let mut first = reply(1);
     first.document = Some(document(5));
-    follower.poll(&[], now).expect("a poll is due");
+    follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     follower.poll_ended(Some(first), now).expect("it decodes");
     follower.leave(now);
-    let poll = follower.poll(&[], now).expect("a poll is due");
+    let poll = follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     assert!(!poll.request.member.ready);
 }
 
@@ -199,7 +221,9 @@
     let mut asked = Vec::new();
     for _ in 0..polls {
         *now += time::Duration::from_millis(250);
-        let poll = follower.poll(&[], *now).expect("a poll is due");
+        let poll = follower
+            .poll(&[], *now, time::Duration::ZERO)
+            .expect("a poll is due");
         let incarnation = u64::from(poll.hub.port());
         let known = poll.request.incarnation == incarnation;
         let mut answer = reply(incarnation);
@@ -265,7 +289,9 @@
 fn a_hub_that_is_only_asked_whether_it_is_current_confirms_nothing() {
     let now = time::Instant::now();
     let mut follower = follower(now);
-    let poll = follower.poll(&[], now).expect("a poll is due");
+    let poll = follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     assert!(!poll.request.records, "its zone is not known");
     follower
         .poll_ended(Some(reply(1)), now)
@@ -332,7 +358,9 @@
         zone: "b".to_owned(),
         incarnation: 4,
     }];
-    let poll = follower.poll(&[], now).expect("a poll is due");
+    let poll = follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     assert_eq!(
         poll.request.delegates, None,
         "no hub of the own zone is known"
@@ -343,7 +371,9 @@
     };
     follower.poll_ended(Some(first), now).expect("it is valid");
     let now = now + time::Duration::from_millis(100);
-    let poll = follower.poll(&[], now).expect("a poll is due");
+    let poll = follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     assert_eq!(poll.request.delegates, Some(0));
     let second = hub::FollowReply {
         delegates: Some(delegates.clone()),
@@ -352,7 +382,9 @@
     follower.poll_ended(Some(second), now).expect("it is valid");
     assert_eq!(follower.view().delegates, delegates);
     let now = now + time::Duration::from_millis(100);
-    let poll = follower.poll(&[], now).expect("a poll is due");
+    let poll = follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll is due");
     let checksum = hub::Delegate::checksum(&delegates);
     assert_eq!(poll.request.delegates, Some(checksum));
     follower
@@ -373,14 +405,18 @@
         zone: ["a", "b", "c"][usize::from(port % 3)].to_owned(),
         incarnation: u64::from(port),
     };
-    let poll = follower.poll(&[], now).expect("a poll");
+    let poll = follower
+        .poll(&[], now, time::Duration::ZERO)
+        .expect("a poll");
     let mut first = reply(u64::from(poll.hub.port()));
     first.hubs = Some((1..10).map(info).collect());
     follower.poll_ended(Some(first), now).expect("it decodes");
     let majority = 5..10;
     for _ in 0..40 {
         now += time::Duration::from_millis(200);
-        let poll = follower.poll(&[], now).expect("a poll");
+        let poll = follower
+            .poll(&[], now, time::Duration::ZERO)
+            .expect("a poll");
         if majority.contains(&poll.hub.port()) {
             return;
         }
@@ -391,3 +427,73 @@
     }
     panic!("no hub of the majority is asked");
 }
+
+/// Reply with a configuration that has a client account, and evidence of this age.
+fn keyed_reply(version: u64, evidence_ms: Option<u64>) -> hub::FollowReply {
+    let text = format!(
+        r#"{{"Version":{version},"Routes":[],"Backends":[],
+        "Tenants":[{{"Name":"t","ApiKeys":["k"]}}]}}"#
+    );
+    hub::FollowReply {
+        evidence_ms,
+        document: Some(configuration::Document {
+            version,
+            text: text.into(),
+        }),
+        ..reply(1)
+    }
+}
+
+/// Guards against an authority that counts from the arrival of a reply, goes back, or comes with a
+/// configuration that is not in use.
+#[test]
+fn the_authority_is_the_time_of_the_poll_less_the_age_of_the_evidence() {
+    let second = time::Duration::from_secs(1);
+    let mut now = time::Instant::now();
+    let mut follower = follower(now);
+    let mut unreadable = keyed_reply(9, Some(0));
+    unreadable.document = Some(configuration::Document {
+        version: 9,
+        text: "{".into(),
+    });
+    let cases = [
+        // Evidence from before the start of this machine is none.
+        (5, keyed_reply(1, Some(6_000)), None),
+        (10, keyed_reply(2, Some(1_000)), Some(9)),
+        (20, keyed_reply(2, None), Some(9)),
+        (21, keyed_reply(2, Some(15_000)), Some(9)),
+        (22, unreadable, Some(9)),
+        (30, keyed_reply(2, Some(0)), Some(30)),
+    ];
+    for (boot, reply, expected) in cases {
+        now += second;
+        let poll = follower.poll(&[], now, second * boot);
+        assert!(poll.is_some(), "a poll is due");
+        let readable = reply.document.as_ref().is_some_and(|held| held.version < 9);
+        assert_eq!(follower.poll_ended(Some(reply), now).is_ok(), readable);
+        let expected = expected.map(|seconds| second * seconds);
+        assert_eq!(follower.view().authority, expected, "after {boot} s");
+    }
+}
+
+/// Guards against an entry VM that refuses all keys because it stays with a hub whose log fails.
+#[test]
+fn a_hub_without_evidence_is_left_if_there_are_accounts() {
+    let second = time::Duration::from_secs(1);
+    for (first, stays) in [(keyed_reply(1, Some(0)), false), (reply(1), true)] {
+        let mut now = time::Instant::now();
+        let mut follower = follower(now);
+        follower.poll_ended(Some(first), now).expect("it decodes");
+        for evidence_ms in [None, Some(2_501)] {
+            let former = follower.hub();
+            now += second;
+            follower.poll(&[], now, second).expect("a poll is due");
+            let mut answer = reply(1);
+            answer.evidence_ms = evidence_ms;
+            follower
+                .poll_ended(Some(answer), now)
+                .expect("nothing to decode");
+            assert_eq!(follower.hub() == former, stays, "{evidence_ms:?}");
+        }
+    }
+}
