--- a/crates/fireflyspool/src/control/follower_driver.rs
+++ b/crates/fireflyspool/src/control/follower_driver.rs
@@ -1,6 +1,6 @@
 //! Polls of an entry VM, sent by the control thread.
 
-use std::time;
+use std::{net, time};
 
 use crate::{containment, control, follow, hub, ids, sorted};
 
@@ -13,6 +13,8 @@
     version: ids::ConfigVersion,
     /// Outliers as last logged.
     outliers: Vec<ids::ServerName>,
+    /// Control VMs as last published.
+    hubs: Vec<net::SocketAddr>,
     /// Observations to send with the next tick.
     observations: Vec<hub::Observation>,
 }
@@ -26,6 +28,7 @@
             connected: false,
             version: 0,
             outliers: Vec::new(),
+            hubs: Vec::new(),
             observations: Vec::new(),
         }
     }
@@ -94,6 +97,11 @@
             slog::error!(self.logger, "received configuration cannot be used; the former one stays";
                 "error" => %error);
         }
+        let hubs = self.follower.hubs();
+        if hubs != self.hubs {
+            self.hubs.clone_from(&hubs);
+            outlet.publish_hubs(hubs);
+        }
         if answered {
             let view = self.follower.view().clone();
             self.log_outliers(&view.outliers);
--- a/crates/fireflyspool/src/control/hub_driver.rs
+++ b/crates/fireflyspool/src/control/hub_driver.rs
@@ -1,10 +1,10 @@
 //! The hub of a control VM on the control thread.
 
-use std::{net, time};
+use std::{net, sync, time};
 
 use tokio::sync::oneshot;
 
-use crate::{control, hub, ids, registry, sorted};
+use crate::{configuration, control, hub, ids, registry, sorted};
 
 /// Longest time between two ticks, so that joins and replacements are checked regularly.
 const MAX_SLEEP: time::Duration = time::Duration::from_secs(1);
@@ -39,6 +39,8 @@
     pub(super) retired: bool,
     /// Whether the hub had recovered as last logged.
     recovered: bool,
+    /// Tokens of client accounts; `None` if this VM grants none.
+    quotas: Option<control::QuotaDriver>,
     pub(super) logger: slog::Logger,
 }
 
@@ -67,10 +69,24 @@
             reachable: Vec::new(),
             retired: false,
             recovered: false,
+            quotas: None,
             logger,
         }
     }
 
+    /// Has the hub grant tokens of the client accounts in the configuration, which `format`
+    /// decodes.
+    #[must_use]
+    pub fn with_quotas(
+        mut self,
+        format: sync::Arc<dyn configuration::Format>,
+        now: time::Instant,
+    ) -> Self {
+        let logger = self.logger.clone();
+        self.quotas = Some(control::QuotaDriver::new(format, logger, now));
+        self
+    }
+
     /// When [`Self::tick`] must be called again at the latest.
     pub fn next_wake(&self, now: time::Instant) -> time::Instant {
         self.hub.next_deadline(now).min(now + MAX_SLEEP)
@@ -126,6 +142,17 @@
                 self.pending_polls.insert(ticket, reply);
                 self.hub.follow(ticket, *request, now);
             }
+            control::HubEvent::TakeTokens { asks, reply } => {
+                // A hub that is cut off may have been replaced in the group, and its limits may
+                // be out of date. Its share is unavailable then; the dropped reply channel makes
+                // the entry VM ask another hub.
+                if self.hub.follows_log(now)
+                    && let Some(grants) = self.quotas.as_mut().and_then(|own| own.take(&asks, now))
+                {
+                    // The entry VM may have stopped waiting.
+                    let _ = reply.send(grants);
+                }
+            }
             control::HubEvent::Stop => self.stopping = true,
             control::HubEvent::JoinEnded(reply) => self.join_ended(reply, now),
             control::HubEvent::RecordEnded(reply) => self.record_ended(reply, now),
@@ -196,6 +223,9 @@
             self.version = document.version;
             self.hub.set_document(document);
             slog::info!(self.logger, "configuration in force"; "version" => document.version);
+            if let Some(quotas) = &mut self.quotas {
+                quotas.set_document(document, now);
+            }
         }
         self.hub.set_departures(&voter.state.departures, now);
         let catalog = &voter.state.catalog;
@@ -210,6 +240,9 @@
             outlet.publish_control_addresses(addresses.clone());
         }
         let group: Vec<_> = addresses.into_iter().map(|(_, rpc)| rpc).collect();
+        if let Some(quotas) = &mut self.quotas {
+            quotas.set_group(&group, voter.members().len(), self.own.rpc, now);
+        }
         self.hub.set_group(group);
     }
 
--- a/crates/fireflyspool/src/control/hub_event.rs
+++ b/crates/fireflyspool/src/control/hub_event.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::{control, hub, ids, registry};
+use crate::{control, hub, ids, quota, registry};
 
 /// Message for the hub of a control VM.
 pub enum HubEvent {
@@ -49,6 +49,14 @@
         /// Receives the reply once there are changes or the poll's time is over.
         reply: oneshot::Sender<hub::FollowReply>,
     },
+    /// An entry VM needs tokens for requests of limited accounts.
+    TakeTokens {
+        /// Tokens by account.
+        asks: Vec<quota::Ask>,
+        /// Receives one answer for each account, in the same order; dropped if this hub must
+        /// not grant any.
+        reply: oneshot::Sender<Vec<Option<quota::Grant>>>,
+    },
     /// This VM was told to stop.
     Stop,
     /// The command of this VM that records departures has ended; `None` if no reply arrived.
--- a/crates/fireflyspool/src/control/outlet.rs
+++ b/crates/fireflyspool/src/control/outlet.rs
@@ -51,7 +51,7 @@
 
     /// Polls a control VM and reports [`crate::control::Event::PollEnded`].
     ///
-    /// Only entry VMs that follow a hub override this method and the next three.
+    /// Only entry VMs that follow a hub override this method and the next four.
     fn send_poll(&self, _hub: net::SocketAddr, _request: hub::FollowRequest) {}
 
     /// Sends observations about backend servers to a control VM, without any guarantee of
@@ -61,6 +61,10 @@
     /// Publishes the view of a follower to the traffic threads.
     fn publish_fleet(&self, _view: fleet::View) {}
 
+    /// Publishes the listeners of the control VMs, in the order in which they are asked for
+    /// tokens, to the traffic threads.
+    fn publish_hubs(&self, _hubs: Vec<net::SocketAddr>) {}
+
     /// Backend servers that the traffic threads do not use until their next heartbeat.
     fn suspended_servers(&self) -> Vec<ids::ServerName> {
         Vec::new()
--- a/crates/fireflyspool/src/follow/follower.rs
+++ b/crates/fireflyspool/src/follow/follower.rs
@@ -65,6 +65,11 @@
         self.choice.current()
     }
 
+    /// Listeners of all known control VMs, the polled one first.
+    pub fn hubs(&self) -> Vec<net::SocketAddr> {
+        self.choice.ranked()
+    }
+
     /// Listener of the control VM that collects an observation.
     pub fn observer(&self, (server, symptom): &hub::Observation) -> net::SocketAddr {
         match symptom {
--- a/crates/fireflyspool/src/follow/hub_choice.rs
+++ b/crates/fireflyspool/src/follow/hub_choice.rs
@@ -53,6 +53,25 @@
         self.current
     }
 
+    /// Hubs in the order in which they are asked for tokens: the polled one, others of the own
+    /// zone, the rest. The order of the others differs between entry VMs.
+    pub(super) fn ranked(&self) -> Vec<net::SocketAddr> {
+        let known = self.hubs.iter().map(|info| info.rpc);
+        let mut ranked: Vec<_> = match self.hubs.is_empty() {
+            true => self.contacts.clone(),
+            false => known.collect(),
+        };
+        if !ranked.contains(&self.current) {
+            ranked.push(self.current);
+        }
+        ranked.sort_by_key(|listener| {
+            let hasher = hashing::StableHasher::new().number(self.spread);
+            let hash = hasher.text(&listener.to_string()).finish();
+            (*listener != self.current, !self.is_local(*listener), hash)
+        });
+        ranked
+    }
+
     /// Checksum of the known hubs.
     pub(super) fn hubs_checksum(&self) -> u64 {
         hub::HubInfo::checksum(&self.hubs)
--- a/crates/fireflyspool/src/forward/outcome.rs
+++ b/crates/fireflyspool/src/forward/outcome.rs
@@ -23,6 +23,11 @@
         /// Time after which the caller may try again.
         retry_after: time::Duration,
     },
+    /// The request did not run and will not: its client account has used its quota.
+    Limited {
+        /// Time after which the account has a token for it.
+        retry_after: time::Duration,
+    },
     /// No route matches the request.
     NoRoute,
     /// No backend server gave a usable response; the request may have run.
@@ -39,6 +44,7 @@
             Self::Gathered { missing: 0, .. } => "complete",
             Self::Gathered { .. } => "partial",
             Self::Refused { .. } => "refused",
+            Self::Limited { .. } => "limited",
             Self::NoRoute => "no_route",
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -243,12 +243,15 @@
     /// Whether entry VMs may rely on this hub: it knows all departures, reaches a majority, has
     /// a configuration and does not lag behind the replicated log.
     pub(super) fn is_current(&self, now: time::Instant) -> bool {
+        self.has_recovered() && self.follows_log(now)
+    }
+
+    /// Whether this hub has a configuration, reaches a majority and does not lag behind the
+    /// replicated log.
+    pub fn follows_log(&self, now: time::Instant) -> bool {
         let lags =
             |since: time::Instant| now.saturating_duration_since(since) > self.config.lag_limit;
-        self.has_recovered()
-            && self.has_quorum(now)
-            && self.document.is_some()
-            && !self.behind_since.is_some_and(lags)
+        self.has_quorum(now) && self.document.is_some() && !self.behind_since.is_some_and(lags)
     }
 
     /// Whether a majority of the control group is reachable, this VM included.
--- a/crates/fireflyspool/src/lib.rs
+++ b/crates/fireflyspool/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod peak;
 pub mod plan;
 pub mod platform;
+pub mod quota;
 pub mod registry;
 pub mod rim;
 pub mod roster;
--- a/crates/fireflyspool/src/node/control.rs
+++ b/crates/fireflyspool/src/node/control.rs
@@ -11,7 +11,8 @@
 
 use crate::node::node_id;
 use crate::{
-    consensus, control, hub, ids, node, registry, rim, roster, sorted, state, storage, timer,
+    configuration, consensus, control, hub, ids, node, registry, rim, roster, sorted, state,
+    storage, timer,
 };
 
 /// Timeout of a command; its sender tries another VM after a second.
@@ -51,6 +52,7 @@
     /// Fails if the listener's address cannot be bound or no thread can be started.
     pub async fn start(
         settings: node::ControlSettings,
+        format: sync::Arc<dyn configuration::Format>,
         logger: slog::Logger,
     ) -> anyhow::Result<sync::Arc<Self>> {
         let (process, receiver) = node::Process::start(logger.clone())?;
@@ -69,7 +71,8 @@
         let config = hub::Config::new(settings.heartbeat);
         let now = time::Instant::now();
         let contacts = settings.contacts.clone();
-        let hub = control::HubDriver::new(own, config, contacts, logger.clone(), now);
+        let hub = control::HubDriver::new(own, config, contacts, logger.clone(), now)
+            .with_quotas(format, now);
         let node = sync::Arc::new(Self {
             process,
             rpc: settings.rpc,
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -20,6 +20,7 @@
 pub struct Entry {
     process: sync::Arc<node::Process>,
     forwarding: sync::Arc<node::Forwarding>,
+    quotas: sync::Arc<node::QuotaClient>,
     grace: time::Duration,
     dropped: telemetry::DroppedLines,
 }
@@ -55,6 +56,7 @@
         control::ControlThread::new(outlet, receiver, None, None, Vec::new(), logger)
             .with_follower(follow)
             .start(drop)?;
+        let quotas = node::QuotaClient::start(sync::Arc::clone(&process));
         let fleet = fleet::Fleet::new(settings.zone, incarnation, settings.limits);
         let forwarding = node::Forwarding::new(sync::Arc::clone(&process), fleet, client);
         let forwarding = sync::Arc::new(forwarding);
@@ -63,6 +65,7 @@
         Ok(sync::Arc::new(Self {
             process,
             forwarding,
+            quotas,
             grace: settings.grace,
             dropped,
         }))
@@ -92,6 +95,7 @@
             count(self.process.suspended.load().len()),
         );
         metrics.set_state("outlier_servers", count(view.outliers.len()));
+        metrics.set_state("waiting_for_tokens", count(self.quotas.waiting()));
         metrics.set_state("suspect_contents", count(view.contents.len()));
         metrics.encode()
     }
--- a/crates/fireflyspool/src/node/process.rs
+++ b/crates/fireflyspool/src/node/process.rs
@@ -30,6 +30,9 @@
     pub view: arc_swap::ArcSwap<fleet::View>,
     /// Notified when `view` has changed.
     pub view_changed: tokio::sync::Notify,
+    /// Listeners of the control VMs in the order in which this VM asks them for tokens; empty
+    /// on control VMs.
+    pub hubs: arc_swap::ArcSwap<Vec<net::SocketAddr>>,
     /// Backend servers that the traffic threads do not use until their next heartbeat.
     pub suspended: arc_swap::ArcSwap<Vec<ids::ServerName>>,
 }
@@ -57,6 +60,7 @@
             addresses: arc_swap::ArcSwap::default(),
             view: arc_swap::ArcSwap::default(),
             view_changed: tokio::sync::Notify::new(),
+            hubs: arc_swap::ArcSwap::default(),
             suspended: arc_swap::ArcSwap::default(),
         };
         Ok((sync::Arc::new(process), receiver))
--- a/crates/fireflyspool/src/node/rpc_listener.rs
+++ b/crates/fireflyspool/src/node/rpc_listener.rs
@@ -5,7 +5,7 @@
 use jsonrpsee::{server, types};
 use tokio::sync::oneshot;
 
-use crate::{control, hub, node, rim, state};
+use crate::{control, hub, node, quota, rim, state};
 
 type Module = jsonrpsee::RpcModule<sync::Arc<node::Control>>;
 type Reply<T> = Result<T, types::ErrorObjectOwned>;
@@ -56,6 +56,13 @@
         node.process().send_event(event);
         Reply::Ok(())
     })?;
+    module.register_async_method(
+        rim::Method::TakeTokens.name(),
+        |parameters, node, _| async move {
+            let asks: Vec<quota::Ask> = parameters.one()?;
+            ask_hub(&node, |reply| control::HubEvent::TakeTokens { asks, reply }).await
+        },
+    )?;
     module.register_async_method(
         rim::Method::Idempotent.name(),
         |parameters, node, _| async move {
--- a/crates/fireflyspool/src/node/rpc_outlet.rs
+++ b/crates/fireflyspool/src/node/rpc_outlet.rs
@@ -152,6 +152,10 @@
         self.process.view_changed.notify_one();
     }
 
+    fn publish_hubs(&self, hubs: Vec<net::SocketAddr>) {
+        self.process.hubs.store(sync::Arc::new(hubs));
+    }
+
     fn suspended_servers(&self) -> Vec<ids::ServerName> {
         self.process.suspended.load().as_ref().clone()
     }
--- a/crates/fireflyspool/src/platform/caller_service.rs
+++ b/crates/fireflyspool/src/platform/caller_service.rs
@@ -95,13 +95,12 @@
             })
         }
         forward::Outcome::Refused { retry_after } => {
-            let mut response = text_response(http::StatusCode::SERVICE_UNAVAILABLE, "not run");
-            let seconds = format!("{:.3}", retry_after.as_secs_f64());
-            if let Ok(value) = http::HeaderValue::from_str(&seconds) {
-                let headers = response.headers_mut();
-                headers.insert(http::header::RETRY_AFTER, value);
-            }
-            response
+            let response = text_response(http::StatusCode::SERVICE_UNAVAILABLE, "not run");
+            with_retry_after(response, retry_after)
+        }
+        forward::Outcome::Limited { retry_after } => {
+            let response = text_response(http::StatusCode::TOO_MANY_REQUESTS, "over the quota");
+            with_retry_after(response, retry_after)
         }
         forward::Outcome::NoRoute => text_response(http::StatusCode::NOT_FOUND, "no route"),
         forward::Outcome::Failed => {
@@ -113,6 +112,15 @@
     }
 }
 
+fn with_retry_after(mut response: Response, retry_after: time::Duration) -> Response {
+    let seconds = format!("{:.3}", retry_after.as_secs_f64());
+    if let Ok(value) = http::HeaderValue::from_str(&seconds) {
+        let headers = response.headers_mut();
+        headers.insert(http::header::RETRY_AFTER, value);
+    }
+    response
+}
+
 fn text_response(status: http::StatusCode, text: &'static str) -> Response {
     let mut response = Response::new(Body::from(text));
     *response.status_mut() = status;
--- a/crates/fireflyspool/src/platform/run.rs
+++ b/crates/fireflyspool/src/platform/run.rs
@@ -104,7 +104,8 @@
     let own = settings.control()?;
     let address = own.control;
     let (logger, _guard, _) = node::start_logger(own.rpc);
-    let node = node::Control::start(own, logger.clone()).await?;
+    let format = sync::Arc::new(platform::ConfigurationFormat);
+    let node = node::Control::start(own, format, logger.clone()).await?;
     let (closing, closed) = watch::channel(false);
     let handler =
         control_service::ControlService::new(sync::Arc::clone(&node), settings.message_memory());
--- a/crates/fireflyspool/src/rim/method.rs
+++ b/crates/fireflyspool/src/rim/method.rs
@@ -31,6 +31,8 @@
     Idempotent,
     /// Reports the results of attempts at backend servers.
     Observe,
+    /// Takes tokens of client accounts from the share of a control VM.
+    TakeTokens,
 }
 
 impl Method {
@@ -51,6 +53,7 @@
             Self::Follow => "hub.follow",
             Self::Idempotent => "order.decide",
             Self::Observe => "hub.observe",
+            Self::TakeTokens => "hub.take_tokens",
         }
     }
 }
--- a/crates/fireflyspool/tests/query_fixture/mod.rs
+++ b/crates/fireflyspool/tests/query_fixture/mod.rs
@@ -12,7 +12,7 @@
 
 use fireflyspool::{backend, dispatch, gather, ids, outcome, peak, plan, sorted, state, view};
 
-pub(crate) use random::{Choices, SplitMix64, fuzz};
+pub(crate) use random::{Choices, SplitMix64, fuzz, fuzz_runs};
 
 pub(crate) const COLLECTION: &str = "dossiers";
 pub(crate) const SERVICE: &str = "intake-desk";
--- a/crates/fireflyspool/tests/query_fixture/random.rs
+++ b/crates/fireflyspool/tests/query_fixture/random.rs
@@ -24,6 +24,11 @@
 /// Checks a property on random lists from the fixed seeds. `FIREFLYSPOOL_FUZZ_RUNS`
 /// adds that many lists from a new seed or from `FIREFLYSPOOL_FUZZ_SEED`.
 pub(crate) fn fuzz(name: &str, size: usize, property: fn(Vec<u32>)) {
+    fuzz_runs(name, size, 1_000, property);
+}
+
+/// Like [`fuzz`] with another number of lists for each of the fixed seeds.
+pub(crate) fn fuzz_runs(name: &str, size: usize, lists: u64, property: fn(Vec<u32>)) {
     let run = |seed: u64, tests: u64| {
         println!("{name}: seed {seed}, {tests} lists");
         let generator = quickcheck::Gen::from_size_and_seed(size, seed);
@@ -34,7 +39,7 @@
             .quickcheck(property);
     };
     for seed in SEEDS {
-        run(seed, 1_000);
+        run(seed, lists);
     }
     let number = |key| {
         std::env::var(key)
