--- a/crates/fireflyspool/tests/quotas.rs
+++ b/crates/fireflyspool/tests/quotas.rs
@@ -274,6 +274,7 @@
             figures
         });
         let [shared, equal] = figures;
+        assert!(shared.refused_early < 0.01, "{shared:?}");
         assert!(
             shared.refused < 0.005 && shared.refused < equal.refused,
             "{shared:?}"
