--- a/crates/fireflyspool/src/forward/outcome.rs
+++ b/crates/fireflyspool/src/forward/outcome.rs
@@ -25,6 +25,11 @@
     },
     /// The request carries no key of a client account; it did not run.
     Unauthorized,
+    /// The request did not run and will not: its client account has used its quota.
+    Limited {
+        /// Time after which the account has a token for it.
+        retry_after: time::Duration,
+    },
     /// No route matches the request.
     NoRoute,
     /// No backend server gave a usable response; the request may have run.
@@ -42,6 +47,7 @@
             Self::Gathered { .. } => "partial",
             Self::Refused { .. } => "refused",
             Self::Unauthorized => "unauthorized",
+            Self::Limited { .. } => "limited",
             Self::NoRoute => "no_route",
             Self::Failed => "failed",
             Self::TimedOut => "timed_out",
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -94,6 +94,10 @@
             count(self.process.suspended.load().len()),
         );
         metrics.set_state("outlier_servers", count(view.outliers.len()));
+        metrics.set_state(
+            "waiting_for_tokens",
+            count(self.forwarding.quotas().waiting()),
+        );
         metrics.set_state("suspect_contents", count(view.contents.len()));
         let age = view
             .authority
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::watch;
 
-use crate::{access, control, fleet, forward, node, rim, shutdown, telemetry, timer};
+use crate::{access, control, fleet, forward, node, quota, rim, shutdown, telemetry, timer};
 
 /// Time after which a caller may try again that is refused because the view is too old.
 const RETRY_AFTER: time::Duration = time::Duration::from_millis(200);
@@ -25,6 +25,8 @@
     pub(super) client: sync::Arc<dyn node::BackendClient>,
     /// Connections to the entry VMs to which groups are delegated.
     pub(super) delegates: rim::ForwardClient,
+    /// Tokens for the requests of accounts with a quota.
+    quotas: sync::Arc<node::QuotaClient>,
     pub(super) metrics: telemetry::Metrics,
     pub(super) answer_delay: node::answer_delay::AnswerDelay,
     running: sync::Arc<atomic::AtomicUsize>,
@@ -42,11 +44,13 @@
         client: sync::Arc<dyn node::BackendClient>,
     ) -> Self {
         let delegates = rim::ForwardClient::new(process.timer.clone());
+        let quotas = node::QuotaClient::start(sync::Arc::clone(&process));
         Self {
             process,
             fleet: sync::Mutex::new(fleet),
             client,
             delegates,
+            quotas,
             metrics: telemetry::Metrics::default(),
             answer_delay: node::answer_delay::AnswerDelay::default(),
             running: sync::Arc::default(),
@@ -63,6 +67,11 @@
         self
     }
 
+    /// Tokens for the requests of accounts with a quota.
+    pub fn quotas(&self) -> &node::QuotaClient {
+        &self.quotas
+    }
+
     /// Number of requests that are not answered yet.
     pub fn running(&self) -> usize {
         self.running.load(atomic::Ordering::Relaxed)
@@ -139,6 +148,11 @@
         if !accounts.is_empty() {
             let account = request.account().map(sync::Arc::as_ref);
             self.client.identify(&mut message.headers, account);
+            if let Some(account) = account
+                && let Err(denial) = self.quotas.take(account, route.objective).await
+            {
+                return self.limit(&request, denial, received);
+            }
         }
         let forwarding = sync::Arc::clone(self);
         let content = (request, message);
@@ -194,6 +208,27 @@
         forward::Outcome::Unauthorized
     }
 
+    fn limit(
+        &self,
+        request: &forward::Request,
+        denial: quota::Denial,
+        received: time::Instant,
+    ) -> forward::Outcome {
+        match denial {
+            quota::Denial::Unavailable { retry_after } => {
+                self.refuse(request, denial.label(), retry_after, received)
+            }
+            quota::Denial::Exhausted { retry_after } => {
+                slog::info!(self.process.logger, "request over its quota";
+                    "request" => &request.id, "cause" => denial.label(),
+                    "account" => request.account().map(|account| account.name.as_str()),
+                    "elapsed_us" => micros(received.elapsed()));
+                telemetry::Metrics::count(&self.metrics.refusals, denial.label());
+                forward::Outcome::Limited { retry_after }
+            }
+        }
+    }
+
     /// Whether attempts of a request may still be sent, by the newest view.
     pub(super) fn may_send(&self, request: &forward::Request) -> bool {
         let Some(grant) = &request.grant else {
