--- a/crates/fireflyspool/src/admission/admission.rs
+++ b/crates/fireflyspool/src/admission/admission.rs
@@ -18,6 +18,9 @@
 /// Lower bound of that time, which applies until request times were observed.
 const MIN_PACING_SLACK: time::Duration = time::Duration::from_millis(100);
 
+/// Part of the time to its objective for which a request with a forecast may wait.
+const WAIT_DIVISOR: u32 = 5;
+
 /// Decides which requests run, wait or are refused.
 #[derive(Clone, Debug, Default)]
 pub struct Admission {
@@ -27,6 +30,9 @@
     load: u64,
     pub(super) limit: admission::ConcurrencyLimit,
     credits: admission::start_credits::StartCredits,
+    pub(super) shedding: admission::shedding::Shedding,
+    /// Whether the limit is not applied, because the last forecast showed no shortage.
+    unlimited: bool,
     wake: Option<time::Instant>,
 }
 
@@ -62,11 +68,36 @@
                 let waiting = admission::waiting::Waiting {
                     ticket,
                     deadline,
+                    answer_by: deadline,
                     cost: cost.max(1),
                     held_back: false,
                 };
                 self.arrive(kind, waiting, limits, now, &mut actions);
             }
+            admission::Event::Assessed {
+                ticket,
+                kind,
+                deadline,
+                cost,
+                forecast,
+            } => {
+                self.unlimited = !forecast.is_shortage();
+                let waiting = admission::waiting::Waiting {
+                    ticket,
+                    deadline: wait_limit(&forecast, deadline, now),
+                    answer_by: deadline,
+                    cost: cost.max(1),
+                    held_back: false,
+                };
+                match self.shedding.judge(kind, &waiting, &forecast, now) {
+                    Some(shed) => actions.push(admission::Action::Refuse {
+                        ticket,
+                        reason: shed.reason,
+                        retry_after: shed.retry_after,
+                    }),
+                    None => self.arrive(kind, waiting, limits, now, &mut actions),
+                }
+            }
             admission::Event::Ended { ticket, end } => self.end(ticket, end, now),
             admission::Event::Timer => {}
         }
@@ -107,6 +138,10 @@
             return;
         };
         let request_time = now.saturating_duration_since(started.started_at);
+        if end != admission::End::Gone {
+            let served = end == admission::End::InTime;
+            self.shedding.ended(started.kind, served, now);
+        }
         match end {
             admission::End::InTime => {
                 let (kind, cost) = (started.kind, started.cost);
@@ -208,7 +243,7 @@
     /// Whether a request of this cost may start. One may always run alone, however
     /// large it is.
     pub(super) fn fits(&self, cost: u64) -> bool {
-        self.load == 0 || self.load + cost <= self.limit.current()
+        self.unlimited || self.load == 0 || self.load + cost <= self.limit.current()
     }
 
     fn find_wake(&self, limits: &admission::Limits, now: time::Instant) -> Option<time::Instant> {
@@ -224,3 +259,14 @@
         Some(expiry.min(check))
     }
 }
+
+/// Until when a request may wait: a refusal within a quarter of the time to its objective
+/// leaves its caller time to be served elsewhere.
+fn wait_limit(
+    forecast: &admission::Forecast,
+    deadline: time::Instant,
+    now: time::Instant,
+) -> time::Instant {
+    let ahead = forecast.objective.saturating_duration_since(now);
+    deadline.min(now + ahead / WAIT_DIVISOR)
+}
--- a/crates/fireflyspool/src/admission/arriving.rs
+++ b/crates/fireflyspool/src/admission/arriving.rs
@@ -21,7 +21,8 @@
         };
         if waiting.deadline <= now {
             actions.push(refuse(outcome::RefusalReason::Deadline));
-        } else if !wait.is_zero() && now + wait + self.limit.request_time(kind) > waiting.deadline {
+        } else if !wait.is_zero() && now + wait + self.limit.request_time(kind) > waiting.answer_by
+        {
             actions.push(refuse(outcome::RefusalReason::Overloaded));
         } else {
             self.queue.push(kind, waiting);
--- a/crates/fireflyspool/src/admission/waiting.rs
+++ b/crates/fireflyspool/src/admission/waiting.rs
@@ -8,7 +8,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Waiting {
     pub(super) ticket: ids::Ticket,
+    /// Until when it may wait.
     pub(super) deadline: time::Instant,
+    /// Latest time at which the answer is useful to the caller.
+    pub(super) answer_by: time::Instant,
     /// Number of sub-requests that it will send.
     pub(super) cost: u32,
     /// Whether it was held back near the peak.
--- a/crates/fireflyspool/src/configuration/routing_table.rs
+++ b/crates/fireflyspool/src/configuration/routing_table.rs
@@ -11,6 +11,8 @@
     limits: configuration::CallerLimits,
     accounts: configuration::Accounts,
     services: sorted::SortedMap<ids::ServiceName, configuration::Service>,
+    /// Distinct priorities of the routes, ascending.
+    priorities: Vec<u32>,
     /// Routes by host, longest prefix first.
     hosts: sorted::SortedMap<String, Vec<sync::Arc<configuration::Route>>>,
 }
@@ -18,6 +20,13 @@
 impl RoutingTable {
     /// Indexes a configuration that was validated.
     pub fn new(configuration: configuration::Configuration) -> Self {
+        let mut priorities: Vec<u32> = configuration
+            .routes
+            .iter()
+            .map(|route| route.priority)
+            .collect();
+        priorities.sort_unstable();
+        priorities.dedup();
         let mut hosts = sorted::SortedMap::<String, Vec<_>>::new();
         for route in configuration.routes {
             hosts
@@ -32,6 +41,7 @@
             limits: configuration.limits,
             accounts: configuration::Accounts::new(configuration.accounts),
             services: configuration.services,
+            priorities,
             hosts,
         }
     }
@@ -51,6 +61,11 @@
         &self.accounts
     }
 
+    /// Distinct priorities of the routes, ascending.
+    pub fn priorities(&self) -> &[u32] {
+        &self.priorities
+    }
+
     /// Service of this name, if it is defined.
     pub fn service(&self, service: &str) -> Option<&configuration::Service> {
         self.services.get(service)
--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -12,12 +12,13 @@
 pub struct Fleet {
     pub(super) zone: ids::ZoneName,
     incarnation: ids::Incarnation,
-    limits: fleet::RetryLimits,
+    pub(super) limits: fleet::RetryLimits,
     generation: u64,
-    members: usize,
+    pub(super) members: usize,
     next_token: ids::Ticket,
     pub(super) observations: fleet::observations::Observations,
     pub(super) suspects: fleet::suspects::Suspects,
+    pub(super) shortage: fleet::shortage_meter::ShortageMeter,
     /// 0 to 1; differs between the VMs of a site.
     pub(super) spread: f64,
     pub(super) notices: fleet::notices::Notices,
@@ -45,6 +46,7 @@
             next_token: 0,
             observations: fleet::observations::Observations::default(),
             suspects: fleet::suspects::Suspects::default(),
+            shortage: fleet::shortage_meter::ShortageMeter::default(),
             spread: (hashing::StableHasher::new().number(incarnation).finish() >> 40) as f64
                 / f64::from(1 << 24),
             notices: fleet::notices::Notices::default(),
@@ -259,6 +261,8 @@
         }
         if let (Some(server), Some(load)) = (server, condition.load) {
             server.record_load(load, now);
+            let full_queue = f64::from(load.queued) >= server.slots;
+            self.shortage.add_load(full_queue, now);
         }
         let leaves = self.notices.record(key.1, born, condition, now);
         if leaves {
@@ -283,6 +287,7 @@
             latency.typical.add(elapsed);
             latency.high.add(elapsed);
         }
+        self.record_rejection(key.0, result, now);
         let server = self.server(key);
         let symptom = server.and_then(|server| server.record_end(token, result, typical, now));
         if let Some(symptom) = symptom {
--- a/crates/fireflyspool/src/fleet/mod.rs
+++ b/crates/fireflyspool/src/fleet/mod.rs
@@ -28,6 +28,7 @@
 #[allow(clippy::module_inception, reason = "a file is named after its type")]
 mod fleet;
 mod fleet_groups;
+mod fleet_shortage;
 mod fleet_suspects;
 mod known_server;
 mod notice;
@@ -43,6 +44,7 @@
 mod route_latency;
 mod server_score;
 mod server_state;
+mod shortage_meter;
 mod split_state;
 mod suspects;
 mod view;
--- a/crates/fireflyspool/src/fleet/pool.rs
+++ b/crates/fireflyspool/src/fleet/pool.rs
@@ -30,6 +30,7 @@
     pub(super) servers: sorted::SortedMap<ids::ServerName, fleet::server_state::ServerState>,
     pub(super) budget: fleet::RetryBudget,
     pub(super) failures: fleet::failure_rate::FailureRate,
+    pub(super) rejections: fleet::shortage_meter::ShortageMeter,
     /// Connections that one backend server accepts from all entry VMs together.
     pub(super) connections: usize,
     /// When the service became known; `None` if it is not known yet.
--- a/crates/fireflyspool/src/fleet/retry_budget.rs
+++ b/crates/fireflyspool/src/fleet/retry_budget.rs
@@ -71,11 +71,24 @@
         members: usize,
         now: time::Instant,
     ) -> bool {
+        self.remaining(limits, members, 0.0, now) >= 1.0
+    }
+
+    /// Retries that the budget still allows; `reserved` is the share of it, 0 to 1, that does
+    /// not count.
+    pub fn remaining(
+        &mut self,
+        limits: &fleet::RetryLimits,
+        members: usize,
+        reserved: f64,
+        now: time::Instant,
+    ) -> f64 {
         self.advance(limits, now);
         let requests: f64 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: f64 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let slack = limits.slack / members.max(MIN_MEMBERS) as f64;
-        retries + 1.0 <= SAFETY_FACTOR * (limits.ratio * requests + slack)
+        let budget = SAFETY_FACTOR * (limits.ratio * requests + slack);
+        budget * (1.0 - reserved) - retries
     }
 
     /// Starts the buckets that are due and drops those that left the window.
--- a/crates/fireflyspool/src/forward/exchange.rs
+++ b/crates/fireflyspool/src/forward/exchange.rs
@@ -3,13 +3,15 @@
 use std::{sync, time};
 
 use crate::forward::{any_sub_request, attempt, caution, gathered_group, running_group};
-use crate::{configuration, containment, fleet, forward, ids};
+use crate::{configuration, containment, fleet, forward, ids, outcome};
 
 /// A caller request that is being forwarded.
 pub struct Exchange {
     pub(super) route: sync::Arc<configuration::Route>,
     pub(super) timing: forward::Timing,
     pub(super) content: ids::Fingerprint,
+    /// Kind by priority; `None` if requests are not ranked.
+    pub(super) kind: Option<outcome::Kind>,
     pub(super) caution: caution::Caution,
     pub(super) sub_requests: Vec<any_sub_request::AnySubRequest>,
     pub(super) attempts: Vec<attempt::Attempt>,
@@ -41,6 +43,19 @@
         fleet: &mut fleet::Fleet,
         entropy: u64,
         now: time::Instant,
+    ) -> (Self, Vec<forward::Action>) {
+        Self::start_of_kind(route, (content, None), timing, fleet, entropy, now)
+    }
+
+    /// Starts a request like [`Self::start`]; one with a kind has been admitted by
+    /// [`crate::admission`] and is not refused at random.
+    pub fn start_of_kind(
+        route: sync::Arc<configuration::Route>,
+        (content, kind): (ids::Fingerprint, Option<outcome::Kind>),
+        timing: forward::Timing,
+        fleet: &mut fleet::Fleet,
+        entropy: u64,
+        now: time::Instant,
     ) -> (Self, Vec<forward::Action>) {
         let verdict = fleet.verdict(content, now);
         if let containment::Verdict::Refused { until } = verdict {
@@ -59,7 +74,8 @@
         let reachable = services.iter().filter(|service| usable(service)).count();
         let refused = reachable < required
             || services.is_empty()
-            || !forward::likelihood::admits(&services, required, fleet, entropy, now);
+            || (kind.is_none()
+                && !forward::likelihood::admits(&services, required, fleet, entropy, now));
         if refused {
             let deadline = timing.deadline;
             let retry_after =
@@ -73,6 +89,7 @@
             fleet.record_request(service, now);
         }
         let mut exchange = Self::new(route, (content, timing), services, required);
+        exchange.kind = kind;
         exchange.skip_saturated(fleet, entropy, now);
         if verdict == containment::Verdict::Probe {
             exchange.start_suspected();
@@ -99,6 +116,7 @@
             route,
             timing,
             content,
+            kind: None,
             caution: caution::Caution::Unknown,
             sub_requests: pending.collect(),
             attempts: Vec::with_capacity(count),
--- a/crates/fireflyspool/src/forward/exchange_sends.rs
+++ b/crates/fireflyspool/src/forward/exchange_sends.rs
@@ -126,18 +126,6 @@
             && self.take_retry(index, fleet, now)
     }
 
-    pub(super) fn take_retry(
-        &mut self,
-        index: usize,
-        fleet: &mut fleet::Fleet,
-        now: time::Instant,
-    ) -> bool {
-        let service = self.sub_requests[index]
-            .pending_mut()
-            .map(|pending| &pending.service);
-        service.is_some_and(|service| fleet.take_retry(service, now))
-    }
-
     pub(super) fn send(
         &mut self,
         index: usize,
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -5,7 +5,7 @@
 use futures_util::{FutureExt as _, StreamExt as _, future, stream};
 use tokio::{sync::watch, task};
 
-use crate::{configuration, fleet, forward, ids, node, rim, shutdown, telemetry, timer};
+use crate::{admission, configuration, fleet, forward, ids, node, rim, shutdown, telemetry, timer};
 
 /// Time for which attempts go on after the request is answered, so that their
 /// connections can be reused. A longer one is cut: its server is slow or silent.
@@ -30,17 +30,21 @@
 /// All attempts run in the task of the request, so responses that arrive together
 /// wake one task.
 pub(super) struct ForwardTask {
-    forwarding: sync::Arc<node::Forwarding>,
-    view: sync::Arc<fleet::View>,
-    request: forward::Request,
-    route: sync::Arc<configuration::Route>,
+    pub(super) forwarding: sync::Arc<node::Forwarding>,
+    pub(super) view: sync::Arc<fleet::View>,
+    pub(super) request: forward::Request,
+    pub(super) route: sync::Arc<configuration::Route>,
+    /// Effective priority; 0 is the most urgent.
+    priority: u32,
+    /// How admission decided, for the log.
+    pub(super) admission: &'static str,
     message: sync::Arc<node::Message>,
     content: ids::Fingerprint,
     attempts: stream::FuturesUnordered<future::BoxFuture<'static, Ended>>,
     /// Service, backend server and start in milliseconds of each attempt, for the log.
     send_log: String,
-    received: time::Instant,
-    sleep: timer::Sleep,
+    pub(super) received: time::Instant,
+    pub(super) sleep: timer::Sleep,
     drain: watch::Receiver<shutdown::AnyDrain>,
     outcome: Option<forward::Outcome>,
     /// Answers to the entry VM that delegated a group, not yet taken.
@@ -70,6 +74,9 @@
             forwarding,
             view,
             request,
+            // The priority of the caller's account, if it has one, takes its place here.
+            priority: route.priority,
+            admission: "not ranked",
             route,
             content: message.fingerprint(),
             message: sync::Arc::new(message),
@@ -90,18 +97,29 @@
         let answer_delay = self.forwarding.answer_delay.value();
         let timeout = self.request.timeout;
         let timing = forward::Timing::new(&self.route, timeout, answer_delay, self.received);
+        let table = self.view.table.as_ref();
+        let kind = table
+            .and_then(|table| admission::KindRanking::new(table.priorities()).kind(self.priority));
+        let pass = match self.admit(kind, &timing).await {
+            Ok(pass) => pass,
+            Err(refusal) => return refusal,
+        };
         let (mut exchange, actions) = {
             let mut fleet = self.forwarding.updated_fleet(&self.view);
             let route = sync::Arc::clone(&self.route);
-            let now = time::Instant::now();
-            let entropy = rand::random();
-            forward::Exchange::start(route, self.content, timing, &mut fleet, entropy, now)
+            let (now, entropy) = (time::Instant::now(), rand::random());
+            let content = (self.content, kind);
+            forward::Exchange::start_of_kind(route, content, timing, &mut fleet, entropy, now)
         };
         self.execute(actions);
         while self.outcome.is_none() && !exchange.is_finished() {
             self.step(&mut exchange).await;
         }
         let outcome = self.outcome.take().unwrap_or(forward::Outcome::Failed);
+        if let Some(pass) = pass {
+            let is_late = time::Instant::now() > timing.objective;
+            pass.end(node::forward_admission::end_of(&outcome, is_late));
+        }
         self.finish(exchange, &outcome);
         outcome
     }
@@ -399,7 +417,7 @@
         let age = view.confirmed.map_or(0, |at| at.elapsed().as_millis());
         slog::info!(self.forwarding.process.logger, "request answered";
             "request" => &request.id, "route" => &self.route.name,
-            "outcome" => label, "status" => status, "missing" => missing,
+            "admission" => self.admission, "outcome" => label, "status" => status, "missing" => missing,
             "content" => self.content, "caution" => exchange.caution(),
             "elapsed_us" => node::forwarding::micros(elapsed), "hedges" => exchange.hedges(),
             "retries" => exchange.retries(), "open" => ?exchange.pending_services(),
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -22,6 +22,7 @@
 pub struct Forwarding {
     pub(super) process: sync::Arc<node::Process>,
     fleet: sync::Mutex<fleet::Fleet>,
+    admission: sync::Mutex<node::admission_gate::AdmissionGate>,
     pub(super) client: sync::Arc<dyn node::BackendClient>,
     /// Connections to the entry VMs to which groups are delegated.
     pub(super) delegates: rim::ForwardClient,
@@ -43,6 +44,7 @@
         Self {
             process,
             fleet: sync::Mutex::new(fleet),
+            admission: sync::Mutex::default(),
             client,
             delegates,
             metrics: telemetry::Metrics::default(),
@@ -183,6 +185,14 @@
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 
+    /// Admission of requests; it is never locked together with the fleet.
+    pub(super) fn admission(&self) -> sync::MutexGuard<'_, node::admission_gate::AdmissionGate> {
+        // As with the fleet, a panic leaves no change half done.
+        self.admission
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     /// Passes the observations of attempts to the control thread.
     pub(super) fn report_observations(&self, fleet: &mut fleet::Fleet) {
         for observation in fleet.take_observations() {
--- a/crates/fireflyspool/src/node/mod.rs
+++ b/crates/fireflyspool/src/node/mod.rs
@@ -8,6 +8,8 @@
 
 mod account_limits;
 mod acknowledgement;
+mod admission_gate;
+mod admission_pass;
 mod answer_delay;
 mod attempt_guard;
 mod backend_client;
@@ -17,6 +19,7 @@
 mod entry;
 mod entry_settings;
 mod first_connections;
+mod forward_admission;
 mod forward_task;
 mod forwarding;
 mod group_guard;
--- a/crates/fireflyspool/src/telemetry/metrics.rs
+++ b/crates/fireflyspool/src/telemetry/metrics.rs
@@ -25,6 +25,8 @@
     registry: registry::Registry,
     /// Finished requests by outcome.
     pub outcomes: Counters,
+    /// Decisions of admission about ranked requests, by kind and reason.
+    pub admissions: Counters,
     /// Refused requests by reason.
     pub refusals: Counters,
     /// Seconds from receipt to outcome, by kind of request.
@@ -44,6 +46,12 @@
         let mut registry = registry::Registry::with_prefix("fireflyspool");
         let outcomes = Counters::default();
         registry.register("requests", "Finished requests by outcome", outcomes.clone());
+        let admissions = Counters::default();
+        registry.register(
+            "admissions",
+            "Decisions of admission by kind and reason",
+            admissions.clone(),
+        );
         let refusals = Counters::default();
         registry.register("refusals", "Refused requests by reason", refusals.clone());
         let latency =
@@ -73,6 +81,7 @@
         Self {
             registry,
             outcomes,
+            admissions,
             refusals,
             latency,
             subrequests,
