--- a/crates/fireflyspool/src/admission/admission.rs
+++ b/crates/fireflyspool/src/admission/admission.rs
@@ -69,6 +69,7 @@
                     ticket,
                     deadline,
                     answer_by: deadline,
+                    retry_after: None,
                     cost: cost.max(1),
                     held_back: false,
                 };
@@ -86,6 +87,7 @@
                     ticket,
                     deadline: wait_limit(&forecast, deadline, now),
                     answer_by: deadline,
+                    retry_after: Some(admission::shedding::retry_after(deadline, &forecast, now)),
                     cost: cost.max(1),
                     held_back: false,
                 };
@@ -171,7 +173,9 @@
                     } else {
                         outcome::RefusalReason::Deadline
                     },
-                    retry_after: self.limit.request_time(kind).max(MIN_RETRY_AFTER),
+                    retry_after: expired
+                        .retry_after
+                        .unwrap_or(self.limit.request_time(kind).max(MIN_RETRY_AFTER)),
                 });
             }
         }
--- a/crates/fireflyspool/src/admission/arriving.rs
+++ b/crates/fireflyspool/src/admission/arriving.rs
@@ -17,7 +17,9 @@
         let refuse = |reason| admission::Action::Refuse {
             ticket: waiting.ticket,
             reason,
-            retry_after: wait.max(admission::MIN_RETRY_AFTER),
+            retry_after: waiting
+                .retry_after
+                .unwrap_or(wait.max(admission::MIN_RETRY_AFTER)),
         };
         if waiting.deadline <= now {
             actions.push(refuse(outcome::RefusalReason::Deadline));
@@ -76,10 +78,11 @@
             actions.push(admission::Action::Refuse {
                 ticket: victim.ticket,
                 reason: outcome::RefusalReason::Overloaded,
-                retry_after: self
-                    .limit
-                    .request_time(kind)
-                    .max(admission::MIN_RETRY_AFTER),
+                retry_after: victim.retry_after.unwrap_or(
+                    self.limit
+                        .request_time(kind)
+                        .max(admission::MIN_RETRY_AFTER),
+                ),
             });
         }
     }
--- a/crates/fireflyspool/src/admission/served_share.rs
+++ b/crates/fireflyspool/src/admission/served_share.rs
@@ -4,10 +4,10 @@
 
 /// Weight of a new sample in the moving average. One entry VM of a large site gets about
 /// one request of a kind in a second.
-const SAMPLE_WEIGHT: f64 = 0.2;
+const SAMPLE_WEIGHT: f64 = 0.5;
 
 /// Time in which the part that was not served decays to 1/e without samples.
-const DECAY_TIME: time::Duration = time::Duration::from_secs(2);
+const DECAY_TIME: time::Duration = time::Duration::from_secs(4);
 
 /// Moving average over the recent requests of one kind that arrived during a shortage.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/fireflyspool/src/admission/shedding.rs
+++ b/crates/fireflyspool/src/admission/shedding.rs
@@ -15,11 +15,11 @@
 const MIN_STARTED_SHARE: f64 = 0.12;
 
 /// Least share of a less urgent kind beside more urgent ones.
-const MIN_BOUND: f64 = 0.3;
+const MIN_BOUND: f64 = 0.1;
 
 /// Probability of enough responses from which a request always starts, as far as it alone is
 /// concerned. Below it, starting fewer requests leaves retries for those that start.
-const SUFFICIENT_CHANCE: f64 = 0.15;
+const SUFFICIENT_CHANCE: f64 = 0.25;
 
 /// Probability below which the refusal says that the coverage is out of reach.
 const HOPELESS_CHANCE: f64 = 0.1;
@@ -61,7 +61,7 @@
             true => outcome::RefusalReason::Coverage,
             false => outcome::RefusalReason::Overloaded,
         };
-        let retry_after = retry_after(waiting, forecast, now);
+        let retry_after = retry_after(waiting.answer_by, forecast, now);
         Some(Shed {
             reason,
             retry_after,
@@ -94,11 +94,11 @@
 
 /// Time after which the caller of a refused request may try again.
 pub(super) fn retry_after(
-    waiting: &admission::waiting::Waiting,
+    deadline: time::Instant,
     forecast: &admission::Forecast,
     now: time::Instant,
 ) -> time::Duration {
-    let remaining = waiting.answer_by.saturating_duration_since(now);
+    let remaining = deadline.saturating_duration_since(now);
     let (least, most) = RETRY_SHARES;
     remaining.mul_f64(least + (most - least) * forecast.second_random())
 }
--- a/crates/fireflyspool/src/node/forward_admission.rs
+++ b/crates/fireflyspool/src/node/forward_admission.rs
@@ -34,14 +34,14 @@
         let pass =
             node::admission_pass::AdmissionPass::new(sync::Arc::clone(&self.forwarding), ticket);
         self.admission = match forecast.is_shortage() {
-            true => "started in a shortage",
-            false => "no shortage",
+            true => "started_in_shortage",
+            false => "started",
         };
         let action = loop {
             if let Ok(action) = decided.try_recv() {
                 break action;
             }
-            self.admission = "waited in a shortage";
+            self.admission = "started_after_wait";
             let wake = self.forwarding.admission().next_wake();
             self.sleep.reset(wake.unwrap_or(timing.deadline));
             tokio::select! {
@@ -58,7 +58,7 @@
         };
         match action {
             admission::Action::Start { .. } => {
-                self.count_decision(kind, "started");
+                self.count_decision(kind, self.admission);
                 Ok(Some(pass))
             }
             admission::Action::Refuse {
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -76,7 +76,7 @@
             request,
             // The priority of the caller's account, if it has one, takes its place here.
             priority: route.priority,
-            admission: "not ranked",
+            admission: "not_ranked",
             route,
             content: message.fingerprint(),
             message: sync::Arc::new(message),
