--- a/crates/fireflyspool/src/control/control_thread.rs
+++ b/crates/fireflyspool/src/control/control_thread.rs
@@ -217,6 +217,11 @@
                     follow.note_observation(observation, now);
                 }
             }
+            control::Event::Counted(samples) => {
+                if let Some(follow) = &mut self.follow {
+                    follow.count(samples, now);
+                }
+            }
             control::Event::Leave => {
                 if let Some(entry) = &mut self.entry {
                     entry.leave(now);
--- a/crates/fireflyspool/src/control/event.rs
+++ b/crates/fireflyspool/src/control/event.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::{backend, consensus, control, hub, ids, language, roster, state};
+use crate::{backend, consensus, control, hub, ids, language, rollout, roster, state};
 
 /// Message to the control thread.
 ///
@@ -94,6 +94,8 @@
     Hub(control::HubEvent),
     /// An attempt of this entry VM found a backend server slow, failing or recovered.
     Observed(hub::Observation),
+    /// First attempts of this entry VM at a service with a rollout in progress have ended.
+    Counted(Vec<rollout::Sample>),
     /// The poll that this entry VM sent has ended; `None` if no reply arrived.
     PollEnded(Option<Box<hub::FollowReply>>),
     /// The time set with [`control::Environment::wake_at`] has come.
--- a/crates/fireflyspool/src/control/follower_driver.rs
+++ b/crates/fireflyspool/src/control/follower_driver.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::{containment, control, follow, hub, ids, sorted};
+use crate::{containment, control, follow, hub, ids, rollout, sorted, state};
 
 /// Polls a control VM and publishes the resulting view.
 pub struct FollowerDriver {
@@ -15,12 +15,18 @@
     outliers: Vec<ids::ServerName>,
     /// Observations to send with the next tick.
     observations: Vec<hub::Observation>,
+    /// Counts of rollouts in progress.
+    tally: rollout::Tally,
+    /// Revision of the rollouts as last logged.
+    rollout_revision: ids::Revision,
 }
 
 impl FollowerDriver {
     /// Creates the driver; no poll has been sent yet.
     pub fn new(follower: follow::Follower, logger: slog::Logger) -> Self {
         Self {
+            tally: rollout::Tally::new(follower.incarnation()),
+            rollout_revision: 0,
             follower,
             logger,
             connected: false,
@@ -30,9 +36,10 @@
         }
     }
 
-    /// When the next poll is due; `None` while one is in flight.
+    /// When the next poll or report of counts is due; `None` if none is.
     pub fn next_wake(&self) -> Option<time::Instant> {
-        self.follower.next_poll()
+        let times = [self.follower.next_poll(), self.tally.next_due()];
+        times.into_iter().flatten().min()
     }
 
     /// Sends the waiting observations, and a poll if one is due.
@@ -45,6 +52,10 @@
         for (hub, reports) in reports {
             outlet.report_observations(hub, reports);
         }
+        for report in self.tally.take_due(now) {
+            let hub = self.follower.collector(&report.service);
+            outlet.report_counts(hub, vec![report]);
+        }
         if self.follower.next_poll().is_none_or(|due| due > now) {
             return;
         }
@@ -77,6 +88,13 @@
         self.observations.push(observation);
     }
 
+    /// Counts ended first attempts; they are reported with a later tick.
+    pub fn count(&mut self, samples: Vec<rollout::Sample>, now: time::Instant) {
+        for sample in samples {
+            self.tally.add(sample, now);
+        }
+    }
+
     /// Handles the end of a poll; `reply` is `None` if none arrived.
     pub fn poll_ended(
         &mut self,
@@ -97,6 +115,7 @@
         if answered {
             let view = self.follower.view().clone();
             self.log_outliers(&view.outliers);
+            self.log_rollouts(&view.rollouts);
             let version = view.table.as_ref().map_or(0, |table| table.version());
             if version != self.version {
                 self.version = version;
@@ -124,6 +143,18 @@
         self.outliers = outliers.to_vec();
     }
 
+    /// Logs the rollouts in progress when any rollout has changed.
+    fn log_rollouts(&mut self, rollouts: &state::RolloutTable) {
+        if self.rollout_revision == rollouts.revision() {
+            return;
+        }
+        self.rollout_revision = rollouts.revision();
+        let in_service = rollouts.in_service();
+        let shares = in_service.map(|(service, rollout)| (service, rollout.state.share));
+        slog::info!(self.logger, "rollouts changed";
+            "revision" => rollouts.revision(), "shares" => ?shares.collect::<Vec<_>>());
+    }
+
     /// Has the next poll report that callers must no longer be sent to this VM.
     pub fn leave(&mut self, now: time::Instant) {
         self.follower.leave(now);
--- a/crates/fireflyspool/src/control/hub_departures.rs
+++ b/crates/fireflyspool/src/control/hub_departures.rs
@@ -47,7 +47,7 @@
     }
 
     /// The leader that the last reply or the replica of this VM names, else the next control VM.
-    fn leader_or_next(
+    pub(super) fn leader_or_next(
         &mut self,
         voter: Option<&control::Voter>,
         now: time::Instant,
--- a/crates/fireflyspool/src/control/hub_driver.rs
+++ b/crates/fireflyspool/src/control/hub_driver.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::{control, hub, ids, registry, sorted};
+use crate::{control, hub, ids, registry, rollout, sorted};
 
 /// Longest time between two ticks, so that joins and replacements are checked regularly.
 const MAX_SLEEP: time::Duration = time::Duration::from_secs(1);
@@ -39,6 +39,10 @@
     pub(super) retired: bool,
     /// Whether the hub had recovered as last logged.
     recovered: bool,
+    /// Counts of the rollouts in progress.
+    pub(super) collector: rollout::Collector,
+    /// When the next step of a rollout may be proposed.
+    pub(super) advance_due: time::Instant,
     pub(super) logger: slog::Logger,
 }
 
@@ -67,13 +71,23 @@
             reachable: Vec::new(),
             retired: false,
             recovered: false,
+            collector: rollout::Collector::new(rollout::Limits::default()),
+            advance_due: now,
             logger,
         }
     }
 
+    /// Sets the bounds of rollouts.
+    #[must_use]
+    pub fn with_rollouts(mut self, limits: rollout::Limits) -> Self {
+        self.collector = rollout::Collector::new(limits);
+        self
+    }
+
     /// When [`Self::tick`] must be called again at the latest.
     pub fn next_wake(&self, now: time::Instant) -> time::Instant {
-        self.hub.next_deadline(now).min(now + MAX_SLEEP)
+        let wake = self.hub.next_deadline(now).min(now + MAX_SLEEP);
+        self.next_advance(now).map_or(wake, |due| due.min(wake))
     }
 
     /// Whether the identity of this VM was retired since the last call; the VM then needs a
@@ -126,6 +140,12 @@
                 self.pending_polls.insert(ticket, reply);
                 self.hub.follow(ticket, *request, now);
             }
+            control::HubEvent::Counted(reports) => {
+                for report in reports {
+                    self.collector.add(report, now);
+                }
+            }
+            control::HubEvent::AdvanceEnded(reply) => self.advance_ended(reply, now),
             control::HubEvent::Stop => self.stopping = true,
             control::HubEvent::JoinEnded(reply) => self.join_ended(reply, now),
             control::HubEvent::RecordEnded(reply) => self.record_ended(reply, now),
@@ -143,6 +163,7 @@
         if let Some(voter) = voter {
             self.apply_log(voter, outlet, now);
             self.join(voter, outlet, now);
+            self.advance_rollouts(voter, outlet, now);
         }
         for action in self.hub.advance(now) {
             self.execute(action, voter, outlet, now);
@@ -197,6 +218,11 @@
             self.hub.set_document(document);
             slog::info!(self.logger, "configuration in force"; "version" => document.version);
         }
+        if self.hub.set_rollouts(&voter.state.rollouts) {
+            let wall_clock = outlet.environment().wall_clock();
+            self.collector
+                .update(&voter.state.rollouts, wall_clock, now);
+        }
         self.hub.set_departures(&voter.state.departures, now);
         let catalog = &voter.state.catalog;
         outlet.publish_revision(catalog.revision);
--- a/crates/fireflyspool/src/control/hub_event.rs
+++ b/crates/fireflyspool/src/control/hub_event.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::{control, hub, ids, registry};
+use crate::{control, hub, ids, registry, rollout};
 
 /// Message for the hub of a control VM.
 pub enum HubEvent {
@@ -49,6 +49,10 @@
         /// Receives the reply once there are changes or the poll's time is over.
         reply: oneshot::Sender<hub::FollowReply>,
     },
+    /// An entry VM reports counts of rollouts in progress.
+    Counted(Vec<rollout::Report>),
+    /// The command of this VM that advances a rollout has ended; `None` if no reply arrived.
+    AdvanceEnded(Option<control::IdempotentReply>),
     /// This VM was told to stop.
     Stop,
     /// The command of this VM that records departures has ended; `None` if no reply arrived.
--- a/crates/fireflyspool/src/control/mod.rs
+++ b/crates/fireflyspool/src/control/mod.rs
@@ -24,6 +24,7 @@
 mod hub_driver;
 mod hub_event;
 mod hub_membership;
+mod hub_rollouts;
 mod idempotent_reply;
 mod join_requests;
 mod lease_driver;
--- a/crates/fireflyspool/src/control/outlet.rs
+++ b/crates/fireflyspool/src/control/outlet.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use crate::{consensus, control, fleet, hub, ids, roster, state, view};
+use crate::{consensus, control, fleet, hub, ids, rollout, roster, state, view};
 
 /// Side effects of the control thread.
 ///
@@ -35,7 +35,7 @@
 
     /// Sends a batch to another hub and reports [`crate::control::HubEvent::ExchangeEnded`].
     ///
-    /// Only control VMs with a hub override this method and the next three.
+    /// Only control VMs with a hub override this method and the next four.
     fn send_batch(&self, _peer: net::SocketAddr, _batch: hub::Batch) {}
 
     /// Sends an idempotent command to a control VM and reports
@@ -46,18 +46,25 @@
     /// [`crate::control::HubEvent::RecordEnded`].
     fn send_departures(&self, _peer: net::SocketAddr, _command: state::IdempotentCommand) {}
 
+    /// Sends a command that advances a rollout to a control VM and reports
+    /// [`crate::control::HubEvent::AdvanceEnded`].
+    fn send_advance(&self, _peer: net::SocketAddr, _command: state::IdempotentCommand) {}
+
     /// Publishes the entry VMs whose addresses callers may get.
     fn publish_addresses(&self, _book: hub::AddressBook) {}
 
     /// Polls a control VM and reports [`crate::control::Event::PollEnded`].
     ///
-    /// Only entry VMs that follow a hub override this method and the next three.
+    /// Only entry VMs that follow a hub override this method and the next four.
     fn send_poll(&self, _hub: net::SocketAddr, _request: hub::FollowRequest) {}
 
     /// Sends observations about backend servers to a control VM, without any guarantee of
     /// delivery.
     fn report_observations(&self, _hub: net::SocketAddr, _reports: Vec<hub::Observation>) {}
 
+    /// Sends counts of rollouts to a control VM, without any guarantee of delivery.
+    fn report_counts(&self, _hub: net::SocketAddr, _reports: Vec<rollout::Report>) {}
+
     /// Publishes the view of a follower to the traffic threads.
     fn publish_fleet(&self, _view: fleet::View) {}
 
--- a/crates/fireflyspool/src/control/voter_apply.rs
+++ b/crates/fireflyspool/src/control/voter_apply.rs
@@ -159,7 +159,12 @@
                 slog::info!(self.logger, "configuration entry applied";
                     "version" => document.version, "in_force" => held);
             }
-            state::IdempotentCommand::Read => {}
+            state::IdempotentCommand::Read | state::IdempotentCommand::ReadRollout { .. } => {}
+            state::IdempotentCommand::StartRollout { service, .. }
+            | state::IdempotentCommand::AdvanceRollout { service, .. } => {
+                slog::info!(self.logger, "command for a rollout applied";
+                    "command" => ?command, "rollout" => ?self.state.rollouts.get(service));
+            }
             state::IdempotentCommand::RecordDepartures { departures, .. } => {
                 slog::info!(self.logger, "departures of backend servers recorded";
                     "count" => departures.len(), "revision" => self.state.departures.revision());
--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -2,7 +2,11 @@
 
 use std::{net, time};
 
-use crate::{backend, configuration, fleet, hashing, hub, ids, sorted};
+use crate::{backend, configuration, fleet, hashing, hub, ids, rollout, sorted};
+
+/// Age of the last confirmation of the view up to which it is relied on for rollouts. It is well
+/// above the time between two polls, and a rollback must bind within 5 s everywhere.
+const MAX_ROLLOUT_AGE: time::Duration = time::Duration::from_millis(1_500);
 
 /// Backend servers, retry budgets and latencies as the traffic threads see them.
 ///
@@ -15,6 +19,10 @@
     limits: fleet::RetryLimits,
     generation: u64,
     members: usize,
+    /// When a control VM last confirmed the view.
+    confirmed: Option<time::Instant>,
+    /// Ended first attempts of services with a rollout, not yet taken.
+    samples: Vec<rollout::Sample>,
     next_token: ids::Ticket,
     pub(super) observations: fleet::observations::Observations,
     pub(super) suspects: fleet::suspects::Suspects,
@@ -42,6 +50,8 @@
             limits,
             generation: 0,
             members: 0,
+            confirmed: None,
+            samples: Vec::new(),
             next_token: 0,
             observations: fleet::observations::Observations::default(),
             suspects: fleet::suspects::Suspects::default(),
@@ -64,6 +74,7 @@
         self.generation = view.generation;
         self.observations.start(now);
         self.members = view.members;
+        self.confirmed = view.confirmed;
         self.notices.update(view);
         self.delegates.update(&view.delegates);
         self.suspects.merge(&view.contents, now);
@@ -86,6 +97,9 @@
             });
             let limits = view.table.as_ref().and_then(|table| table.service(service));
             pool.connections = limits.map_or(0, |limits| limits.max_connections);
+            if let Some(rollout) = view.rollouts.get(service) {
+                pool.set_rollout(rollout, service, self.incarnation);
+            }
         }
         true
     }
@@ -105,7 +119,10 @@
             state.born != record.born || state.address != record.address
         };
         if pool.servers.get(name).is_none_or(restarted) {
-            let fresh = fleet::server_state::ServerState::new(server, origin, now);
+            let mut fresh = fleet::server_state::ServerState::new(server, origin, now);
+            if !pool.servers.contains_key(name) {
+                fresh.held_until = pool.hold(&record.version, now);
+            }
             pool.servers.insert(name.clone(), fresh);
         }
         if let Some(state) = pool.servers.get_mut(name) {
@@ -126,8 +143,40 @@
         }
     }
 
+    /// Picks the server for a first attempt like [`Self::pick`], of the target version of a
+    /// rollout in progress as often as its share states.
+    ///
+    /// With a view that no control VM has confirmed lately, the rollout may be over, so the
+    /// attempt goes to the old version.
+    pub fn pick_first(
+        &mut self,
+        service: &str,
+        excluded: &[ids::ServerName],
+        entropy: u64,
+        now: time::Instant,
+    ) -> Option<fleet::PickedServer> {
+        let age = |confirmed| now.saturating_duration_since(confirmed);
+        let confirmed = self.confirmed.is_some_and(|at| age(at) <= MAX_ROLLOUT_AGE);
+        let owes_target = confirmed && self.pools.get(service).is_some_and(|p| p.owes_target());
+        let target = owes_target.then_some(fleet::versions::Versions::Target);
+        let picked = target
+            .and_then(|target| self.pick_among(service, Some(target), excluded, entropy, now));
+        let picked = picked.or_else(|| self.pick_among(service, None, excluded, entropy, now))?;
+        if let Some(pool) = self.pools.get_mut(service)
+            && let Some(rollout) = &mut pool.rollout
+        {
+            let server = pool.servers.get(&picked.server);
+            let is_target = server.is_some_and(|server| server.is_target);
+            rollout.start(picked.token, &picked.server, is_target);
+        }
+        Some(picked)
+    }
+
     /// Picks the best usable server that is not excluded, and counts a running attempt.
     ///
+    /// While a rollout is in progress, the server is one of the old version, so that hedges and
+    /// retries do not add to the share of the target version.
+    ///
     /// Every attempt that was picked must be ended by [`Self::record_end`].
     pub fn pick(
         &mut self,
@@ -135,11 +184,24 @@
         excluded: &[ids::ServerName],
         entropy: u64,
         now: time::Instant,
+    ) -> Option<fleet::PickedServer> {
+        self.pick_among(service, None, excluded, entropy, now)
+    }
+
+    fn pick_among(
+        &mut self,
+        service: &str,
+        versions: Option<fleet::versions::Versions>,
+        excluded: &[ids::ServerName],
+        entropy: u64,
+        now: time::Instant,
     ) -> Option<fleet::PickedServer> {
         let members = self.members;
         self.next_token += 1;
         let pool = self.pools.get_mut(service)?;
-        let (name, state) = pool.pick(excluded, &self.notices, members, entropy, now)?;
+        let versions = versions.unwrap_or_else(|| pool.versions(&self.notices, now));
+        let choice = (&self.notices, versions);
+        let (name, state) = pool.pick(excluded, choice, members, entropy, now)?;
         let picked = fleet::PickedServer {
             token: self.next_token,
             server: name.clone(),
@@ -283,6 +345,7 @@
             latency.typical.add(elapsed);
             latency.high.add(elapsed);
         }
+        self.count_end(key.0, token, route, (result, typical));
         let server = self.server(key);
         let symptom = server.and_then(|server| server.record_end(token, result, typical, now));
         if let Some(symptom) = symptom {
@@ -290,6 +353,32 @@
         }
     }
 
+    fn count_end(
+        &mut self,
+        service: &str,
+        token: ids::Ticket,
+        route: &configuration::Route,
+        (result, typical): (fleet::AttemptResult, time::Duration),
+    ) {
+        let pool = self.pools.get_mut(service);
+        if let Some(rollout) = pool.and_then(|pool| pool.rollout.as_mut())
+            && let Some((server, quality)) = rollout.end(token, result, typical)
+        {
+            self.samples.push(rollout::Sample {
+                service: service.to_owned(),
+                number: rollout.rollout.number(),
+                route: route.name.clone(),
+                server,
+                quality,
+            });
+        }
+    }
+
+    /// Removes and returns the ended first attempts of services with a rollout.
+    pub fn take_samples(&mut self) -> Vec<rollout::Sample> {
+        std::mem::take(&mut self.samples)
+    }
+
     /// Removes and returns the observations to report to the control VMs.
     pub fn take_observations(&mut self) -> Vec<hub::Observation> {
         self.observations.take()
--- a/crates/fireflyspool/src/fleet/mod.rs
+++ b/crates/fireflyspool/src/fleet/mod.rs
@@ -37,6 +37,7 @@
 mod placed_shard;
 mod planned_group;
 mod pool;
+mod pool_rollout;
 mod quantile;
 mod retry_budget;
 mod retry_limits;
@@ -45,6 +46,7 @@
 mod server_state;
 mod split_state;
 mod suspects;
+mod versions;
 mod view;
 
 pub use attempt_result::AttemptResult;
--- a/crates/fireflyspool/src/fleet/pool.rs
+++ b/crates/fireflyspool/src/fleet/pool.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::{fleet, ids, sorted};
+use crate::{fleet, ids, rollout, sorted};
 
 /// Most that is added at random to a score, in units of a typical latency;
 /// spreads load evenly over equal servers.
@@ -20,6 +20,10 @@
 /// entry VM without requests for that long is not needed now.
 const OPENING_WINDOW: time::Duration = time::Duration::from_secs(30);
 
+/// Time for which servers with a version that is new to a service wait for a rollout that names
+/// it, while others serve. They start together with the command, which takes up to 6 s.
+const NEW_VERSION_HOLD: time::Duration = time::Duration::from_secs(8);
+
 /// Interval at which a connection that was opened ahead is checked and opened anew if its
 /// server has closed it, or had no room for it.
 const OPENING_INTERVAL: time::Duration = time::Duration::from_secs(2);
@@ -32,6 +36,8 @@
     pub(super) failures: fleet::failure_rate::FailureRate,
     /// Connections that one backend server accepts from all entry VMs together.
     pub(super) connections: usize,
+    /// Latest rollout; `None` if there was none.
+    pub(super) rollout: Option<fleet::pool_rollout::PoolRollout>,
     /// When the service became known; `None` if it is not known yet.
     known_since: Option<time::Instant>,
     /// Server to which a connection was last opened ahead of the first attempt, and when it
@@ -66,7 +72,8 @@
             return None;
         }
         // Without entropy the choice stays the same while the servers do.
-        let (_, server) = self.pick(&[], notices, members, 0, now)?;
+        let versions = self.versions(notices, now);
+        let (_, server) = self.pick(&[], (notices, versions), members, 0, now)?;
         let address = server.address;
         let kept = |(opened, due)| opened == address && due > now;
         if self.opening.is_some_and(kept) {
@@ -81,11 +88,91 @@
         self.used = true;
     }
 
+    /// When a new server may be used whose version no other server of the service has, unless
+    /// a rollout names it; `None` if at once.
+    pub(super) fn hold(&self, version: &str, now: time::Instant) -> Option<time::Instant> {
+        let mut others = self.servers.values();
+        // The servers with which a service becomes known are no sign of a rollout.
+        let is_new = self.known_since != Some(now)
+            && others.all(|other| other.version != version || other.is_held(now));
+        is_new.then(|| now + NEW_VERSION_HOLD)
+    }
+
+    /// Takes over the latest rollout of the service.
+    pub(super) fn set_rollout(
+        &mut self,
+        rollout: &rollout::AnyRollout,
+        service: &str,
+        incarnation: ids::Incarnation,
+    ) {
+        let number = rollout.number();
+        let known = self.rollout.as_mut();
+        match known.filter(|known| known.rollout.number() == number) {
+            Some(known) => known.rollout = rollout.clone(),
+            None => {
+                let rollout = rollout.clone();
+                let new = fleet::pool_rollout::PoolRollout::new(rollout, service, incarnation);
+                self.rollout = Some(new);
+            }
+        }
+        for state in self.servers.values_mut() {
+            state.is_target = state.version == *rollout.target();
+        }
+    }
+
+    /// Servers that hedges, retries and most first attempts may use.
+    ///
+    /// When a rollout is completed, the old servers stop at once, maybe before this VM hears of
+    /// it. So the target version replaces an old one of which no server is left; servers that
+    /// are cold or pause do not count as lost.
+    pub(super) fn versions(
+        &self,
+        notices: &fleet::notices::Notices,
+        now: time::Instant,
+    ) -> fleet::versions::Versions {
+        use fleet::versions::Versions;
+        let serves = |versions: Versions| {
+            self.servers.iter().any(|(name, server)| {
+                versions.allows(server, now)
+                    && server.usable_at(now).is_some()
+                    && notices.usable_at(name, server.born, now).is_some()
+            })
+        };
+        let Some(rollout) = &self.rollout else {
+            let held = self.servers.values().any(|server| server.is_held(now));
+            return match held && serves(Versions::Old) {
+                true => Versions::Old,
+                false => Versions::Any,
+            };
+        };
+        match &rollout.rollout {
+            rollout::AnyRollout::RolledBack(_) => Versions::Old,
+            rollout::AnyRollout::InService(_)
+                if !serves(Versions::Old) && serves(Versions::Target) =>
+            {
+                Versions::Target
+            }
+            rollout::AnyRollout::InService(_) => Versions::Old,
+            rollout::AnyRollout::Completed(_)
+                if !serves(Versions::Target) && serves(Versions::Old) =>
+            {
+                Versions::Old
+            }
+            rollout::AnyRollout::Completed(_) => Versions::Target,
+        }
+    }
+
+    /// Whether the next first attempt goes to the target version of a rollout in progress.
+    pub(super) fn owes_target(&self) -> bool {
+        let rollout = self.rollout.as_ref();
+        rollout.is_some_and(fleet::pool_rollout::PoolRollout::owes_target)
+    }
+
     /// The usable server with the lowest score that is not excluded.
     pub(super) fn pick(
         &self,
         excluded: &[ids::ServerName],
-        notices: &fleet::notices::Notices,
+        (notices, versions): (&fleet::notices::Notices, fleet::versions::Versions),
         members: usize,
         entropy: u64,
         now: time::Instant,
@@ -96,7 +183,11 @@
         let mut best: Option<(f64, (&ids::ServerName, &fleet::server_state::ServerState))> = None;
         for (name, server) in self.servers.iter() {
             let usable = server.is_usable(now) && notices.allows(name, server.born, now);
-            if !usable || server.running >= limit || excluded.contains(name) {
+            if !versions.allows(server, now)
+                || !usable
+                || server.running >= limit
+                || excluded.contains(name)
+            {
                 continue;
             }
             entropy = entropy.rotate_left(17).wrapping_mul(0x9e37_79b9_7f4a_7c15);
@@ -116,9 +207,13 @@
         notices: &fleet::notices::Notices,
         now: time::Instant,
     ) -> Option<Vec<&ids::ZoneName>> {
+        let versions = self.versions(notices, now);
         let mut scores = Vec::with_capacity(self.servers.len());
         for (name, server) in self.servers.iter() {
-            if server.is_usable(now) && notices.allows(name, server.born, now) {
+            if versions.allows(server, now)
+                && server.is_usable(now)
+                && notices.allows(name, server.born, now)
+            {
                 scores.push((server.score(now), server));
             }
         }
@@ -139,7 +234,11 @@
         notices: &fleet::notices::Notices,
         now: time::Instant,
     ) -> Option<time::Instant> {
+        let versions = self.versions(notices, now);
         let usable_at = |(name, server): (&ids::ServerName, &fleet::server_state::ServerState)| {
+            if !versions.allows(server, now) {
+                return None;
+            }
             let allowed_at = notices.usable_at(name, server.born, now)?;
             Some(allowed_at.max(server.usable_at(now)?))
         };
--- a/crates/fireflyspool/src/fleet/server_state.rs
+++ b/crates/fireflyspool/src/fleet/server_state.rs
@@ -37,11 +37,16 @@
     pub(super) address: net::SocketAddr,
     pub(super) local: bool,
     pub(super) zone: ids::ZoneName,
+    pub(super) version: ids::ServerVersion,
     /// Score of its zone and of this VM's preference; constant while this process runs.
     pub(super) zone_penalty: f64,
     pub(super) born: ids::BornMillis,
     pub(super) slots: f64,
     serving: bool,
+    /// Whether it has the target version of the latest rollout of its service.
+    pub(super) is_target: bool,
+    /// Until when it waits for a rollout, because its version is new to the service.
+    pub(super) held_until: Option<time::Instant>,
     cold_until: time::Instant,
     zone_out: bool,
     /// Since when it is not used; ends with a heartbeat after that.
@@ -84,6 +89,7 @@
             address: record.address,
             local,
             zone: record.zone.clone(),
+            version: record.version.clone(),
             zone_penalty: match local {
                 true => 0.0,
                 false => ZONE_PENALTY + MAX_PREFERENCE * preference,
@@ -91,6 +97,8 @@
             born: record.born,
             slots: f64::from(record.slots.max(1)),
             serving: false,
+            is_target: false,
+            held_until: None,
             cold_until: server.cold_until,
             zone_out: false,
             suspended: None,
@@ -121,6 +129,7 @@
         self.serving = record.phase == registry::Phase::Serving && !record.silent;
         self.cold_until = server.cold_until;
         self.slots = f64::from(record.slots.max(1));
+        self.version.clone_from(&record.version);
         if self.zone_out && !zone_out {
             // Servers of a zone that is taken back may have become cold since their last report.
             self.suspended = Some(now);
@@ -140,6 +149,11 @@
         self.serving = false;
     }
 
+    /// Whether its version is new to the service and no rollout has named it.
+    pub(super) fn is_held(&self, now: time::Instant) -> bool {
+        !self.is_target && self.held_until.is_some_and(|until| until > now)
+    }
+
     pub(super) fn is_usable(&self, now: time::Instant) -> bool {
         self.usable_at(now) == Some(now)
     }
--- a/crates/fireflyspool/src/fleet/view.rs
+++ b/crates/fireflyspool/src/fleet/view.rs
@@ -2,7 +2,7 @@
 
 use std::{sync, time};
 
-use crate::{configuration, containment, fleet, hub, ids, sorted};
+use crate::{configuration, containment, fleet, hub, ids, sorted, state};
 
 /// Immutable snapshot of the configuration, the backend servers and the zones.
 #[derive(Clone, Debug, Default)]
@@ -15,6 +15,8 @@
     pub servers: sorted::SortedMap<ids::ServerName, fleet::KnownServer>,
     /// Zones taken out of service.
     pub zones: hub::ZonesOut,
+    /// Rollouts by service.
+    pub rollouts: state::RolloutTable,
     /// Names of backend servers that all entry VMs together find slow or failing, sorted.
     pub outliers: Vec<ids::ServerName>,
     /// Entry VMs to which groups of shards may be delegated, preferred ones first.
--- a/crates/fireflyspool/src/follow/follower.rs
+++ b/crates/fireflyspool/src/follow/follower.rs
@@ -55,6 +55,11 @@
         })
     }
 
+    /// Incarnation of this VM's process.
+    pub fn incarnation(&self) -> ids::Incarnation {
+        self.member.incarnation
+    }
+
     /// When the next poll is due; `None` while one is in flight.
     pub fn next_poll(&self) -> Option<time::Instant> {
         (!self.in_flight).then_some(self.due)
@@ -74,6 +79,11 @@
         }
     }
 
+    /// Listener of the control VM that collects the counts of a service.
+    pub fn collector(&self, service: &str) -> net::SocketAddr {
+        self.choice.observer(service)
+    }
+
     /// View built from the replies so far.
     pub fn view(&self) -> &fleet::View {
         &self.view
@@ -124,6 +134,7 @@
             records: self.choice.wants_records(),
             version: table.map_or(0, |table| table.version()),
             revision: self.view.zones.revision,
+            rollout_revision: self.view.rollouts.revision(),
             outlier_revision: self.outlier_revision,
             content_position: self.contents.position(incarnation),
             contents,
@@ -172,6 +183,11 @@
         {
             self.view.zones = zones;
         }
+        if let Some(rollouts) = reply.rollouts
+            && rollouts.revision() > self.view.rollouts.revision()
+        {
+            self.view.rollouts = rollouts;
+        }
         if reply.current && with_records {
             self.view.confirmed = Some(now);
         }
--- a/crates/fireflyspool/src/follow/hub_choice.rs
+++ b/crates/fireflyspool/src/follow/hub_choice.rs
@@ -12,7 +12,7 @@
 
 use std::net;
 
-use crate::{hashing, hub, ids, sorted};
+use crate::{hub, ids, sorted};
 
 /// The hub that is polled, the others, and how far each one is known.
 pub(super) struct HubChoice {
@@ -58,16 +58,13 @@
         hub::HubInfo::checksum(&self.hubs)
     }
 
-    /// Hub that collects the observations of a backend server.
+    /// Hub that collects the observations of a backend server or the
+    /// counts of a service.
     ///
     /// All entry VMs choose the same one. Spread over all hubs, the observations of a large
     /// site are too few at each of them to tell a slow server from one that pauses.
     pub(super) fn observer(&self, server: &str) -> net::SocketAddr {
-        let weight = |info: &&hub::HubInfo| {
-            let hasher = hashing::StableHasher::new().text(server);
-            hasher.text(&info.rpc.to_string()).finish()
-        };
-        let observer = self.hubs.iter().max_by_key(weight);
+        let observer = hub::HubInfo::observer(&self.hubs, server);
         observer.map_or(self.current, |info| info.rpc)
     }
 
--- a/crates/fireflyspool/src/forward/exchange_sends.rs
+++ b/crates/fireflyspool/src/forward/exchange_sends.rs
@@ -21,7 +21,11 @@
         entropy: u64,
         now: time::Instant,
     ) {
-        if self.send(index, fleet, entropy, now) {
+        let picked = self.sub_requests[index].pending_mut().and_then(|pending| {
+            fleet.pick_first(&pending.service, &pending.state.tried, entropy, now)
+        });
+        if let Some(picked) = picked {
+            self.start_attempt(index, picked, fleet, now);
             return;
         }
         let limit = self.timing.queue_timeout;
@@ -145,13 +149,27 @@
         entropy: u64,
         now: time::Instant,
     ) -> bool {
+        let picked = self.sub_requests[index]
+            .pending_mut()
+            .and_then(|pending| fleet.pick(&pending.service, &pending.state.tried, entropy, now));
+        let Some(picked) = picked else {
+            return false;
+        };
+        self.start_attempt(index, picked, fleet, now);
+        true
+    }
+
+    fn start_attempt(
+        &mut self,
+        index: usize,
+        picked: fleet::PickedServer,
+        fleet: &mut fleet::Fleet,
+        now: time::Instant,
+    ) {
         let delay = forward::Timing::hedge_delay(&self.route, fleet.high_latency(&self.route));
         let hedged = self.route.idempotent;
         let Some(pending) = self.sub_requests[index].pending_mut() else {
-            return false;
-        };
-        let Some(picked) = fleet.pick(&pending.service, &pending.state.tried, entropy, now) else {
-            return false;
+            return;
         };
         pending.state.tried.push(picked.server.clone());
         pending.state.running += 1;
@@ -178,7 +196,6 @@
             address: picked.address,
             deadline: self.timing.deadline,
         }));
-        true
     }
 
     fn report_overdue(&mut self, index: usize, fleet: &mut fleet::Fleet, now: time::Instant) {
--- a/crates/fireflyspool/src/hub/batch.rs
+++ b/crates/fireflyspool/src/hub/batch.rs
@@ -16,6 +16,9 @@
     /// Catalog revision of the sender's list of zones taken out.
     #[serde(default)]
     pub revision: ids::Revision,
+    /// Revision of the sender's rollouts.
+    #[serde(default)]
+    pub rollout_revision: ids::Revision,
     /// Backend servers that changed since the last acknowledged batch.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub records: Vec<registry::Record>,
--- a/crates/fireflyspool/src/hub/follow_reply.rs
+++ b/crates/fireflyspool/src/hub/follow_reply.rs
@@ -1,6 +1,6 @@
 //! Reply to the poll of an entry VM.
 
-use crate::{configuration, containment, hub, ids, registry};
+use crate::{configuration, containment, hub, ids, registry, state};
 
 /// Changes that an entry VM lacks, and the current state of its hub.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,6 +16,9 @@
     /// Zones taken out; absent if the entry VM has this revision.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub zones: Option<hub::ZonesOut>,
+    /// Rollouts; absent if the entry VM has this revision.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollouts: Option<state::RolloutTable>,
     /// Backend servers that changed since the position of the poll. If that position belongs
     /// to another hub, all of them, or none if the poll wants none.
     pub changes: registry::ChangeSet,
--- a/crates/fireflyspool/src/hub/follow_request.rs
+++ b/crates/fireflyspool/src/hub/follow_request.rs
@@ -20,6 +20,9 @@
     pub version: ids::ConfigVersion,
     /// Catalog revision of its list of zones taken out.
     pub revision: ids::Revision,
+    /// Revision of its rollouts; 0 if it has none.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub rollout_revision: ids::Revision,
     /// Revision of its list of outliers.
     pub outlier_revision: u64,
     /// Position in the hub's contents that crash servers; 0 if it has none of them.
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -18,6 +18,8 @@
     pub(super) group: Vec<net::SocketAddr>,
     pub(super) document: Option<configuration::Document>,
     pub(super) zones: hub::ZonesOut,
+    /// Rollouts that the applied log holds.
+    pub(super) rollouts: state::RolloutTable,
     /// Since when another hub has held a newer configuration or catalog; `None` if none does.
     pub(super) behind_since: Option<time::Instant>,
     /// Backend servers that entry VMs found slow or failing.
@@ -55,6 +57,7 @@
             group: contacts.to_vec(),
             document: None,
             zones: hub::ZonesOut::default(),
+            rollouts: state::RolloutTable::default(),
             behind_since: None,
             outliers: hub::outliers::Outliers::default(),
             contents: containment::Ledger::default(),
@@ -93,6 +96,27 @@
         self.zones = zones;
     }
 
+    /// Sets the rollouts that the replicated log holds; returns whether they are newer.
+    pub fn set_rollouts(&mut self, rollouts: &state::RolloutTable) -> bool {
+        let is_newer = rollouts.revision() > self.rollouts.revision();
+        if is_newer {
+            self.rollouts = rollouts.clone();
+        }
+        is_newer
+    }
+
+    /// Whether this hub collects the counts of a service, as far as it knows the others.
+    pub fn collects(&self, service: &str, now: time::Instant) -> bool {
+        let hubs = self.hubs(now);
+        let collector = hub::HubInfo::observer(&hubs, service);
+        collector.is_none_or(|info| info.rpc == self.own.rpc)
+    }
+
+    /// Number of backend servers of a service that serve with this version.
+    pub fn serving(&self, service: &str, version: &str) -> usize {
+        self.registry.serving(service, version)
+    }
+
     /// Handles a report of a backend server; [`hub::Action::Acknowledge`] with the ticket
     /// answers it.
     pub fn report(&mut self, ticket: ids::Ticket, report: registry::Report, now: time::Instant) {
--- a/crates/fireflyspool/src/hub/hub_followers.rs
+++ b/crates/fireflyspool/src/hub/hub_followers.rs
@@ -78,6 +78,7 @@
             || request.content_position < self.contents.urgent_position()
             || self.version() > request.version
             || self.zones.revision > request.revision
+            || self.rollouts.revision() > request.rollout_revision
     }
 
     fn reply_to(&self, request: &hub::FollowRequest, now: time::Instant) -> hub::FollowReply {
@@ -118,6 +119,8 @@
             current: self.is_current(now),
             document: self.document.as_ref().filter(lacking).cloned(),
             zones: (self.zones.revision > request.revision).then(|| self.zones.clone()),
+            rollouts: (self.rollouts.revision() > request.rollout_revision)
+                .then(|| self.rollouts.clone()),
             changes,
             confirmations,
             outlier_revision: self.outliers.revision(),
@@ -141,7 +144,7 @@
     }
 
     /// The reachable control VMs, this one included.
-    fn hubs(&self, now: time::Instant) -> Vec<hub::HubInfo> {
+    pub(super) fn hubs(&self, now: time::Instant) -> Vec<hub::HubInfo> {
         let timeout = self.config.peer_timeout;
         let is_reachable = |peer: &&hub::peer::Peer| peer.is_reachable(timeout, now);
         let peers = self.peers.values().filter(is_reachable);
--- a/crates/fireflyspool/src/hub/hub_info.rs
+++ b/crates/fireflyspool/src/hub/hub_info.rs
@@ -19,6 +19,16 @@
 }
 
 impl HubInfo {
+    /// The one among control VMs that collects the observations about a backend server or a
+    /// service, by rendezvous hashing.
+    pub fn observer<'a>(hubs: &'a [Self], subject: &str) -> Option<&'a Self> {
+        let weight = |info: &&Self| {
+            let hasher = hashing::StableHasher::new().text(subject);
+            hasher.text(&info.rpc.to_string()).finish()
+        };
+        hubs.iter().max_by_key(weight)
+    }
+
     /// Checksum of a list of control VMs in any order; 0 for an empty one.
     pub fn checksum(hubs: &[Self]) -> u64 {
         let hash = |info: &Self| {
--- a/crates/fireflyspool/src/hub/hub_peers.rs
+++ b/crates/fireflyspool/src/hub/hub_peers.rs
@@ -21,6 +21,7 @@
             peer.info = Some(batch.from);
             peer.version = batch.version;
             peer.revision = batch.revision;
+            peer.rollout_revision = batch.rollout_revision;
         }
         for record in batch.records {
             self.registry.merge_record(record, now);
@@ -148,6 +149,7 @@
             from: self.own.clone(),
             version: self.version(),
             revision: self.zones.revision,
+            rollout_revision: self.rollouts.revision(),
             records: changes.records,
             refreshes,
             outliers: self.outliers.own(),
@@ -165,7 +167,10 @@
     /// Records since when another hub has held a newer configuration or catalog.
     pub(super) fn track_lag(&mut self, now: time::Instant) {
         let (version, revision) = (self.version(), self.zones.revision);
-        let newer = |peer: &hub::peer::Peer| peer.version > version || peer.revision > revision;
+        let rollouts = self.rollouts.revision();
+        let newer = |peer: &hub::peer::Peer| {
+            peer.version > version || peer.revision > revision || peer.rollout_revision > rollouts
+        };
         match self.peers.values().any(newer) {
             true => {
                 self.behind_since.get_or_insert(now);
--- a/crates/fireflyspool/src/hub/peer.rs
+++ b/crates/fireflyspool/src/hub/peer.rs
@@ -13,6 +13,8 @@
     pub(super) version: ids::ConfigVersion,
     /// Catalog revision of the peer's list of zones taken out.
     pub(super) revision: ids::Revision,
+    /// Revision of the peer's rollouts.
+    pub(super) rollout_revision: ids::Revision,
     /// Own revision of the list of outliers in the last batch sent.
     pub(super) sent_outliers: u64,
     /// Incarnation of the peer that acknowledged `acked`.
--- a/crates/fireflyspool/src/ids.rs
+++ b/crates/fireflyspool/src/ids.rs
@@ -13,6 +13,9 @@
 /// Name of a backend server.
 pub type ServerName = String;
 
+/// Version of the program that a backend server runs; empty if it reports none.
+pub type ServerVersion = String;
+
 /// Name of an availability zone.
 pub type ZoneName = String;
 
--- a/crates/fireflyspool/src/lib.rs
+++ b/crates/fireflyspool/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod platform;
 pub mod registry;
 pub mod rim;
+pub mod rollout;
 pub mod roster;
 pub mod settings;
 pub mod shutdown;
--- a/crates/fireflyspool/src/node/control.rs
+++ b/crates/fireflyspool/src/node/control.rs
@@ -11,7 +11,8 @@
 
 use crate::node::node_id;
 use crate::{
-    consensus, control, hub, ids, node, registry, rim, roster, sorted, state, storage, timer,
+    consensus, control, hub, ids, node, registry, rim, rollout, roster, sorted, state, storage,
+    timer,
 };
 
 /// Timeout of a command; its sender tries another VM after a second.
@@ -39,6 +40,7 @@
     process: sync::Arc<node::Process>,
     /// Own listener for other processes.
     rpc: net::SocketAddr,
+    rollouts: rollout::Limits,
     /// Dropping the handle would close the listener for other processes.
     listener: sync::OnceLock<server::ServerHandle>,
 }
@@ -70,9 +72,11 @@
         let now = time::Instant::now();
         let contacts = settings.contacts.clone();
         let hub = control::HubDriver::new(own, config, contacts, logger.clone(), now);
+        let hub = hub.with_rollouts(settings.rollouts);
         let node = sync::Arc::new(Self {
             process,
             rpc: settings.rpc,
+            rollouts: settings.rollouts,
             listener: sync::OnceLock::new(),
         });
         let listener = node::rpc_listener(settings.rpc, sync::Arc::clone(&node)).await?;
@@ -136,6 +140,24 @@
         self.execute(command).await
     }
 
+    /// Starts a rollout with the share of its first stage.
+    pub async fn start_rollout(
+        &self,
+        service: ids::ServiceName,
+        target: ids::ServerVersion,
+        duration: time::Duration,
+    ) -> node::CommandResult {
+        let [share, ..] = self.rollouts.stages();
+        let start = rollout::Start {
+            target,
+            duration,
+            share,
+            stamped: rim::wall_millis(),
+        };
+        let command = state::IdempotentCommand::StartRollout { service, start };
+        self.execute(command).await
+    }
+
     /// Executes a command on the leader, here or on another control VM.
     pub async fn execute(&self, command: state::IdempotentCommand) -> node::CommandResult {
         let revision = self
--- a/crates/fireflyspool/src/node/control_settings.rs
+++ b/crates/fireflyspool/src/node/control_settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net, path, time};
 
-use crate::ids;
+use crate::{ids, rollout};
 
 /// Location, addresses and peers of a control VM.
 #[derive(Clone, Debug)]
@@ -19,6 +19,8 @@
     pub data: path::PathBuf,
     /// JSON-RPC listeners of control VMs through which this one finds the others.
     pub contacts: Vec<net::SocketAddr>,
+    /// Bounds of rollouts.
+    pub rollouts: rollout::Limits,
     /// Whether the site starts for the first time, with the contacts as founding members.
     pub founding: bool,
     /// Interval of the heartbeats of backend servers.
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -92,6 +92,10 @@
             count(self.process.suspended.load().len()),
         );
         metrics.set_state("outlier_servers", count(view.outliers.len()));
+        metrics.set_state(
+            "rollouts_in_progress",
+            count(view.rollouts.in_service().count()),
+        );
         metrics.set_state("suspect_contents", count(view.contents.len()));
         metrics.encode()
     }
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -189,6 +189,10 @@
             self.process
                 .send_event(control::Event::Observed(observation));
         }
+        let samples = fleet.take_samples();
+        if !samples.is_empty() {
+            self.process.send_event(control::Event::Counted(samples));
+        }
     }
 
     /// Publishes the suspended backend servers to the control thread if they changed.
--- a/crates/fireflyspool/src/node/rpc_listener.rs
+++ b/crates/fireflyspool/src/node/rpc_listener.rs
@@ -5,7 +5,7 @@
 use jsonrpsee::{server, types};
 use tokio::sync::oneshot;
 
-use crate::{control, hub, node, rim, state};
+use crate::{control, hub, node, rim, rollout, state};
 
 type Module = jsonrpsee::RpcModule<sync::Arc<node::Control>>;
 type Reply<T> = Result<T, types::ErrorObjectOwned>;
@@ -56,6 +56,12 @@
         node.process().send_event(event);
         Reply::Ok(())
     })?;
+    module.register_method(rim::Method::Count.name(), |parameters, node, _| {
+        let reports: Vec<rollout::Report> = parameters.one()?;
+        let event = control::Event::Hub(control::HubEvent::Counted(reports));
+        node.process().send_event(event);
+        Reply::Ok(())
+    })?;
     module.register_async_method(
         rim::Method::Idempotent.name(),
         |parameters, node, _| async move {
--- a/crates/fireflyspool/src/node/rpc_outlet.rs
+++ b/crates/fireflyspool/src/node/rpc_outlet.rs
@@ -8,7 +8,7 @@
 
 use tokio::sync::mpsc;
 
-use crate::{consensus, control, fleet, hub, ids, node, rim, roster, sorted, state, view};
+use crate::{consensus, control, fleet, hub, ids, node, rim, rollout, roster, sorted, state, view};
 
 /// Timeout of a call to another control VM; a lost connection is noticed after it.
 const CALL_TIMEOUT: time::Duration = time::Duration::from_millis(700);
@@ -127,6 +127,11 @@
         self.call(peer, rim::Method::Idempotent, command, CALL_TIMEOUT, event);
     }
 
+    fn send_advance(&self, peer: net::SocketAddr, command: state::IdempotentCommand) {
+        let event = |reply| control::Event::Hub(control::HubEvent::AdvanceEnded(reply));
+        self.call(peer, rim::Method::Idempotent, command, CALL_TIMEOUT, event);
+    }
+
     fn publish_addresses(&self, book: hub::AddressBook) {
         self.process.addresses.store(sync::Arc::new(book));
     }
@@ -147,6 +152,17 @@
         });
     }
 
+    fn report_counts(&self, hub: net::SocketAddr, reports: Vec<rollout::Report>) {
+        let process = sync::Arc::clone(&self.process);
+        self.runtime.spawn(async move {
+            let peer = process.peer(hub);
+            let called = peer.call::<_, ()>(rim::Method::Count, &reports, CALL_TIMEOUT);
+            if let Err(error) = called.await {
+                slog::debug!(process.logger, "counts not reported"; "error" => %error);
+            }
+        });
+    }
+
     fn publish_fleet(&self, view: fleet::View) {
         self.process.view.store(sync::Arc::new(view));
         self.process.view_changed.notify_one();
--- a/crates/fireflyspool/src/platform/bounds.rs
+++ b/crates/fireflyspool/src/platform/bounds.rs
@@ -28,6 +28,15 @@
     /// Requests by which a window may exceed a quota beyond that share.
     #[serde(rename = "QuotaSlack", default)]
     pub(super) quota_slack: f64,
+    /// Share of the requests of a service that the target version of a rollout may get.
+    #[serde(rename = "ExposureShare", default = "default_exposure")]
+    pub(super) exposure: f64,
+    /// Requests that the target version may get beyond that share.
+    #[serde(rename = "ExposureSlack", default = "default_exposure_slack")]
+    pub(super) exposure_slack: f64,
+    /// Milliseconds after which a bad version must get no more requests.
+    #[serde(rename = "RollbackMs", default = "default_rollback")]
+    pub(super) rollback_ms: f64,
     /// Seconds from the signal to stop until the process is killed.
     #[serde(rename = "GraceS", default = "default_grace")]
     pub(super) grace: f64,
@@ -44,6 +53,9 @@
             quota_window: default_quota_window(),
             quota_overshoot: 0.0,
             quota_slack: 0.0,
+            exposure: default_exposure(),
+            exposure_slack: default_exposure_slack(),
+            rollback_ms: default_rollback(),
             grace: default_grace(),
         }
     }
@@ -69,6 +81,21 @@
     5_000.0
 }
 
+/// Share of the requests in a rollout that all known installations use.
+fn default_exposure() -> f64 {
+    0.1
+}
+
+/// Requests beyond that share that all known installations use.
+fn default_exposure_slack() -> f64 {
+    50.0
+}
+
+/// Milliseconds until a rollback binds that all known installations use.
+fn default_rollback() -> f64 {
+    5_000.0
+}
+
 /// Window of quotas in seconds that all known installations use.
 fn default_quota_window() -> f64 {
     5.0
--- a/crates/fireflyspool/src/platform/control_call.rs
+++ b/crates/fireflyspool/src/platform/control_call.rs
@@ -17,6 +17,10 @@
     TakeOut(ids::ZoneName),
     /// Brings a zone back into service.
     BringBack(ids::ZoneName),
+    /// Moves a service to another version.
+    StartRollout,
+    /// Reads the latest rollout of a service.
+    ReadRollout(ids::ServiceName),
 }
 
 impl ControlCall {
@@ -37,6 +41,8 @@
             ("GET", "Config.Get", false) => Some(Self::Read),
             ("POST", "Evacuation.Start", true) => Some(Self::TakeOut(argument)),
             ("POST", "Evacuation.Finish", true) => Some(Self::BringBack(argument)),
+            ("POST", "Rollouts.Start", false) => Some(Self::StartRollout),
+            ("GET", "Rollouts.Get", true) => Some(Self::ReadRollout(argument)),
             _ => None,
         }
     }
--- a/crates/fireflyspool/src/platform/control_service.rs
+++ b/crates/fireflyspool/src/platform/control_service.rs
@@ -3,16 +3,16 @@
 use std::{sync, time};
 
 use crate::configuration::Format as _;
-use crate::platform::{control_call, heartbeat_answer};
+use crate::platform::{control_call, heartbeat_answer, rollout_calls};
 use crate::{configuration, node, platform, rim, state};
 
 type Response = http::Response<rim::ResponseBody>;
 
 /// Status and text of an error response.
-type Failure = (http::StatusCode, String);
+pub(super) type Failure = (http::StatusCode, String);
 
 /// Body of a successful response; `None` if it is empty.
-type Success = Option<Vec<u8>>;
+pub(super) type Success = Option<Vec<u8>>;
 
 /// Largest body of a heartbeat or departure.
 const MAX_REPORT_BYTES: usize = 16 * 1024;
@@ -100,6 +100,12 @@
             let result = node.order(state::IdempotentCommand::BringBackZone { zone, known: None });
             applied(&result.await)
         }
+        control_call::ControlCall::StartRollout => {
+            let body = bodies.read(body, MAX_REPORT_BYTES).await;
+            let body = body.map_err(|error| unread(&error))?;
+            rollout_calls::start(node, body.as_slice()).await
+        }
+        control_call::ControlCall::ReadRollout(service) => rollout_calls::read(node, service).await,
     }
 }
 
@@ -131,7 +137,7 @@
     }
 }
 
-fn applied(result: &node::CommandResult) -> Result<Success, Failure> {
+pub(super) fn applied(result: &node::CommandResult) -> Result<Success, Failure> {
     match result {
         node::CommandResult::Applied(_) => Ok(None),
         node::CommandResult::Uncertain => {
@@ -160,11 +166,11 @@
     (status, error.to_string())
 }
 
-fn invalid(error: &dyn std::error::Error) -> Failure {
+pub(super) fn invalid(error: &dyn std::error::Error) -> Failure {
     (http::StatusCode::BAD_REQUEST, error.to_string())
 }
 
-fn unavailable(text: &str) -> Failure {
+pub(super) fn unavailable(text: &str) -> Failure {
     (http::StatusCode::SERVICE_UNAVAILABLE, text.to_owned())
 }
 
--- a/crates/fireflyspool/src/platform/heartbeat_wire.rs
+++ b/crates/fireflyspool/src/platform/heartbeat_wire.rs
@@ -14,6 +14,8 @@
     service: ids::ServiceName,
     address: net::SocketAddr,
     zone: ids::ZoneName,
+    #[serde(default)]
+    version: ids::ServerVersion,
     /// Maximum number of requests that the server runs concurrently.
     #[serde(rename = "Concurrency", default = "default_slots")]
     slots: u32,
@@ -66,6 +68,7 @@
             service: wire.service,
             address: wire.address,
             zone: wire.zone,
+            version: wire.version,
             slots: wire.slots,
             phase,
             cold_left,
--- a/crates/fireflyspool/src/platform/process_settings.rs
+++ b/crates/fireflyspool/src/platform/process_settings.rs
@@ -3,7 +3,7 @@
 use std::{env, fs, net, path, time};
 
 use crate::platform::{bounds, listen_addresses, process_limits};
-use crate::{fleet, node, platform};
+use crate::{fleet, node, platform, rollout};
 
 /// Environment variable with the path of the settings file.
 const SETTINGS_VARIABLE: &str = "FIREFLYSPOOL_CONFIG";
@@ -109,6 +109,15 @@
         })
     }
 
+    fn rollout_limits(&self) -> Result<rollout::Limits, platform::PlatformError> {
+        let bounds = &self.bounds;
+        Ok(rollout::Limits {
+            exposure: bounds.exposure,
+            slack: bounds.exposure_slack,
+            rollback: seconds("Bounds.RollbackMs", bounds.rollback_ms / 1_000.0)?,
+        })
+    }
+
     /// Settings of a control VM.
     ///
     /// # Errors
@@ -122,6 +131,7 @@
             zone: self.zone.clone(),
             data: required("DataDir", self.data_dir.clone())?,
             contacts: self.contacts(),
+            rollouts: self.rollout_limits()?,
             founding: self.bootstrap,
             heartbeat: time::Duration::from_millis(self.heartbeat),
         })
--- a/crates/fireflyspool/src/registry/entry.rs
+++ b/crates/fireflyspool/src/registry/entry.rs
@@ -29,6 +29,7 @@
                 service: ids::ServiceName::new(),
                 address: net::SocketAddr::from((net::Ipv4Addr::UNSPECIFIED, 0)),
                 zone: ids::ZoneName::new(),
+                version: ids::ServerVersion::new(),
                 slots: 0,
                 phase: departure.phase,
                 cold_left: time::Duration::ZERO,
@@ -93,6 +94,7 @@
             service: report.service.clone(),
             address: report.address,
             zone: report.zone.clone(),
+            version: report.version.clone(),
             slots: report.slots,
             phase: report.phase,
             cold_ms: millis(self.cold_until.saturating_duration_since(now)),
@@ -102,11 +104,12 @@
     }
 }
 
-/// Whether two reports agree on address, service, zone and slots.
+/// Whether two reports agree on address, service, zone, version and slots.
 fn is_same_endpoint(one: &registry::Report, other: &registry::Report) -> bool {
     one.address == other.address
         && one.service == other.service
         && one.zone == other.zone
+        && one.version == other.version
         && one.slots == other.slots
 }
 
--- a/crates/fireflyspool/src/registry/record.rs
+++ b/crates/fireflyspool/src/registry/record.rs
@@ -26,6 +26,9 @@
     /// Zone that it runs in.
     #[serde(rename = "z")]
     pub zone: ids::ZoneName,
+    /// Version of its program; empty if it reports none, or an earlier release sent the record.
+    #[serde(rename = "v", default, skip_serializing_if = "String::is_empty")]
+    pub version: ids::ServerVersion,
     /// Maximum number of requests that it runs concurrently.
     #[serde(rename = "k")]
     pub slots: u32,
--- a/crates/fireflyspool/src/registry/registry.rs
+++ b/crates/fireflyspool/src/registry/registry.rs
@@ -112,6 +112,7 @@
             service: record.service,
             address: record.address,
             zone: record.zone,
+            version: record.version,
             slots: record.slots,
             phase: record.phase,
             cold_left: time::Duration::from_millis(record.cold_ms),
@@ -273,6 +274,15 @@
         Some(self.entries.get(server)?.record(now))
     }
 
+    /// Number of servers of a service that serve with this version.
+    pub fn serving(&self, service: &str, version: &str) -> usize {
+        let serving = self.entries.values().filter(|entry| {
+            let report = &entry.report;
+            entry.is_serving() && report.service == service && report.version == version
+        });
+        serving.count()
+    }
+
     /// Latest state of every server.
     pub fn records(&self, now: time::Instant) -> Vec<registry::Record> {
         self.entries
--- a/crates/fireflyspool/src/registry/report.rs
+++ b/crates/fireflyspool/src/registry/report.rs
@@ -19,6 +19,8 @@
     pub address: net::SocketAddr,
     /// Zone that it runs in.
     pub zone: ids::ZoneName,
+    /// Version of its program; empty if it reports none.
+    pub version: ids::ServerVersion,
     /// Maximum number of requests that it runs concurrently.
     pub slots: u32,
     /// Phase of the incarnation.
--- a/crates/fireflyspool/src/rim/method.rs
+++ b/crates/fireflyspool/src/rim/method.rs
@@ -31,6 +31,8 @@
     Idempotent,
     /// Reports the results of attempts at backend servers.
     Observe,
+    /// Reports the counts of rollouts.
+    Count,
 }
 
 impl Method {
@@ -51,6 +53,7 @@
             Self::Follow => "hub.follow",
             Self::Idempotent => "order.decide",
             Self::Observe => "hub.observe",
+            Self::Count => "hub.count",
         }
     }
 }
--- a/crates/fireflyspool/src/state/control_state.rs
+++ b/crates/fireflyspool/src/state/control_state.rs
@@ -25,6 +25,9 @@
     /// Acknowledged departures of backend servers.
     #[serde(default)]
     pub departures: state::DepartureTable,
+    /// Latest rollout of each service.
+    #[serde(default)]
+    pub rollouts: state::RolloutTable,
     /// Routing configuration in force.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub document: Option<configuration::Document>,
@@ -105,6 +108,19 @@
                     None => state::IdempotentOutcome::Full,
                 };
             }
+            state::IdempotentCommand::StartRollout { service, start } => {
+                return self.rollouts.start(service, start);
+            }
+            state::IdempotentCommand::AdvanceRollout {
+                service,
+                number,
+                step,
+                stamped,
+            } => self.rollouts.advance(service, *number, *step, *stamped),
+            state::IdempotentCommand::ReadRollout { service } => {
+                let rollout = self.rollouts.get(service).cloned();
+                return state::IdempotentOutcome::Rollout(rollout);
+            }
             state::IdempotentCommand::Read => {
                 return state::IdempotentOutcome::Document(self.document.clone());
             }
--- a/crates/fireflyspool/src/state/idempotent_command.rs
+++ b/crates/fireflyspool/src/state/idempotent_command.rs
@@ -2,7 +2,7 @@
 
 use std::net;
 
-use crate::{configuration, ids, registry};
+use crate::{configuration, ids, registry, rollout};
 
 /// Command that may be repeated without a number.
 ///
@@ -64,6 +64,29 @@
         /// Time at the sender, in milliseconds since the Unix epoch.
         stamped: u64,
     },
+    /// Starts to move a service to the backend servers of another version.
+    StartRollout {
+        /// Service whose traffic moves.
+        service: ids::ServiceName,
+        /// Target, duration and time of the command.
+        start: rollout::Start,
+    },
+    /// Raises the share of a rollout in progress, or ends the rollout.
+    AdvanceRollout {
+        /// Service of the rollout.
+        service: ids::ServiceName,
+        /// Number of the rollout; another one is not affected.
+        number: ids::Revision,
+        /// What the collector decided.
+        step: rollout::Step,
+        /// Time at the sender, in milliseconds since the Unix epoch.
+        stamped: u64,
+    },
+    /// Reads the latest rollout of a service, through the log like [`Self::Read`].
+    ReadRollout {
+        /// Service of the rollout.
+        service: ids::ServiceName,
+    },
     /// Reads the routing configuration.
     ///
     /// The read passes through the log, so that a leader that was replaced
--- a/crates/fireflyspool/src/state/idempotent_outcome.rs
+++ b/crates/fireflyspool/src/state/idempotent_outcome.rs
@@ -1,6 +1,6 @@
 //! Results of idempotent commands.
 
-use crate::{configuration, ids};
+use crate::{configuration, ids, rollout};
 
 /// Outcome of an idempotent command.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,6 +23,10 @@
     },
     /// There is no room for all departures, and none is recorded.
     Full,
+    /// Another rollout of the service is in progress; the command has no effect.
+    RolloutInProgress,
+    /// Latest rollout of the service; `None` if there was none.
+    Rollout(Option<rollout::AnyRollout>),
     /// Result of a read; `None` if no routing configuration was set.
     Document(Option<configuration::Document>),
 }
--- a/crates/fireflyspool/src/state/mod.rs
+++ b/crates/fireflyspool/src/state/mod.rs
@@ -47,6 +47,7 @@
 mod receipt;
 mod receipt_table;
 mod revision_record;
+mod rollout_table;
 mod service;
 mod zone_changes;
 
@@ -75,5 +76,6 @@
 pub use receipt::Receipt;
 pub use receipt_table::{RECEIPT_WINDOW, ReceiptTable};
 pub use revision_record::RevisionRecord;
+pub use rollout_table::RolloutTable;
 pub use service::Service;
 pub use zone_changes::ZoneChanges;
--- a/crates/fireflyspool/tests/caution.rs
+++ b/crates/fireflyspool/tests/caution.rs
@@ -86,6 +86,7 @@
             for replica in 0..REPLICAS {
                 let server = format!("{service}-{replica}");
                 let record = registry::Record {
+                    version: String::new(),
                     server: server.clone(),
                     born: 1,
                     sequence: 1,
--- a/crates/fireflyspool/tests/control_site/mod.rs
+++ b/crates/fireflyspool/tests/control_site/mod.rs
@@ -226,6 +226,7 @@
                 continue;
             }
             let report = registry::Report {
+                version: String::new(),
                 server: server_name(number),
                 born: 1_764_880_000_000,
                 sequence: self.sequence,
--- a/crates/fireflyspool/tests/departures_fuzz.rs
+++ b/crates/fireflyspool/tests/departures_fuzz.rs
@@ -79,6 +79,7 @@
         let number = u16::try_from(server).expect("a small number");
         self.tickets.push(leaves.then_some((server, born)));
         registry::Report {
+            version: String::new(),
             server: format!("s{server}"),
             born,
             sequence,
@@ -162,6 +163,7 @@
     /// Servers that an entry VM which has just started learns from a hub.
     fn listed(&mut self, index: usize) -> Vec<registry::Record> {
         let request = hub::FollowRequest {
+            rollout_revision: 0,
             member: hub::Member {
                 callers: address(100),
                 listener: None,
--- a/crates/fireflyspool/tests/fleet.rs
+++ b/crates/fireflyspool/tests/fleet.rs
@@ -13,6 +13,7 @@
 fn record(server: &str, zone: &str) -> registry::Record {
     let port = 8_000 + server.bytes().map(u16::from).sum::<u16>();
     registry::Record {
+        version: String::new(),
         server: server.to_owned(),
         born: 1,
         sequence: 1,
--- a/crates/fireflyspool/tests/fleet_notices.rs
+++ b/crates/fireflyspool/tests/fleet_notices.rs
@@ -9,6 +9,7 @@
 
 fn record(server: &str, born: u64, port: u16, service: &str) -> registry::Record {
     registry::Record {
+        version: String::new(),
         server: server.to_owned(),
         born,
         sequence: 1,
--- a/crates/fireflyspool/tests/follow.rs
+++ b/crates/fireflyspool/tests/follow.rs
@@ -18,6 +18,7 @@
 
 fn reply(incarnation: u64) -> hub::FollowReply {
     hub::FollowReply {
+        rollouts: None,
         incarnation,
         current: true,
         document: None,
@@ -57,6 +58,7 @@
 
 fn record(sequence: u64, phase: registry::Phase) -> registry::Record {
     registry::Record {
+        version: String::new(),
         server: "s".to_owned(),
         born: 1,
         sequence,
--- a/crates/fireflyspool/tests/forward.rs
+++ b/crates/fireflyspool/tests/forward.rs
@@ -79,6 +79,7 @@
             for replica in 0..replicas {
                 let server = format!("{service}-{replica}");
                 let record = registry::Record {
+                    version: String::new(),
                     server: server.clone(),
                     born: 1,
                     sequence: 1,
--- a/crates/fireflyspool/tests/forwarding.rs
+++ b/crates/fireflyspool/tests/forwarding.rs
@@ -58,6 +58,7 @@
         for zone in ["a", "b"] {
             let server = format!("{service}-{zone}");
             let record = registry::Record {
+                version: String::new(),
                 server: server.clone(),
                 born: 1,
                 sequence: 1,
--- a/crates/fireflyspool/tests/groups.rs
+++ b/crates/fireflyspool/tests/groups.rs
@@ -132,6 +132,7 @@
             for zone in zones(shard).split(',') {
                 let server = format!("{}-{zone}", service(shard));
                 let record = registry::Record {
+                    version: String::new(),
                     server: server.clone(),
                     born: 1,
                     sequence: 1,
--- a/crates/fireflyspool/tests/hub.rs
+++ b/crates/fireflyspool/tests/hub.rs
@@ -21,6 +21,7 @@
 
 fn report(server: &str, phase: registry::Phase, sequence: u64) -> registry::Report {
     registry::Report {
+        version: String::new(),
         server: server.to_owned(),
         born: 1,
         sequence,
@@ -46,6 +47,7 @@
 
 fn poll(member: hub::Member) -> hub::FollowRequest {
     hub::FollowRequest {
+        rollout_revision: 0,
         member,
         incarnation: 0,
         position: 0,
--- a/crates/fireflyspool/tests/registry.rs
+++ b/crates/fireflyspool/tests/registry.rs
@@ -8,6 +8,7 @@
 
 fn report(server: &str, born: u64, sequence: u64) -> registry::Report {
     registry::Report {
+        version: String::new(),
         server: server.to_owned(),
         born,
         sequence,
