--- a/crates/fireflyspool/src/fleet/pool.rs
+++ b/crates/fireflyspool/src/fleet/pool.rs
@@ -91,6 +91,9 @@
     /// When a new server may be used whose version no other server of the service has, unless
     /// a rollout names it; `None` if at once.
     pub(super) fn hold(&self, version: &str, now: time::Instant) -> Option<time::Instant> {
+        if version.is_empty() || self.servers.is_empty() {
+            return None;
+        }
         let mut others = self.servers.values();
         // The servers with which a service becomes known are no sign of a rollout.
         let is_new = self.known_since != Some(now)
--- a/crates/fireflyspool/src/fleet/pool_rollout.rs
+++ b/crates/fireflyspool/src/fleet/pool_rollout.rs
@@ -41,15 +41,16 @@
 
     /// Whether the next first attempt belongs to the target version.
     pub(super) fn owes_target(&self) -> bool {
-        self.credit + self.share() >= 1.0
+        // The credit may be full at the end of the rollout.
+        self.share().is_some_and(|share| self.credit + share >= 1.0)
     }
 
     /// Counts a first attempt that starts at a server.
     pub(super) fn start(&mut self, token: ids::Ticket, server: &str, is_target: bool) {
-        if !matches!(self.rollout, rollout::AnyRollout::InService(_)) {
+        let Some(share) = self.share() else {
             return;
-        }
-        self.credit = (self.credit + self.share()).min(1.0);
+        };
+        self.credit = (self.credit + share).min(1.0);
         if is_target {
             self.credit -= 1.0;
         }
@@ -84,10 +85,13 @@
         Some((server, quality))
     }
 
-    fn share(&self) -> f64 {
+    /// Share of the target version; `None` if the rollout has ended.
+    fn share(&self) -> Option<f64> {
         match &self.rollout {
-            rollout::AnyRollout::InService(rollout) => f64::from(rollout.state.share) / 1_000.0,
-            _ => 0.0,
+            rollout::AnyRollout::InService(rollout) => {
+                Some(f64::from(rollout.state.share) / 1_000.0)
+            }
+            _ => None,
         }
     }
 }
--- a/crates/fireflyspool/src/platform/heartbeat_wire.rs
+++ b/crates/fireflyspool/src/platform/heartbeat_wire.rs
@@ -14,8 +14,9 @@
     service: ids::ServiceName,
     address: net::SocketAddr,
     zone: ids::ZoneName,
+    /// Anything but a text counts as absent, because earlier releases ignored it.
     #[serde(default)]
-    version: ids::ServerVersion,
+    version: serde_json::Value,
     /// Maximum number of requests that the server runs concurrently.
     #[serde(rename = "Concurrency", default = "default_slots")]
     slots: u32,
@@ -68,7 +69,7 @@
             service: wire.service,
             address: wire.address,
             zone: wire.zone,
-            version: wire.version,
+            version: wire.version.as_str().unwrap_or_default().to_owned(),
             slots: wire.slots,
             phase,
             cold_left,
--- a/crates/fireflyspool/tests/platform_site/stand_in_server.rs
+++ b/crates/fireflyspool/tests/platform_site/stand_in_server.rs
@@ -28,6 +28,8 @@
     notices: StatedNotices,
     crashes: crashes::Crashes,
     born: atomic::AtomicU64,
+    /// Whether requests fail after they were run.
+    failing: atomic::AtomicBool,
 }
 
 /// Backend server of one service on a loopback port of its own.
@@ -36,6 +38,9 @@
     /// Address that heartbeats report; the soak sets it to a relay.
     pub(crate) address: net::SocketAddr,
     zone: String,
+    /// Version that heartbeats report.
+    pub(crate) version: &'static str,
+    task: tokio::task::JoinHandle<()>,
     sequence: u64,
 }
 
@@ -74,12 +79,15 @@
             notices: StatedNotices::default(),
             crashes: crashes::Crashes::default(),
             born: atomic::AtomicU64::new(5),
+            failing: atomic::AtomicBool::default(),
         });
-        tokio::spawn(run(listener, address, sync::Arc::clone(&shared)));
+        let task = tokio::spawn(run(listener, address, sync::Arc::clone(&shared)));
         Self {
             shared,
             address,
             zone: zone.to_owned(),
+            version: "v1",
+            task,
             sequence: 0,
         }
     }
@@ -116,6 +124,18 @@
         self.shared.silent.store(true, atomic::Ordering::Relaxed);
     }
 
+    /// Has requests fail after they were run, or no longer.
+    pub(crate) fn set_failing(&self, failing: bool) {
+        self.shared
+            .failing
+            .store(failing, atomic::Ordering::Relaxed);
+    }
+
+    /// Ends the server at once, with all its connections.
+    pub(crate) fn stop(&self) {
+        self.task.abort();
+    }
+
     /// Starts a new incarnation under the same name and address.
     pub(crate) fn restart(&mut self) {
         self.shared.born.fetch_add(1, atomic::Ordering::Relaxed);
@@ -213,11 +233,12 @@
 
     fn heartbeat_body(&self, state: &str, cold_ms: u128) -> String {
         format!(
-            r#"{{"Backend":"{}","Address":"{}","Zone":"{}","Version":"v1","Concurrency":2,
+            r#"{{"Backend":"{}","Address":"{}","Zone":"{}","Version":"{}","Concurrency":2,
             "State":"{state}","WarmupLeftMs":{cold_ms},"Sequence":{},"born":{}}}"#,
             self.shared.service,
             self.address,
             self.zone,
+            self.version,
             self.sequence,
             self.shared.born.load(atomic::Ordering::Relaxed)
         )
@@ -331,6 +352,9 @@
     if shared.silent.load(atomic::Ordering::Relaxed) {
         return future::pending().await;
     }
+    if shared.failing.load(atomic::Ordering::Relaxed) {
+        return write(stream, "500 Failed", id, "", b"").await;
+    }
     if due(CLOSE_PERIOD) {
         return false;
     }
--- a/crates/fireflyspool/tests/platform_wire.rs
+++ b/crates/fireflyspool/tests/platform_wire.rs
@@ -39,6 +39,20 @@
     assert!(report.cold_left.is_zero());
 }
 
+/// Guards against a lost version, and against heartbeats that are refused because of a version
+/// that earlier releases ignored.
+#[test]
+fn a_version_is_decoded_if_it_is_a_text() {
+    for (version, expected) in [(r#""v2""#, "v2"), ("7", ""), ("null", ""), ("[]", "")] {
+        let field = format!(r#""Version":{version},"Sequence":4"#);
+        let body = HEARTBEAT
+            .replace(r#""Version":"v1","#, "")
+            .replace(r#""Sequence":4"#, &field);
+        let report = platform::HeartbeatWire::decode("i-1".to_owned(), body.as_bytes());
+        assert_eq!(report.expect("a valid heartbeat").version, expected);
+    }
+}
+
 /// Guards against an invalid heartbeat that registers a server, and an error that
 /// does not name the cause.
 #[test]
