--- a/crates/fireflyspool/src/control/hub_rollouts.rs
+++ b/crates/fireflyspool/src/control/hub_rollouts.rs
@@ -32,6 +32,11 @@
             return;
         }
         self.advance_due = now + DECISION_INTERVAL;
+        // After a suspension or a partition the counts are old, and so are the other control VMs
+        // that this one knows; another one may have collected meanwhile.
+        if !self.hub.has_quorum(now) {
+            return;
+        }
         let wall_clock = outlet.environment().wall_clock();
         let Some(command) = self.next_step(wall_clock, now) else {
             return;
--- a/crates/fireflyspool/src/rollout/rollout.rs
+++ b/crates/fireflyspool/src/rollout/rollout.rs
@@ -28,10 +28,12 @@
 const SWITCH_PART: u32 = 60;
 
 impl Rollout<rollout::Completed> {
-    /// Whether entry VMs have had time to learn of it, so that the old servers may stop.
+    /// Whether entry VMs have had time to learn of it, so that the old servers may stop; always
+    /// at the deadline.
     pub fn is_settled(&self, wall_clock: u64) -> bool {
-        let since = time::Duration::from_millis(wall_clock.saturating_sub(self.state.ended));
-        since >= SWITCH_TIME.min(self.duration / SWITCH_PART)
+        let since = |at| time::Duration::from_millis(wall_clock.saturating_sub(at));
+        since(self.state.ended) >= SWITCH_TIME.min(self.duration / SWITCH_PART)
+            || since(self.started) >= self.duration
     }
 }
 
--- a/crates/fireflyspool/tests/rollout_state.rs
+++ b/crates/fireflyspool/tests/rollout_state.rs
@@ -118,3 +118,22 @@
     apply(&mut control, start("v2", 30, 1_000));
     assert_eq!(label(&control), "in service");
 }
+
+/// Guards against old servers that are stopped before entry VMs have learned of the completion,
+/// and against a completion that is told only after the deadline.
+#[test]
+fn a_completion_is_told_after_a_moment_and_by_the_deadline() {
+    let start = rollout::Start {
+        target: "v2".to_owned(),
+        duration: time::Duration::from_secs(30),
+        share: 20,
+        stamped: 0,
+    };
+    let rollout = rollout::Rollout::start(1, &start, 1_000);
+    let early = rollout.clone().complete(26_000);
+    assert!(!early.is_settled(26_499));
+    assert!(early.is_settled(26_500));
+    let late = rollout.complete(30_900);
+    assert!(!late.is_settled(30_999));
+    assert!(late.is_settled(31_000));
+}
