--- a/crates/fireflyspool/src/control/hub_driver.rs
+++ b/crates/fireflyspool/src/control/hub_driver.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::{configuration, control, hub, ids, registry, sorted};
+use crate::{configuration, control, hub, ids, registry, rollout, sorted};
 
 /// Longest time between two ticks, so that joins and replacements are checked regularly.
 const MAX_SLEEP: time::Duration = time::Duration::from_secs(1);
@@ -41,6 +41,10 @@
     recovered: bool,
     /// Tokens of client accounts; `None` if this VM grants none.
     quotas: Option<control::QuotaDriver>,
+    /// Counts of the rollouts in progress.
+    pub(super) collector: rollout::Collector,
+    /// When the next step of a rollout may be proposed.
+    pub(super) advance_due: time::Instant,
     pub(super) logger: slog::Logger,
 }
 
@@ -70,6 +74,8 @@
             retired: false,
             recovered: false,
             quotas: None,
+            collector: rollout::Collector::new(rollout::Limits::default()),
+            advance_due: now,
             logger,
         }
     }
@@ -87,9 +93,17 @@
         self
     }
 
+    /// Sets the bounds of rollouts.
+    #[must_use]
+    pub fn with_rollouts(mut self, limits: rollout::Limits) -> Self {
+        self.collector = rollout::Collector::new(limits);
+        self
+    }
+
     /// When [`Self::tick`] must be called again at the latest.
     pub fn next_wake(&self, now: time::Instant) -> time::Instant {
-        self.hub.next_deadline(now).min(now + MAX_SLEEP)
+        let wake = self.hub.next_deadline(now).min(now + MAX_SLEEP);
+        self.next_advance(now).map_or(wake, |due| due.min(wake))
     }
 
     /// Whether the identity of this VM was retired since the last call; the VM then needs a
@@ -159,6 +173,12 @@
                     let _ = reply.send(grants);
                 }
             }
+            control::HubEvent::Counted(reports) => {
+                for report in reports {
+                    self.collector.add(report, now);
+                }
+            }
+            control::HubEvent::AdvanceEnded(reply) => self.advance_ended(reply, now),
             control::HubEvent::Stop => self.stopping = true,
             control::HubEvent::JoinEnded(reply) => self.join_ended(reply, now),
             control::HubEvent::RecordEnded(reply) => self.record_ended(reply, now),
@@ -178,6 +198,7 @@
         if let Some(voter) = voter {
             self.apply_log(voter, outlet, now);
             self.join(voter, outlet, now);
+            self.advance_rollouts(voter, outlet, now);
         }
         for action in self.hub.advance(now, boot) {
             self.execute(action, voter, outlet, now);
@@ -235,6 +256,11 @@
                 quotas.set_document(document, now);
             }
         }
+        if self.hub.set_rollouts(&voter.state.rollouts) {
+            let wall_clock = outlet.environment().wall_clock();
+            self.collector
+                .update(&voter.state.rollouts, wall_clock, now);
+        }
         self.hub.set_departures(&voter.state.departures, now);
         let catalog = &voter.state.catalog;
         outlet.publish_revision(catalog.revision);
--- a/crates/fireflyspool/src/control/hub_event.rs
+++ b/crates/fireflyspool/src/control/hub_event.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::oneshot;
 
-use crate::{control, hub, ids, quota, registry};
+use crate::{control, hub, ids, quota, registry, rollout};
 
 /// Message for the hub of a control VM.
 pub enum HubEvent {
@@ -57,6 +57,10 @@
         /// not grant any.
         reply: oneshot::Sender<Vec<Option<quota::Grant>>>,
     },
+    /// An entry VM reports counts of rollouts in progress.
+    Counted(Vec<rollout::Report>),
+    /// The command of this VM that advances a rollout has ended; `None` if no reply arrived.
+    AdvanceEnded(Option<control::IdempotentReply>),
     /// This VM was told to stop.
     Stop,
     /// The command of this VM that records departures has ended; `None` if no reply arrived.
--- a/crates/fireflyspool/src/fleet/mod.rs
+++ b/crates/fireflyspool/src/fleet/mod.rs
@@ -40,6 +40,7 @@
 mod planned_group;
 mod pool;
 mod pool_connections;
+mod pool_rollout;
 mod quantile;
 mod retry_budget;
 mod retry_limits;
@@ -50,6 +51,7 @@
 mod split_state;
 mod stated_pace;
 mod suspects;
+mod versions;
 mod view;
 
 pub use attempt_result::AttemptResult;
--- a/crates/fireflyspool/src/lib.rs
+++ b/crates/fireflyspool/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod quota;
 pub mod registry;
 pub mod rim;
+pub mod rollout;
 pub mod roster;
 pub mod settings;
 pub mod shutdown;
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -57,7 +57,8 @@
         control::ControlThread::new(outlet, receiver, None, None, Vec::new(), logger)
             .with_follower(follow)
             .start(drop)?;
-        let fleet = fleet::Fleet::new(settings.zone, incarnation, settings.limits);
+        let fleet = fleet::Fleet::new(settings.zone, incarnation, settings.limits)
+            .with_rollouts(settings.rollouts);
         let forwarding = node::Forwarding::new(sync::Arc::clone(&process), fleet, client);
         let forwarding = sync::Arc::new(forwarding.with_account_limits(&settings.accounts));
         let opening = node::first_connections::open(sync::Arc::clone(&forwarding));
@@ -98,6 +99,10 @@
             "waiting_for_tokens",
             count(self.forwarding.quotas().waiting()),
         );
+        metrics.set_state(
+            "rollouts_in_progress",
+            count(view.rollouts.in_service().count()),
+        );
         metrics.set_state("suspect_contents", count(view.contents.len()));
         let age = view
             .authority
--- a/crates/fireflyspool/src/node/entry_settings.rs
+++ b/crates/fireflyspool/src/node/entry_settings.rs
@@ -21,6 +21,8 @@
     pub limits: fleet::RetryLimits,
     /// Bounds of keys and quotas of client accounts.
     pub accounts: node::AccountLimits,
+    /// Whether new versions of backend servers are started by rollouts only.
+    pub rollouts: bool,
     /// Grace period: time from the signal to stop until the process is killed.
     pub grace: time::Duration,
 }
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -289,6 +289,10 @@
         for service in fleet.take_withheld() {
             telemetry::Metrics::count(&self.metrics.connections_withheld, &service);
         }
+        let samples = fleet.take_samples();
+        if !samples.is_empty() {
+            self.process.send_event(control::Event::Counted(samples));
+        }
     }
 
     /// Publishes the suspended backend servers to the control thread if they changed.
--- a/crates/fireflyspool/src/platform/process_settings.rs
+++ b/crates/fireflyspool/src/platform/process_settings.rs
@@ -3,7 +3,7 @@
 use std::{env, fs, net, path, time};
 
 use crate::platform::{bounds, listen_addresses, process_limits};
-use crate::{fleet, node, platform};
+use crate::{fleet, node, platform, rollout};
 
 /// Environment variable with the path of the settings file.
 const SETTINGS_VARIABLE: &str = "FIREFLYSPOOL_CONFIG";
@@ -33,12 +33,18 @@
     heartbeat: u64,
     #[serde(default)]
     listen_addrs: listen_addresses::ListenAddresses,
+    /// Parts of the protocol that the installation uses.
+    #[serde(default)]
+    contracts: Vec<String>,
     #[serde(default)]
     bounds: bounds::Bounds,
     #[serde(default)]
     limits: process_limits::ProcessLimits,
 }
 
+/// Part of the protocol with rollouts.
+const ROLLOUT_CONTRACT: &str = "rollout";
+
 /// Heartbeat interval in milliseconds that all known installations use.
 fn default_heartbeat() -> u64 {
     1_200
@@ -94,6 +100,7 @@
                 window: seconds("Bounds.RetryWindowS", self.bounds.retry_window)?,
             },
             accounts: self.account_limits()?,
+            rollouts: self.contracts.iter().any(|name| name == ROLLOUT_CONTRACT),
             grace: seconds("Bounds.GraceS", self.bounds.grace)?,
         })
     }
@@ -109,6 +116,15 @@
         })
     }
 
+    fn rollout_limits(&self) -> Result<rollout::Limits, platform::PlatformError> {
+        let bounds = &self.bounds;
+        Ok(rollout::Limits {
+            exposure: bounds.exposure,
+            slack: bounds.exposure_slack,
+            rollback: seconds("Bounds.RollbackMs", bounds.rollback_ms / 1_000.0)?,
+        })
+    }
+
     /// Settings of a control VM.
     ///
     /// # Errors
@@ -122,6 +138,7 @@
             zone: self.zone.clone(),
             data: required("DataDir", self.data_dir.clone())?,
             contacts: self.contacts(),
+            rollouts: self.rollout_limits()?,
             founding: self.bootstrap,
             heartbeat: time::Duration::from_millis(self.heartbeat),
         })
--- a/crates/fireflyspool/src/rim/method.rs
+++ b/crates/fireflyspool/src/rim/method.rs
@@ -33,6 +33,8 @@
     Observe,
     /// Takes tokens of client accounts from the share of a control VM.
     TakeTokens,
+    /// Reports the counts of rollouts.
+    Count,
 }
 
 impl Method {
@@ -54,6 +56,7 @@
             Self::Idempotent => "order.decide",
             Self::Observe => "hub.observe",
             Self::TakeTokens => "hub.take_tokens",
+            Self::Count => "hub.count",
         }
     }
 }
--- a/crates/fireflyspool/tests/choice_site/mod.rs
+++ b/crates/fireflyspool/tests/choice_site/mod.rs
@@ -208,6 +208,7 @@
         for index in 0..self.servers.len() {
             let (shard, zone) = (index / ZONES.len(), index % ZONES.len());
             let record = registry::Record {
+                version: String::new(),
                 server: format!("{index:03}"),
                 born: 1,
                 sequence: 1,
--- a/crates/fireflyspool/tests/quota_calls.rs
+++ b/crates/fireflyspool/tests/quota_calls.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, time};
 
-use fireflyspool::{configuration, node, platform, quota, state};
+use fireflyspool::{configuration, node, platform, quota, rollout, state};
 
 const OBJECTIVE: time::Duration = time::Duration::from_secs(3);
 
@@ -29,6 +29,7 @@
 async fn control_vm(rpc: net::SocketAddr) -> sync::Arc<node::Control> {
     let name = format!("fireflyspool-quota-{}", std::process::id());
     let settings = node::ControlSettings {
+        rollouts: rollout::Limits::default(),
         site: "site".to_owned(),
         rpc,
         control: rpc,
--- a/crates/fireflyspool/tests/shortage_forwarding.rs
+++ b/crates/fireflyspool/tests/shortage_forwarding.rs
@@ -53,6 +53,7 @@
     };
     for shard in 0..SHARDS {
         let record = registry::Record {
+            version: String::new(),
             server: format!("server-{shard}"),
             born: 1,
             sequence: 1,
--- a/crates/fireflyspool/tests/shortage_site/site.rs
+++ b/crates/fireflyspool/tests/shortage_site/site.rs
@@ -109,6 +109,7 @@
         for number in 0..SHARDS * 3 {
             let (shard, zone) = (number / 3, number % 3);
             let record = registry::Record {
+                version: String::new(),
                 server: format!("s{number:03}"),
                 born: 1,
                 sequence: 1,
