--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -22,6 +22,7 @@
 pub struct Entry {
     process: sync::Arc<node::Process>,
     forwarding: sync::Arc<node::Forwarding>,
+    quotas: sync::Arc<node::QuotaClient>,
     grace: time::Duration,
     dropped: telemetry::DroppedLines,
 }
@@ -59,13 +60,16 @@
             .start(drop)?;
         let fleet = fleet::Fleet::new(settings.zone, incarnation, settings.limits)
             .with_rollouts(settings.rollouts);
-        let forwarding = node::Forwarding::new(sync::Arc::clone(&process), fleet, client);
+        let quotas = node::QuotaClient::start(sync::Arc::clone(&process));
+        let forwarding = node::Forwarding::new(sync::Arc::clone(&process), fleet, client)
+            .with_quotas(sync::Arc::clone(&quotas));
         let forwarding = sync::Arc::new(forwarding.with_account_limits(&settings.accounts));
         let opening = node::first_connections::open(sync::Arc::clone(&forwarding));
         tokio::spawn(opening);
         Ok(sync::Arc::new(Self {
             process,
             forwarding,
+            quotas,
             grace: settings.grace,
             dropped,
         }))
@@ -95,10 +99,7 @@
             count(self.process.suspended.load().len()),
         );
         metrics.set_state("outlier_servers", count(view.outliers.len()));
-        metrics.set_state(
-            "waiting_for_tokens",
-            count(self.forwarding.quotas().waiting()),
-        );
+        metrics.set_state("waiting_for_tokens", count(self.quotas.waiting()));
         metrics.set_state(
             "rollouts_in_progress",
             count(view.rollouts.in_service().count()),
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -6,7 +6,8 @@
 use tokio::{sync::watch, task};
 
 use crate::{
-    access, admission, configuration, fleet, forward, ids, node, rim, shutdown, telemetry, timer,
+    access, admission, configuration, fleet, forward, ids, node, outcome, rim, shutdown, telemetry,
+    timer,
 };
 
 /// Time for which attempts go on after the request is answered, so that their
@@ -100,9 +101,7 @@
         let answer_delay = self.forwarding.answer_delay.value();
         let timeout = self.request.timeout;
         let timing = forward::Timing::new(&self.route, timeout, answer_delay, self.received);
-        let table = self.view.table.as_ref();
-        let kind = table
-            .and_then(|table| admission::KindRanking::new(table.priorities()).kind(self.priority));
+        let kind = self.kind();
         let pass = match self.admit(kind, &timing).await {
             Ok(pass) => pass,
             Err(refusal) => return refusal,
@@ -127,6 +126,18 @@
         outcome
     }
 
+    /// Kind of the request by its priority; `None` if the site does not rank requests.
+    ///
+    /// Requests are ranked where callers compete for capacity that is not theirs alone: under
+    /// client accounts, or on backend servers that state the pace of a VM they share.
+    fn kind(&self) -> Option<outcome::Kind> {
+        let table = self.view.table.as_ref()?;
+        if table.accounts().is_empty() && !self.forwarding.fleet().states_pace() {
+            return None;
+        }
+        admission::KindRanking::new(table.priorities()).kind(self.priority)
+    }
+
     /// Sends the first attempts of a group that another entry VM has delegated.
     pub(super) fn start_group(&mut self, group: &forward::Group) -> forward::Exchange {
         let (mut exchange, actions) = {
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -26,8 +26,8 @@
     pub(super) client: sync::Arc<dyn node::BackendClient>,
     /// Connections to the entry VMs to which groups are delegated.
     pub(super) delegates: rim::ForwardClient,
-    /// Tokens for the requests of accounts with a quota.
-    quotas: sync::Arc<node::QuotaClient>,
+    /// Tokens for the requests of accounts with a quota; `None` if quotas do not apply.
+    quotas: Option<sync::Arc<node::QuotaClient>>,
     pub(super) metrics: telemetry::Metrics,
     pub(super) answer_delay: node::answer_delay::AnswerDelay,
     running: sync::Arc<atomic::AtomicUsize>,
@@ -45,14 +45,13 @@
         client: sync::Arc<dyn node::BackendClient>,
     ) -> Self {
         let delegates = rim::ForwardClient::new(process.timer.clone());
-        let quotas = node::QuotaClient::start(sync::Arc::clone(&process));
         Self {
             process,
             fleet: sync::Mutex::new(fleet),
             admission: sync::Mutex::default(),
             client,
             delegates,
-            quotas,
+            quotas: None,
             metrics: telemetry::Metrics::default(),
             answer_delay: node::answer_delay::AnswerDelay::default(),
             running: sync::Arc::default(),
@@ -69,9 +68,11 @@
         self
     }
 
-    /// Tokens for the requests of accounts with a quota.
-    pub fn quotas(&self) -> &node::QuotaClient {
-        &self.quotas
+    /// Has requests of accounts with a quota take a token first.
+    #[must_use]
+    pub fn with_quotas(mut self, quotas: sync::Arc<node::QuotaClient>) -> Self {
+        self.quotas = Some(quotas);
+        self
     }
 
     /// Number of requests that are not answered yet.
@@ -150,8 +151,8 @@
         if !accounts.is_empty() {
             let account = request.account().map(sync::Arc::as_ref);
             self.client.identify(&mut message.headers, account);
-            if let Some(account) = account
-                && let Err(denial) = self.quotas.take(account, route.objective).await
+            if let (Some(account), Some(quotas)) = (account, &self.quotas)
+                && let Err(denial) = quotas.take(account, route.objective).await
             {
                 return self.limit(&request, denial, received);
             }
--- a/crates/fireflyspool/src/quota/mod.rs
+++ b/crates/fireflyspool/src/quota/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! Each control VM owns a fixed share of the tokens of each account: with n control VMs in the
 //! group it refills a bucket with a rate of 1/n of the account's and a capacity of 1/n of its
-//! burst, but at least one token. [`Shares`] holds these buckets; the control thread owns it.
+//! burst and one token more. [`Shares`] holds these buckets; the control thread owns it.
 //! The sum over all control VMs stays within the quota whatever fails, because no share is ever
 //! handed over.
 //!
