--- a/crates/fireflyspool/src/cli/run.rs
+++ b/crates/fireflyspool/src/cli/run.rs
@@ -71,7 +71,7 @@
 
 fn run_platform(arguments: cli::PlatformArguments) -> anyhow::Result<cli::ExitCode> {
     let aborted = match arguments {
-        cli::PlatformArguments::Entry => platform::run_entry()?,
+        cli::PlatformArguments::Entry { rank_requests } => platform::run_entry(rank_requests)?,
         cli::PlatformArguments::Control => {
             platform::run_control()?;
             0
--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -16,8 +16,6 @@
 pub struct Fleet {
     pub(super) zone: ids::ZoneName,
     incarnation: ids::Incarnation,
-    /// Whether a backend server has stated its pace.
-    states_pace: bool,
     /// Whether the site starts new versions of backend servers by rollouts.
     rollouts: bool,
     pub(super) limits: fleet::RetryLimits,
@@ -54,7 +52,6 @@
         Self {
             zone,
             incarnation,
-            states_pace: false,
             rollouts: false,
             limits,
             generation: 0,
@@ -281,11 +278,6 @@
         std::mem::take(&mut self.withheld)
     }
 
-    /// Whether a backend server has stated its pace, because it shares its VM with others.
-    pub fn states_pace(&self) -> bool {
-        self.states_pace
-    }
-
     /// Whether a service has a usable server.
     pub fn is_usable(&self, service: &str, now: time::Instant) -> bool {
         self.usable_at(service, now) == Some(now)
@@ -380,7 +372,6 @@
             if let Some(pace) = condition.pace {
                 server.record_pace(load, pace, now);
             }
-            self.states_pace |= condition.pace.is_some();
             self.shortage.add_load(full_queue, now);
         }
         let leaves = self.notices.record(key.1, born, condition, now);
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -63,7 +63,11 @@
         let quotas = node::QuotaClient::start(sync::Arc::clone(&process));
         let forwarding = node::Forwarding::new(sync::Arc::clone(&process), fleet, client)
             .with_quotas(sync::Arc::clone(&quotas));
-        let forwarding = sync::Arc::new(forwarding.with_account_limits(&settings.accounts));
+        let forwarding = sync::Arc::new(
+            forwarding
+                .with_account_limits(&settings.accounts)
+                .with_ranking(settings.ranked),
+        );
         let opening = node::first_connections::open(sync::Arc::clone(&forwarding));
         tokio::spawn(opening);
         Ok(sync::Arc::new(Self {
--- a/crates/fireflyspool/src/node/entry_settings.rs
+++ b/crates/fireflyspool/src/node/entry_settings.rs
@@ -23,6 +23,8 @@
     pub accounts: node::AccountLimits,
     /// Whether new versions of backend servers are started by rollouts only.
     pub rollouts: bool,
+    /// Whether requests are admitted by kind during a shortage of capacity.
+    pub ranked: bool,
     /// Grace period: time from the signal to stop until the process is killed.
     pub grace: time::Duration,
 }
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -126,13 +126,10 @@
         outcome
     }
 
-    /// Kind of the request by its priority; `None` if the site does not rank requests.
-    ///
-    /// Requests are ranked where callers compete for capacity that is not theirs alone: under
-    /// client accounts, or on backend servers that state the pace of a VM they share.
+    /// Kind of the request by its priority; `None` if this VM does not rank requests.
     fn kind(&self) -> Option<outcome::Kind> {
         let table = self.view.table.as_ref()?;
-        if table.accounts().is_empty() && !self.forwarding.fleet().states_pace() {
+        if !self.forwarding.ranked {
             return None;
         }
         admission::KindRanking::new(table.priorities()).kind(self.priority)
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -34,6 +34,8 @@
     drain: watch::Sender<shutdown::AnyDrain>,
     /// Time within which a withdrawn key stops working; `None` if there is no bound.
     revocation: Option<time::Duration>,
+    /// Whether requests are admitted by kind during a shortage of capacity.
+    pub(super) ranked: bool,
     started: time::Instant,
 }
 
@@ -57,10 +59,18 @@
             running: sync::Arc::default(),
             drain: watch::Sender::new(shutdown::AnyDrain::default()),
             revocation: None,
+            ranked: false,
             started: time::Instant::now(),
         }
     }
 
+    /// Admits requests by kind during a shortage of capacity.
+    #[must_use]
+    pub fn with_ranking(mut self, ranked: bool) -> Self {
+        self.ranked = ranked;
+        self
+    }
+
     /// Sets the bounds on client accounts.
     #[must_use]
     pub fn with_account_limits(mut self, limits: &node::AccountLimits) -> Self {
--- a/crates/fireflyspool/src/platform/process_settings.rs
+++ b/crates/fireflyspool/src/platform/process_settings.rs
@@ -100,6 +100,7 @@
                 window: seconds("Bounds.RetryWindowS", self.bounds.retry_window)?,
             },
             accounts: self.account_limits()?,
+            ranked: false,
             rollouts: self.contracts.iter().any(|name| name == ROLLOUT_CONTRACT),
             grace: seconds("Bounds.GraceS", self.bounds.grace)?,
         })
--- a/crates/fireflyspool/src/platform/run.rs
+++ b/crates/fireflyspool/src/platform/run.rs
@@ -20,12 +20,14 @@
 
 /// Runs an entry VM until it is told to stop; returns how many requests were cut short.
 ///
+/// `ranked` has it admit requests by kind during a shortage of capacity.
+///
 /// # Errors
 ///
 /// Fails if the settings are not valid or an address cannot be bound.
-pub fn run_entry() -> anyhow::Result<usize> {
+pub fn run_entry(ranked: bool) -> anyhow::Result<usize> {
     let settings = platform::ProcessSettings::from_environment()?;
-    runtime()?.block_on(entry(settings))
+    runtime()?.block_on(entry(settings, ranked))
 }
 
 /// Runs a control VM until it is told to stop.
@@ -48,9 +50,12 @@
         .build()
 }
 
-async fn entry(settings: platform::ProcessSettings) -> anyhow::Result<usize> {
+async fn entry(settings: platform::ProcessSettings, ranked: bool) -> anyhow::Result<usize> {
     let signals = signals::Signals::install()?;
-    let own = settings.entry()?;
+    let own = node::EntrySettings {
+        ranked,
+        ..settings.entry()?
+    };
     let (callers, listener) = (own.callers, own.listener);
     let (logger, _guard, dropped) = node::start_logger(own.callers);
     let timer = crate::timer::TimerService::start()?;
