Show an uncontained request by crashes that anyone can see

Change: case 7 has a caller that leaves after half the objective in place of silent machines; the stand-ins lose what only the former needed.

--- a/review/support-2/src/silent_crashes.rs
+++ b/review/support-2/src/abandoned_crashes.rs
@@ -1,4 +1,4 @@
-//! A request that crashes each searcher that runs it; the machines of these fall silent.
+//! A request that crashes each searcher that runs it, and a caller that leaves before that.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -14,6 +14,12 @@
 const ALLOWED: usize = 3;
 /// Time for which the caller sends its request again.
 const LENGTH: Duration = Duration::from_secs(40);
+/// Time after which the caller leaves, and time between two of its requests.
+const PATIENCE: Duration = Duration::from_millis(50);
+const PAUSE: Duration = Duration::from_secs(1);
+/// Time from the start of a run to the crash, and time for which the searcher is down.
+const CRASH: Duration = Duration::from_millis(60);
+const DOWN: Duration = Duration::from_secs(4);
 const PATH: &str = "/one/poison";
 
 const MANIFEST: &str = r#"{"Version":1,"Routes":[{"Name":"one","Hostname":"h.example","PathPrefix":"/one/","RouteType":"idempotent","TimeoutMs":800,"TargetLatencyMs":100,"Priority":1,"Backend":"desk","Attempts":2}],"Backends":[{"Name":"desk","HealthPath":"/health","MaxConnections":94,"Protocol":"h1","Tls":false,"WarmupS":3.0,"WarmupPerS":0.0}],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}"#;
@@ -34,7 +40,7 @@
     let arrivals: Arrivals = Arc::default();
     let trouble = site.trouble;
     let decide = Arc::new(move |path: &str| match trouble && path == PATH {
-        true => Run::FallSilent,
+        true => Run::Crash(CRASH, DOWN),
         false => Run::Answer(Duration::from_millis(20)),
     });
     let searchers: Vec<_> = (0..7)
@@ -46,7 +52,6 @@
                 concurrency: 6,
                 controls: controls.iter().map(|vm| site.control(*vm)).collect(),
                 heartbeat: Duration::from_millis(1_200),
-                down: Duration::from_secs(4),
                 bears_cold: usize::MAX,
             };
             Searcher::start(plan, decide.clone(), &arrivals, &site.record)
@@ -68,30 +73,13 @@
             ("X-Request-Id", id.as_str()),
             ("X-Deadline-Ms", deadline),
         ];
-        let answer = site::request(
-            front,
-            "GET",
-            PATH,
-            &headers,
-            b"",
-            Duration::from_millis(800),
-        );
-        let (text, wait) = match &answer {
-            Ok(answer) => {
-                let after = answer
-                    .header("retry-after")
-                    .and_then(|text| text.parse::<f64>().ok());
-                // A caller heeds the stated time, up to a third of the time that it has left.
-                (
-                    answer.status.to_string(),
-                    after.map_or(0.2, |after| after.clamp(0.2, 1.0)),
-                )
-            }
-            Err(error) => (error.clone(), 0.2),
-        };
+        let sent = Instant::now();
+        // The connection is closed when the caller stops waiting.
+        let answer = site::request(front, "GET", PATH, &headers, b"", PATIENCE);
+        let text = answer.map_or_else(|error| error, |answer| answer.status.to_string());
         site.record
             .line(format!("caller: request {id} {PATH}: {text}"));
-        thread::sleep(Duration::from_secs_f64(wait));
+        thread::sleep(PAUSE.saturating_sub(sent.elapsed()));
     }
     for other in others {
         let _ = other.join();
--- a/review/support-2/src/cold_after_freeze.rs
+++ b/review/support-2/src/cold_after_freeze.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::searcher::{Arrivals, Plan, Run, Searcher};
+use crate::searcher::{Arrivals, NextName, Plan, Run, Searcher};
 use crate::site::{self, Failure, SIGCONT, SIGSTOP, Site, Verdict};
 
 /// `WarmupPerS` of the service, and the bounds of the settings.
@@ -47,7 +47,6 @@
                 concurrency: 6,
                 controls: controls.iter().map(|vm| site.control(*vm)).collect(),
                 heartbeat: Duration::from_millis(1_200),
-                down: Duration::ZERO,
                 bears_cold: CRASHES_ABOVE,
             };
             Searcher::start(plan, decide.clone(), &arrivals, &site.record)
@@ -68,7 +67,7 @@
     let frozen = Instant::now();
     thread::sleep(Duration::from_millis(200));
     for searcher in &searchers[..3] {
-        searcher.restart(DOWN, COLD);
+        searcher.restart(DOWN, COLD, NextName::Same);
     }
     thread::sleep(FREEZE.saturating_sub(frozen.elapsed()));
     if site.trouble {
--- a/review/support-2/src/founding.rs
+++ b/review/support-2/src/founding.rs
@@ -47,7 +47,6 @@
                 concurrency: 6,
                 controls: controls.iter().map(|vm| site.control(*vm)).collect(),
                 heartbeat: Duration::from_millis(1_200),
-                down: Duration::ZERO,
                 bears_cold: usize::MAX,
             };
             Searcher::start(plan, decide.clone(), &arrivals, &site.record)
--- a/review/support-2/src/main.rs
+++ b/review/support-2/src/main.rs
@@ -1,9 +1,9 @@
 //! Scripts of the review: each case plays one course of events on a small site and judges it.
 
+mod abandoned_crashes;
 mod cold_after_freeze;
 mod founding;
 mod searcher;
-mod silent_crashes;
 mod site;
 mod slow_warm_up;
 
@@ -21,7 +21,7 @@
             "cold-after-freeze" => cold_after_freeze::run(&site),
             "founding" => founding::run(&site),
             "slow-warm-up" => slow_warm_up::run(&site),
-            "silent-crashes" => silent_crashes::run(&site),
+            "abandoned-crashes" => abandoned_crashes::run(&site),
             _ => Err(format!("no case {case}")),
         };
         match &result {
--- a/review/support-2/src/searcher.rs
+++ b/review/support-2/src/searcher.rs
@@ -14,8 +14,16 @@
 pub enum Run {
     /// It answers after this time.
     Answer(Duration),
-    /// Its machine falls silent: open connections and new ones get no answer.
-    FallSilent,
+    /// The searcher crashes this long after it began, whether or not the connection is open, and
+    /// is back after the second time.
+    Crash(Duration, Duration),
+}
+
+/// Name under which a searcher starts again.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum NextName {
+    Same,
+    New,
 }
 
 /// Arrival of a request at a searcher.
@@ -46,8 +54,6 @@
     pub concurrency: u32,
     pub controls: Vec<SocketAddr>,
     pub heartbeat: Duration,
-    /// Time for which a machine that fell silent is down.
-    pub down: Duration,
     /// Requests within a second above which a cold searcher crashes.
     pub bears_cold: usize,
 }
@@ -120,9 +126,9 @@
         format!("i-{}-{lifetime}", self.0.plan.name)
     }
 
-    /// Ends at once with all its connections, and starts again under its name after `down`;
-    /// it is cold for `cold` then.
-    pub fn restart(&self, down: Duration, cold: Duration) {
+    /// Ends at once with all its connections, and starts again after `down`; it is cold for
+    /// `cold` then.
+    pub fn restart(&self, down: Duration, cold: Duration, next: NextName) {
         if self.0.down.swap(true, Ordering::SeqCst) {
             return;
         }
@@ -144,6 +150,9 @@
                     Err(_) => thread::sleep(Duration::from_millis(5)),
                 }
             };
+            if next == NextName::New {
+                state.lifetime.fetch_add(1, Ordering::SeqCst);
+            }
             state.born.store(millis(), Ordering::SeqCst);
             state.sequence.store(0, Ordering::SeqCst);
             *state.cold_until.lock().unwrap() = Some(Instant::now() + cold);
@@ -255,13 +264,14 @@
                 continue;
             }
             if cold && self.recent() > self.0.plan.bears_cold {
-                self.restart(CRASHED, COLD);
+                self.restart(CRASHED, COLD, NextName::Same);
                 return;
             }
             match (self.0.decide)(&path) {
                 Run::Answer(work) => thread::sleep(work),
-                Run::FallSilent => {
-                    self.fall_silent();
+                Run::Crash(after, down) => {
+                    thread::sleep(after);
+                    self.restart(down, Duration::ZERO, NextName::New);
                     return;
                 }
             }
@@ -278,47 +288,6 @@
         }
     }
 
-    /// Ends the lifetime as a loss of power does, and starts the next one at the same address.
-    fn fall_silent(&self) {
-        if self.0.down.swap(true, Ordering::SeqCst) {
-            return;
-        }
-        self.0.record.line(format!(
-            "searcher {} crashes: its machine is silent",
-            self.name()
-        ));
-        let searcher = self.clone();
-        thread::spawn(move || {
-            let state = &searcher.0;
-            let listener = state.listener.lock().unwrap().take().unwrap();
-            let filling = site::silence(&listener);
-            thread::sleep(state.plan.down);
-            if state.stopped.load(Ordering::SeqCst) {
-                return;
-            }
-            // The machine is back: what was open before is reset when its peer writes.
-            drop((filling, listener));
-            for connection in state.connections.lock().unwrap().drain(..) {
-                let _ = connection.shutdown(Shutdown::Both);
-            }
-            let listener = loop {
-                match TcpListener::bind(state.address) {
-                    Ok(listener) => break listener,
-                    Err(_) => thread::sleep(Duration::from_millis(5)),
-                }
-            };
-            state.lifetime.fetch_add(1, Ordering::SeqCst);
-            state.born.store(millis(), Ordering::SeqCst);
-            state.sequence.store(0, Ordering::SeqCst);
-            state.down.store(false, Ordering::SeqCst);
-            state
-                .record
-                .line(format!("searcher {} has started", searcher.name()));
-            searcher.serve(listener);
-            searcher.report("ready");
-        });
-    }
-
     /// Sends liveness reports until the searcher is stopped.
     fn beat(&self) {
         while !self.0.stopped.load(Ordering::SeqCst) {
--- a/review/support-2/src/site.rs
+++ b/review/support-2/src/site.rs
@@ -13,7 +13,6 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
-    fn listen(socket: i32, backlog: i32) -> i32;
     fn prctl(option: i32, argument: u64) -> i32;
 }
 
@@ -339,16 +338,6 @@
     }
 }
 
-/// Has a listener drop the connections that are opened while its queue is full, like a machine
-/// without power; the returned connections fill the queue.
-pub fn silence(listener: &TcpListener) -> Vec<TcpStream> {
-    use std::os::fd::AsRawFd as _;
-    unsafe { listen(listener.as_raw_fd(), 0) };
-    let address = listener.local_addr().unwrap();
-    let fill = |_| TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
-    (0..3).filter_map(fill).collect()
-}
-
 /// An HTTP answer.
 pub struct Answer {
     pub status: u16,
--- a/review/support-2/src/slow_warm_up.rs
+++ b/review/support-2/src/slow_warm_up.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::searcher::{Arrivals, Plan, Run, Searcher};
+use crate::searcher::{Arrivals, NextName, Plan, Run, Searcher};
 use crate::site::{self, Failure, Site, Verdict};
 
 /// `WarmupPerS` of the service, and the bounds of the settings.
@@ -46,7 +46,6 @@
                 concurrency: 6,
                 controls: controls.iter().map(|vm| site.control(*vm)).collect(),
                 heartbeat: Duration::from_millis(1_200),
-                down: Duration::ZERO,
                 bears_cold: 16,
             };
             Searcher::start(plan, decide.clone(), &arrivals, &site.record)
@@ -62,7 +61,7 @@
     thread::sleep(Duration::from_secs(3));
     let pace = if site.trouble { PACE } else { 1.0 };
     searchers[0].set_pace(pace);
-    searchers[0].restart(DOWN, STATED.div_f64(pace));
+    searchers[0].restart(DOWN, STATED.div_f64(pace), NextName::Same);
     for client in clients {
         let _ = client.join();
     }
