Merge each answer to a group as a whole, or refuse it

Cause: the VM that gathers a group told a parked shard as not running and sent it all the same once another shard responded. The VM that had delegated the group expected no answer with that shard any more, so it dropped the late signature and kept the late records, which cannot be told from those of the other shards.

Change: the delegating VM relies on no promise. It takes an answer as a whole, in place of all that came of its shards before, or refuses it and has the group count as broken: if a shard's records are merged already, if a position is out of range or named twice, or if records are cut, unsorted, too many or of no shard. The gathering VM fails a parked shard when it tells it as ended. A response without a signature completes no shard of a query. The messages stay as they are.

Ruled out: a tag on each record for its shard. It would let a part of an answer be used, but an answer cut to the greatest records lacks those that a dropped shard displaced.

--- a/crates/fireflyspool/src/forward/exchange.rs
+++ b/crates/fireflyspool/src/forward/exchange.rs
@@ -29,6 +29,8 @@
     pub(super) barred: bool,
     pub(super) hedges: u32,
     pub(super) retries: u32,
+    /// Answers to groups that could not be accounted for.
+    pub(super) refused_answers: u32,
     /// Not yet returned to the driver.
     pub(super) actions: Vec<forward::Action>,
 }
@@ -131,6 +133,7 @@
             barred: false,
             hedges: 0,
             retries: 0,
+            refused_answers: 0,
             actions: Vec::with_capacity(count + 1),
         }
     }
@@ -243,6 +246,11 @@
         self.retries
     }
 
+    /// Number of answers to delegated groups that were refused.
+    pub fn refused_answers(&self) -> u32 {
+        self.refused_answers
+    }
+
     /// Answers what is due or sets the next wake-up, and returns the actions.
     pub(super) fn advance(
         &mut self,
--- a/crates/fireflyspool/src/forward/exchange_bar.rs
+++ b/crates/fireflyspool/src/forward/exchange_bar.rs
@@ -22,7 +22,9 @@
             .extract_if(.., |attempt| is_unsent(attempt.id));
         let mut indexes: Vec<_> = attempts.map(|attempt| attempt.index).collect();
         let groups = self.groups.extract_if(.., |group| is_unsent(group.id));
-        indexes.extend(groups.flat_map(|group| group.indexes.into_iter().flatten()));
+        for group in groups {
+            indexes.extend(group.running());
+        }
         for index in indexes {
             if let Some(pending) = self.sub_requests[index].pending_mut() {
                 pending.state.running = pending.state.running.saturating_sub(1);
--- a/crates/fireflyspool/src/forward/exchange_caution.rs
+++ b/crates/fireflyspool/src/forward/exchange_caution.rs
@@ -142,7 +142,7 @@
         matches!(self.caution, caution::Caution::Refused)
     }
 
-    fn parked(&self) -> Vec<usize> {
+    pub(super) fn parked(&self) -> Vec<usize> {
         let states = self.sub_requests.iter().enumerate();
         let parked = states.filter(|(_, state)| {
             matches!(state, any_sub_request::AnySubRequest::Pending(pending) if pending.state.parked)
--- a/crates/fireflyspool/src/forward/exchange_ends.rs
+++ b/crates/fireflyspool/src/forward/exchange_ends.rs
@@ -28,11 +28,13 @@
         } else if end == forward::AttemptEnd::Crashed {
             self.crashed(attempt);
         }
+        let usable =
+            matches!(&end, forward::AttemptEnd::Answered(response) if self.is_usable(response));
         let Some(pending) = self.sub_requests[index].pending_mut() else {
             return;
         };
         match end {
-            forward::AttemptEnd::Answered(mut response) if response.is_success() => {
+            forward::AttemptEnd::Answered(mut response) if usable => {
                 if let configuration::Target::Gather(gather) = &self.route.target
                     && response.body.len() > LARGE_PART_BYTES
                 {
@@ -65,6 +67,13 @@
         }
     }
 
+    /// Whether a response completes its sub-request. Without a signature, the answer to a query
+    /// could not name the shard whose records it has.
+    fn is_usable(&self, response: &forward::Response) -> bool {
+        let is_query = matches!(self.route.target, configuration::Target::Gather(_));
+        response.is_success() && (!is_query || response.signature.is_some())
+    }
+
     /// The outcome, or `None` while more attempts may still change it.
     pub(super) fn decide(
         &self,
--- a/crates/fireflyspool/src/forward/exchange_gathering.rs
+++ b/crates/fireflyspool/src/forward/exchange_gathering.rs
@@ -56,7 +56,6 @@
         let unreported = |(state, reported): (&any_sub_request::AnySubRequest, &bool)| {
             !reported && matches!(state, any_sub_request::AnySubRequest::Answered(_))
         };
-        let last = !self.sub_requests.iter().any(is_pending) || now >= self.timing.deadline;
         let due = group.report_at.is_some_and(|at| at <= now);
         let late = now >= self.timing.cutoff
             && self
@@ -67,6 +66,11 @@
         if due {
             group.report_at = None;
         }
+        let is_over = now >= self.timing.deadline;
+        if due || late || is_over {
+            self.fail_parked();
+        }
+        let last = is_over || !self.sub_requests.iter().any(is_pending);
         if last || due || late {
             let answer = self.group_answer();
             self.finished = last;
@@ -74,6 +78,14 @@
         }
     }
 
+    /// Fails the sub-requests that are parked: an answer tells the VM that delegated the group
+    /// that nothing more comes of them, so none may be sent later.
+    fn fail_parked(&mut self) {
+        for index in self.parked() {
+            self.fail(index, None);
+        }
+    }
+
     /// The shards that no answer has had so far, and those that are missing.
     fn group_answer(&mut self) -> forward::GroupAnswer {
         let top_k = match &self.route.target {
@@ -101,7 +113,7 @@
                 any_sub_request::AnySubRequest::Pending(pending) => {
                     let state = &pending.state;
                     let ran = state.ran + state.running > 0;
-                    (&state.tried, !state.parked, ran, state.crashed)
+                    (&state.tried, true, ran, state.crashed)
                 }
                 any_sub_request::AnySubRequest::Failed(failed) => {
                     let state = &failed.state;
--- a/crates/fireflyspool/src/forward/exchange_groups.rs
+++ b/crates/fireflyspool/src/forward/exchange_groups.rs
@@ -4,9 +4,9 @@
 //! [`forward::Exchange::start_group`]. Missing shards are hedged and retried by this VM, and
 //! so are those of a VM that does not answer in time.
 
-use std::time;
+use std::{mem, time};
 
-use crate::forward::{any_sub_request, running_group};
+use crate::forward::{any_sub_request, delegated_shard, running_group};
 use crate::{configuration, fleet, forward, ids};
 
 /// Least time until the cutoff for which a group is delegated, as a share of the latency
@@ -59,7 +59,12 @@
         self.groups.push(running_group::RunningGroup {
             id: self.next_attempt,
             delegate: group.delegate,
-            indexes: group.shards.into_iter().map(Some).collect(),
+            shards: group
+                .shards
+                .into_iter()
+                .map(delegated_shard::DelegatedShard::Running)
+                .collect(),
+            top_k,
             sent: now,
             written: false,
             hedge_at: Some(now + delay),
@@ -81,7 +86,9 @@
         self.actions.push(forward::Action::Delegate(delegation));
     }
 
-    /// Handles an answer to a delegated group; ignores one that is unknown.
+    /// Handles an answer to a delegated group; ignores one to an unknown group.
+    ///
+    /// A group whose answer contradicts itself or an earlier one has broken.
     pub fn group_answered(
         &mut self,
         attempt: ids::AttemptId,
@@ -92,9 +99,14 @@
     ) -> Vec<forward::Action> {
         if let Some(position) = self.group_position(attempt) {
             let mut group = self.groups.swap_remove(position);
-            group.hedge_at = None;
-            self.merge_answer(&mut group, answer, fleet, entropy, now);
-            self.groups.push(group);
+            if group.accounts_for(&answer) {
+                group.hedge_at = None;
+                self.merge_answer(&mut group, answer, fleet, entropy, now);
+                self.groups.push(group);
+            } else {
+                self.refused_answers += 1;
+                self.end_group(&group, forward::GroupEnd::Broken, fleet, entropy, now);
+            }
             self.probe(fleet, entropy, now);
         }
         self.advance(fleet, now)
@@ -111,24 +123,35 @@
     ) -> Vec<forward::Action> {
         if let Some(position) = self.group_position(attempt) {
             let group = self.groups.swap_remove(position);
-            let ran = match end {
-                forward::GroupEnd::Answered
-                | forward::GroupEnd::Broken
-                | forward::GroupEnd::TimedOut => true,
-                forward::GroupEnd::Refused | forward::GroupEnd::Unreachable => false,
-            };
-            for index in group.indexes.into_iter().flatten() {
-                let entropy = entropy.rotate_left(index as u32);
-                match ran {
-                    true => self.end_delegated(index, true, fleet, entropy, now),
-                    false => self.send_directly(index, fleet, entropy, now),
-                }
-            }
+            self.end_group(&group, end, fleet, entropy, now);
             self.probe(fleet, entropy, now);
         }
         self.advance(fleet, now)
     }
 
+    fn end_group(
+        &mut self,
+        group: &running_group::RunningGroup,
+        end: forward::GroupEnd,
+        fleet: &mut fleet::Fleet,
+        entropy: u64,
+        now: time::Instant,
+    ) {
+        let ran = match end {
+            forward::GroupEnd::Answered
+            | forward::GroupEnd::Broken
+            | forward::GroupEnd::TimedOut => true,
+            forward::GroupEnd::Refused | forward::GroupEnd::Unreachable => false,
+        };
+        for index in group.running() {
+            let entropy = entropy.rotate_left(index as u32);
+            match ran {
+                true => self.end_delegated(index, true, fleet, entropy, now),
+                false => self.send_directly(index, fleet, entropy, now),
+            }
+        }
+    }
+
     /// Hedges the shards of the groups that have not been answered in time.
     pub(super) fn hedge_groups(
         &mut self,
@@ -141,7 +164,7 @@
             if group.hedge_at.is_some_and(|at| at <= now) {
                 group.hedge_at = None;
                 fleet.record_group_late(group.delegate, now);
-                overdue.extend(group.indexes.iter().flatten().copied());
+                overdue.extend(group.running());
             }
         }
         for index in overdue {
@@ -156,8 +179,8 @@
 
     /// Merges an answer to a group, and hedges or retries the shards that it lacks.
     ///
-    /// Records of a shard in the answer cannot be told from those of the others. So if the
-    /// shard has been answered directly meanwhile, that response is dropped.
+    /// Records of a shard in the answer cannot be told from those of the others. So they are
+    /// taken, whatever has come of the shard meanwhile, and a direct response to it is dropped.
     fn merge_answer(
         &mut self,
         group: &mut running_group::RunningGroup,
@@ -175,16 +198,20 @@
             self.responded(fleet, entropy, now);
         }
         for (position, signature) in answer.answered {
-            if let Some(index) = group.indexes.get_mut(position).and_then(Option::take) {
+            let shard = mem::replace(
+                &mut group.shards[position],
+                delegated_shard::DelegatedShard::Merged,
+            );
+            if let Some(index) = shard.unmerged() {
                 self.sub_requests[index] = self.sub_requests[index].take().merge(signature);
             }
         }
         self.merged.push(answer.body);
         for shard in answer.missing {
-            let Some(entry) = group.indexes.get_mut(shard.position) else {
+            let delegated = &mut group.shards[shard.position];
+            let Some(index) = delegated.running() else {
                 continue;
             };
-            let Some(index) = *entry else { continue };
             if let Some(pending) = self.sub_requests[index].pending_mut() {
                 pending.state.exclude(shard.tried);
             }
@@ -192,7 +219,7 @@
             if shard.running {
                 self.hedge_delegated(index, fleet, entropy, now);
             } else {
-                *entry = None;
+                *delegated = delegated_shard::DelegatedShard::Ended(index);
                 self.end_delegated(index, shard.ran, fleet, entropy, now);
             }
         }
--- a/crates/fireflyspool/src/forward/mod.rs
+++ b/crates/fireflyspool/src/forward/mod.rs
@@ -21,6 +21,12 @@
 //! query them. A [`GroupAnswer`] has their records merged. The VM that delegates hedges and
 //! retries the shards that an answer lacks; [`crate::fleet`] decides what goes where.
 //!
+//! The records of an answer to the caller are those of the shards whose signatures it bears,
+//! each once, whatever arrives in whatever order. So the answer to a group is merged as a whole,
+//! in place of all that came of its shards before, or refused if it names a shard whose records
+//! are merged already; a group with such an answer counts as broken. A VM that reports a shard
+//! as not running sends nothing more for it.
+//!
 //! # Contents that crash servers
 //!
 //! If a server crashes during an attempt and none has responded yet, the request itself may be
@@ -41,6 +47,7 @@
 mod attempt;
 mod attempt_end;
 mod caution;
+mod delegated_shard;
 mod delegation;
 mod exchange;
 mod exchange_bar;
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -473,6 +473,7 @@
             "elapsed_us" => node::forwarding::micros(elapsed), "hedges" => exchange.hedges(),
             "retries" => exchange.retries(), "open" => ?exchange.pending_services(),
             "caller_timeout_ms" => u64::try_from(caller_timeout).unwrap_or(u64::MAX),
+            "refused_answers" => exchange.refused_answers(),
             "wake_lag_us" => node::forwarding::micros(self.wake_lag),
             "sends" => self.send_log.trim_end(),
             "view" => view.generation, "view_age_ms" => u64::try_from(age).unwrap_or(u64::MAX));
--- a/crates/fireflyspool/src/rim/group_answer_wire.rs
+++ b/crates/fireflyspool/src/rim/group_answer_wire.rs
@@ -59,27 +59,19 @@
     Some((description, answer))
 }
 
-/// Decodes an answer to a group of `shards` shards, and whether it is the last one; `None` if
-/// it is not one to request `id`, or contradicts itself.
+/// Decodes an answer to a group of `shards` shards with up to `top_k` records, and whether it is
+/// the last one; `None` if it is not one to request `id`, or contradicts itself.
 pub(super) fn decode(
     (description, body): (&[u8], bytes::Bytes),
-    (id, shards): (&str, usize),
+    id: &str,
+    (shards, top_k): (usize, usize),
 ) -> Option<(forward::GroupAnswer, bool)> {
     let wire: AnswerWire = serde_json::from_slice(description).ok()?;
-    let answered = wire.answered.iter().map(|(position, _)| *position);
-    let missing = wire.missing.iter().map(|shard| shard.position);
-    let mut positions: Vec<_> = answered.chain(missing).collect();
-    positions.sort_unstable();
-    let count = positions.len();
-    positions.dedup();
-    let is_valid = positions.len() == count
-        && positions.last().is_none_or(|position| *position < shards)
-        && body.len() % forward::RECORD_BYTES == 0
-        && wire.id == id;
     let answer = forward::GroupAnswer {
         answered: wire.answered,
         missing: wire.missing,
         body,
     };
+    let is_valid = wire.id == id && answer.is_consistent(shards, top_k);
     is_valid.then_some((answer, wire.last))
 }
--- a/crates/fireflyspool/src/rim/group_call.rs
+++ b/crates/fireflyspool/src/rim/group_call.rs
@@ -22,6 +22,7 @@
 pub struct GroupCall<S> {
     id: String,
     shards: usize,
+    top_k: usize,
     deadline: time::Instant,
     timer: timer::TimerService,
     state: S,
@@ -32,6 +33,7 @@
         GroupCall {
             id: self.id,
             shards: self.shards,
+            top_k: self.top_k,
             deadline: self.deadline,
             timer: self.timer,
             state,
@@ -51,6 +53,7 @@
         Self {
             id: message.id.clone(),
             shards: group.services.len(),
+            top_k: group.top_k,
             deadline: group.deadline,
             timer,
             state: Unsent {
@@ -103,8 +106,8 @@
             if let Some((description, body)) =
                 group_answer_wire::split_first(&mut self.state.received)
             {
-                let expected = (self.id.as_str(), self.shards);
-                let decoded = group_answer_wire::decode((&description, body), expected);
+                let bounds = (self.shards, self.top_k);
+                let decoded = group_answer_wire::decode((&description, body), &self.id, bounds);
                 return match decoded {
                     Some((answer, false)) => rim::GroupProgress::Answered(answer, Box::new(self)),
                     Some((answer, true)) => self.finish(answer).await,
--- a/crates/fireflyspool/tests/groups.rs
+++ b/crates/fireflyspool/tests/groups.rs
@@ -1,330 +1,14 @@
 //! Groups of shards that one entry VM delegates to others: what is delegated, how answers are
 //! merged, and what happens when the other VM fails.
 
-use std::{collections, net, sync, time};
+mod group_site;
 
-use fireflyspool::{configuration, fleet, forward, hub, ids, registry};
+use std::{collections, time};
 
-/// Fingerprint of the requests.
-const CONTENT: u64 = 7;
-
-const OBJECTIVE: time::Duration = time::Duration::from_millis(100);
-
-/// Most records in an answer; fewer than the shards of the tests have together.
-const TOP_K: usize = 20;
-
-fn listener(number: u8) -> net::SocketAddr {
-    net::SocketAddr::from(([10, 1, 0, number], 7_060))
-}
-
-fn delegate(number: u8, zone: &str) -> hub::Delegate {
-    hub::Delegate {
-        listener: listener(number),
-        zone: zone.to_owned(),
-        incarnation: u64::from(number),
-    }
-}
-
-fn service(shard: usize) -> String {
-    format!("shard{shard}")
-}
-
-/// Records of a shard, all different.
-fn records(shard: usize) -> Vec<u8> {
-    let record = |index: usize| {
-        let value = (shard as u64 * 7 + index as u64 * 1_000).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        [value.to_be_bytes(), (shard as u64).to_be_bytes()].concat()
-    };
-    (0..3).flat_map(record).collect()
-}
-
-fn success(shard: usize) -> forward::AttemptEnd {
-    forward::AttemptEnd::Answered(forward::Response {
-        status: 200,
-        headers: http::HeaderMap::new(),
-        signature: Some(service(shard)),
-        body: records(shard).into(),
-    })
-}
-
-/// Greatest records of these shards.
-fn expected(shards: impl IntoIterator<Item = usize>) -> Vec<u8> {
-    let bodies: Vec<_> = shards.into_iter().map(records).collect();
-    forward::merge_top(bodies.iter().map(Vec::as_slice), TOP_K)
-}
-
-/// Answer with these shards of a group; the others are still under way.
-fn answer(group: &forward::Group, shards: &[usize]) -> forward::GroupAnswer {
-    let position = |shard: &usize| {
-        let found = group
-            .services
-            .iter()
-            .position(|name| *name == service(*shard));
-        found.expect("the group has the shard")
-    };
-    let answered: Vec<_> = shards
-        .iter()
-        .map(|shard| (position(shard), service(*shard)))
-        .collect();
-    let missing = (0..group.services.len())
-        .filter(|other| !answered.iter().any(|(position, _)| position == other))
-        .map(|position| forward::MissingShard {
-            position,
-            tried: vec![format!("{}-b", group.services[position])],
-            running: true,
-            ran: true,
-            crashed: false,
-        });
-    forward::GroupAnswer {
-        missing: missing.collect(),
-        answered,
-        body: expected(shards.iter().copied()).into(),
-    }
-}
-
-fn shard_number(service: &str) -> usize {
-    let digits = service.strip_prefix("shard").expect("a shard");
-    digits.parse().expect("a number")
-}
-
-fn shards_of(group: &forward::Group) -> Vec<usize> {
-    group
-        .services
-        .iter()
-        .map(|name| shard_number(name))
-        .collect()
-}
-
-/// One query at an entry VM of zone `a`; the test ends attempts and groups.
-struct Query {
-    fleet: fleet::Fleet,
-    view: fleet::View,
-    exchange: Option<forward::Exchange>,
-    sends: Vec<forward::Send>,
-    groups: Vec<forward::Delegation>,
-    reports: Vec<forward::GroupAnswer>,
-    wake: Option<time::Instant>,
-    outcome: Option<forward::Outcome>,
-    start: time::Instant,
-    now: time::Instant,
-}
-
-impl Query {
-    /// Site whose shard `n` has a backend server in each of the zones `zones(n)`.
-    fn new(
-        shards: usize,
-        zones: impl Fn(usize) -> &'static str,
-        delegates: &[hub::Delegate],
-    ) -> Self {
-        let now = time::Instant::now();
-        let limits = fleet::RetryLimits {
-            ratio: 0.2,
-            slack: 10.0,
-            window: time::Duration::from_secs(10),
-        };
-        let mut view = fleet::View {
-            generation: 1,
-            members: 1,
-            delegates: delegates.to_vec(),
-            ..fleet::View::default()
-        };
-        for shard in 0..shards {
-            for zone in zones(shard).split(',') {
-                let server = format!("{}-{zone}", service(shard));
-                let record = registry::Record {
-                    version: String::new(),
-                    server: server.clone(),
-                    born: 1,
-                    sequence: 1,
-                    service: service(shard),
-                    address: "10.0.0.1:80".parse().expect("an address"),
-                    zone: zone.to_owned(),
-                    slots: 2,
-                    phase: registry::Phase::Serving,
-                    cold_ms: 0,
-                    age_ms: 0,
-                    silent: false,
-                };
-                view.servers
-                    .insert(server, fleet::KnownServer::new(record, now));
-            }
-        }
-        let mut fleet = fleet::Fleet::new("a".to_owned(), 1, limits);
-        fleet.update(&view, now);
-        Self {
-            fleet,
-            view,
-            exchange: None,
-            sends: Vec::new(),
-            groups: Vec::new(),
-            reports: Vec::new(),
-            wake: None,
-            outcome: None,
-            start: now,
-            now,
-        }
-    }
-
-    /// Starts a query over the first `shards` shards.
-    fn query(&mut self, shards: usize, coverage: f64, attempts: usize) {
-        let route = configuration::Route {
-            name: "route".to_owned(),
-            host: "host".to_owned(),
-            prefix: "/".to_owned(),
-            idempotent: true,
-            timeout: time::Duration::from_millis(800),
-            objective: OBJECTIVE,
-            priority: 0,
-            max_attempts: attempts,
-            open: false,
-            target: configuration::Target::Gather(configuration::Gather {
-                shards: (0..shards).map(service).collect(),
-                top_k: TOP_K,
-                coverage,
-            }),
-        };
-        self.start = self.now;
-        let timing = forward::Timing::new(&route, None, time::Duration::ZERO, self.now);
-        let route = sync::Arc::new(route);
-        let (exchange, actions) =
-            forward::Exchange::start(route, CONTENT, timing, &mut self.fleet, 1, self.now);
-        self.run(exchange, actions);
-    }
-
-    /// Starts to gather a group, as the other entry VM does.
-    fn gather(&mut self, group: &forward::Group) {
-        let (exchange, actions) =
-            forward::Exchange::start_group(group, &mut self.fleet, 1, self.now);
-        self.run(exchange, actions);
-    }
-
-    fn run(&mut self, exchange: forward::Exchange, actions: Vec<forward::Action>) {
-        self.sends.clear();
-        self.groups.clear();
-        self.outcome = None;
-        self.exchange = Some(exchange);
-        self.execute(actions);
-        let now = self.now;
-        self.act(|exchange, fleet| exchange.attempts_written(fleet, now));
-    }
-
-    fn act(
-        &mut self,
-        act: impl FnOnce(&mut forward::Exchange, &mut fleet::Fleet) -> Vec<forward::Action>,
-    ) {
-        let exchange = self.exchange.as_mut().expect("it has started");
-        let actions = act(exchange, &mut self.fleet);
-        self.execute(actions);
-    }
-
-    fn execute(&mut self, actions: Vec<forward::Action>) {
-        for action in actions {
-            match action {
-                forward::Action::Send(send) => self.sends.push(send),
-                forward::Action::Delegate(delegation) => self.groups.push(delegation),
-                forward::Action::Report(answer) => self.reports.push(answer),
-                forward::Action::WakeAt(at) => self.wake = Some(at),
-                forward::Action::Finish(outcome) => {
-                    assert!(self.outcome.is_none(), "a request has one answer");
-                    self.outcome = Some(outcome);
-                }
-            }
-        }
-    }
-
-    fn end_attempt(&mut self, send: usize, end: forward::AttemptEnd) {
-        let (attempt, now) = (self.sends[send].attempt, self.now);
-        self.act(|exchange, fleet| exchange.attempt_ended(attempt, end, fleet, 7, now));
-    }
-
-    fn answer_group(&mut self, group: usize, shards: &[usize]) {
-        let answer = answer(&self.groups[group].group, shards);
-        let (attempt, now) = (self.groups[group].attempt, self.now);
-        self.act(|exchange, fleet| exchange.group_answered(attempt, answer, fleet, 7, now));
-    }
-
-    /// Ends a group, and counts that as its driver does.
-    fn end_group(&mut self, group: usize, end: forward::GroupEnd) {
-        let elapsed = time::Duration::ZERO;
-        let result = match end {
-            forward::GroupEnd::Answered => fleet::AttemptResult::Answered { elapsed },
-            forward::GroupEnd::Refused => fleet::AttemptResult::Rejected,
-            forward::GroupEnd::Unreachable => fleet::AttemptResult::Unreachable,
-            forward::GroupEnd::Broken => fleet::AttemptResult::Failed,
-            forward::GroupEnd::TimedOut => fleet::AttemptResult::Abandoned { elapsed },
-        };
-        let Delegated { attempt, delegate } = self.delegated(group);
-        let now = self.now;
-        self.fleet.record_group_end(delegate, Some(result), now);
-        self.act(|exchange, fleet| exchange.group_ended(attempt, end, fleet, 7, now));
-    }
-
-    fn delegated(&self, group: usize) -> Delegated {
-        let delegation = &self.groups[group];
-        Delegated {
-            attempt: delegation.attempt,
-            delegate: delegation.delegate,
-        }
-    }
-
-    /// Answers all attempts that have been sent for shards without a response.
-    fn answer_sends(&mut self) {
-        for send in 0..self.sends.len() {
-            let shard = shard_number(&self.sends[send].service);
-            self.end_attempt(send, success(shard));
-        }
-    }
-
-    /// Advances the time to a point after the start, with every wake-up that is due.
-    fn advance_to(&mut self, millis: u64) {
-        let until = self.start + time::Duration::from_millis(millis);
-        while let Some(wake) = self.wake.filter(|wake| *wake <= until) {
-            if self.outcome.is_some() {
-                break;
-            }
-            self.now = self.now.max(wake);
-            self.wake = None;
-            let now = self.now;
-            self.act(|exchange, fleet| exchange.wake(fleet, 7, now));
-        }
-        self.now = self.now.max(until);
-    }
-
-    /// Shards that have got attempts of this VM, ascending.
-    fn sent(&self) -> Vec<usize> {
-        let mut shards: Vec<_> = self
-            .sends
-            .iter()
-            .map(|send| shard_number(&send.service))
-            .collect();
-        shards.sort_unstable();
-        shards
-    }
-
-    fn assert_complete(&self, shards: usize) {
-        let Some(forward::Outcome::Gathered {
-            signatures,
-            missing,
-            body,
-        }) = &self.outcome
-        else {
-            panic!("no answer: {:?}", self.outcome);
-        };
-        assert_eq!(*missing, 0);
-        let mut signatures = signatures.clone();
-        signatures.sort_unstable();
-        let mut services: Vec<_> = (0..shards).map(service).collect();
-        services.sort_unstable();
-        assert_eq!(signatures, services, "each shard once");
-        assert_eq!(body.as_ref(), expected(0..shards), "the greatest records");
-    }
-}
-
-/// Identity of a group in its exchange, and the entry VM that gathers it.
-struct Delegated {
-    attempt: ids::AttemptId,
-    delegate: net::SocketAddr,
-}
+use fireflyspool::forward;
+use group_site::{
+    Query, TOP_K, answer, delegate, expected, listener, shard_number, shards_of, success,
+};
 
 /// Shards below 6 have servers in zone `a`, the others in `b` and `c`.
 fn two_zones(shard: usize) -> &'static str {
@@ -577,6 +261,100 @@
     assert!(other.exchange.expect("it has started").is_finished());
 }
 
+/// A shard was parked and told as ended, then sent after all: its records came twice.
+#[test]
+fn the_gathering_vm_sends_no_shard_again_that_it_has_told_as_ended() {
+    let query = started(2);
+    let group = query.groups[0].group.clone();
+    let mut other = Query::new(12, two_zones, &[]);
+    other.gather(&group);
+    other.advance_to(15);
+    other.end_attempt(0, forward::AttemptEnd::Rejected);
+    other.advance_to(20);
+    assert_eq!(other.sends.len(), 7, "the rejected one is sent again");
+    other.end_attempt(1, forward::AttemptEnd::Crashed);
+    other.end_attempt(2, forward::AttemptEnd::Rejected);
+    other.advance_to(35);
+    let report = other.reports.pop().expect("an answer");
+    let ended: Vec<_> = report
+        .missing
+        .iter()
+        .filter(|shard| !shard.running)
+        .map(|shard| shard.position)
+        .collect();
+    assert_eq!(ended, [1, 2], "the crashed and the rejected one");
+    for send in 3..7 {
+        other.end_attempt(send, success(shard_number(&other.sends[send].service)));
+    }
+    other.advance_to(90);
+    assert_eq!(other.sends.len(), 7, "nothing more is sent");
+    let answered = other.reports.iter().flat_map(|report| &report.answered);
+    let positions: Vec<_> = answered.map(|(position, _)| *position).collect();
+    assert!(
+        positions.iter().all(|position| !ended.contains(position)),
+        "{positions:?}"
+    );
+}
+
+/// Guards against records of a shard that the answer does not name, or has twice: an older
+/// release answers a shard that it has told as ended.
+#[test]
+fn a_shard_that_is_answered_after_its_end_was_told_is_merged_once() {
+    let mut query = started(2);
+    let mut first = answer(&query.groups[0].group, &[6, 7, 8, 9]);
+    for shard in &mut first.missing {
+        shard.running = false;
+    }
+    query.deliver(0, first);
+    assert_eq!(query.sends.len(), 8, "it is retried here");
+    query.answer_group(0, &[10]);
+    query.answer_sends();
+    query.assert_complete(12);
+}
+
+/// Guards against an answer that comes twice, and against records of no shard.
+#[test]
+fn an_answer_that_cannot_be_accounted_for_is_refused() {
+    let repeated = |query: &Query| answer(&query.groups[0].group, &[6, 7]);
+    let foreign = |query: &Query| forward::GroupAnswer {
+        answered: Vec::new(),
+        ..answer(&query.groups[0].group, &[8])
+    };
+    let unsorted = |query: &Query| {
+        let sorted = answer(&query.groups[0].group, &[8]);
+        let mut body = sorted.body.to_vec();
+        body.rotate_left(forward::RECORD_BYTES);
+        forward::GroupAnswer {
+            body: body.into(),
+            ..sorted
+        }
+    };
+    let out_of_range = |query: &Query| {
+        let mut answer = answer(&query.groups[0].group, &[8]);
+        answer.answered[0].0 = 12;
+        answer
+    };
+    let long = |query: &Query| {
+        let mut answer = answer(&query.groups[0].group, &[8]);
+        answer.body = vec![0; forward::RECORD_BYTES * (TOP_K + 1)].into();
+        answer
+    };
+    let cases: [&dyn Fn(&Query) -> forward::GroupAnswer; 5] =
+        [&repeated, &foreign, &unsorted, &out_of_range, &long];
+    for (number, case) in cases.into_iter().enumerate() {
+        let mut query = started(2);
+        query.answer_group(0, &[6, 7]);
+        let refused = case(&query);
+        query.deliver(0, refused);
+        let exchange = query.exchange.as_ref().expect("it has started");
+        assert_eq!(exchange.refused_answers(), 1, "case {number}");
+        query.answer_group(0, &[8, 9, 10, 11]);
+        assert_eq!(query.outcome, None, "case {number}: the group has ended");
+        query.answer_sends();
+        query.assert_complete(12);
+    }
+}
+
 /// Deterministic numbers below a bound.
 struct Random(u64);
 
