Learn of crashes after the caller of a request has left

Cause: what an entry VM knew of a crash lived in the future of the request. A caller that closes its connection drops it, with the attempts that would have met the crash; so do a VM that gives a group up, the cut of late attempts and the deadline. Crashes that were met and not reported yet, and the ends of probes, were lost in the same way.

Change: attempts whose end nobody saw, of requests to which no server responded, are watched by the incarnation of their server until it has outlived them: by a check of its listener each 0.5 s (idle connections first), by other attempts, by a later incarnation or another server at the address. Probes go on without their callers, a dropped exchange reports its crashes, late ends of attempts count. Unseen crashes take one more failed probe for a refusal, because innocent attempts are under way at a server that ends as well. Logs and the metric unseen_ends lead from a content to them.

Ruled out: keeping connections of abandoned attempts open (servers would work for nobody), and taking a server that outlives such an attempt as a sign for the content (servers that drop closed requests do).

--- a/crates/fireflyspool/src/containment/crash.rs
+++ b/crates/fireflyspool/src/containment/crash.rs
@@ -15,4 +15,7 @@
     /// Whether the attempt was a probe, sent when other crashes were known already.
     #[serde(rename = "p", default, skip_serializing_if = "std::ops::Not::not")]
     pub probe: bool,
+    /// Whether the attempt had been given up before: the server may have ended after it.
+    #[serde(rename = "u", default, skip_serializing_if = "std::ops::Not::not")]
+    pub unseen: bool,
 }
--- a/crates/fireflyspool/src/containment/suspect.rs
+++ b/crates/fireflyspool/src/containment/suspect.rs
@@ -7,6 +7,9 @@
 /// Crashes after which a content is refused, if one of them happened during a probe.
 const CRASH_LIMIT: usize = 3;
 
+/// Failed probes after which a content is refused if some of the crashes that count are unseen.
+const UNSEEN_PROBE_LIMIT: usize = 2;
+
 /// Most crashes kept of attempts that were no probes, and of probes; further ones would not
 /// change a verdict.
 const MAX_CRASHES: usize = CRASH_LIMIT;
@@ -48,7 +51,7 @@
         let alike = self
             .crashes
             .iter()
-            .filter(|known| known.probe == crash.probe);
+            .filter(|known| (known.probe, known.unseen) == (crash.probe, crash.unseen));
         let full = alike.count() >= if crash.probe { MAX_PROBES } else { MAX_CRASHES };
         let Err(position) = self.crashes.binary_search(&crash) else {
             return false;
@@ -63,15 +66,21 @@
 
     /// When requests are no longer refused; `None` if they are not.
     pub(super) fn refused_until(&self) -> Option<time::Instant> {
-        let probes = self.crashes.iter().filter(|crash| crash.probe).count();
-        let further = u32::try_from(probes.checked_sub(1)?).unwrap_or(u32::MAX);
+        let needed = match self.ended(|crash| !crash.unseen) >= CRASH_LIMIT {
+            true => 1,
+            false => UNSEEN_PROBE_LIMIT,
+        };
+        let probes = self.ended(|crash| crash.probe);
+        let further = u32::try_from(probes.checked_sub(needed)?).unwrap_or(u32::MAX);
         let refusal = FIRST_REFUSAL * REFUSAL_FACTOR.saturating_pow(further);
-        (self.ended() >= CRASH_LIMIT).then(|| self.latest + refusal)
+        (self.ended(|_| true) >= CRASH_LIMIT).then(|| self.latest + refusal)
     }
 
-    /// Number of incarnations that ended; several attempts may have seen the same one end.
-    fn ended(&self) -> usize {
-        let mut ended: Vec<_> = self.crashes.iter().map(|c| (&c.server, c.born)).collect();
+    /// Number of incarnations that ended under some of the attempts; several of these may have
+    /// run at the same one.
+    fn ended(&self, counts: impl Fn(&&containment::Crash) -> bool) -> usize {
+        let crashes = self.crashes.iter().filter(counts);
+        let mut ended: Vec<_> = crashes.map(|c| (&c.server, c.born)).collect();
         ended.dedup();
         ended.len()
     }
--- a/crates/fireflyspool/src/control/follower_driver.rs
+++ b/crates/fireflyspool/src/control/follower_driver.rs
@@ -75,16 +75,20 @@
                 born,
                 content,
                 probe,
+                unseen,
             },
         ) = &observation
         {
-            let (server, born, probe) = (server.clone(), *born, *probe);
+            let (server, born) = (server.clone(), *born);
+            let (probe, unseen) = (*probe, *unseen);
             slog::warn!(self.logger, "backend server ended under a request";
-                "server" => &server, "born" => born, "content" => content, "probe" => probe);
+                "server" => &server, "born" => born, "content" => content, "probe" => probe,
+                "unseen" => unseen);
             let crash = containment::Crash {
                 server,
                 born,
                 probe,
+                unseen,
             };
             self.follower.note_crash(*content, crash, now);
         }
--- a/crates/fireflyspool/src/control/hub_driver.rs
+++ b/crates/fireflyspool/src/control/hub_driver.rs
@@ -213,10 +213,12 @@
                 born,
                 content,
                 probe,
+                unseen,
             } = symptom
             {
                 slog::warn!(self.logger, "backend server ended under a request";
-                    "server" => server, "born" => born, "content" => content, "probe" => probe);
+                    "server" => server, "born" => born, "content" => content, "probe" => probe,
+                    "unseen" => unseen);
             }
         }
     }
--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::{backend, configuration, fleet, hashing, hub, ids, rollout, sorted};
+use crate::{backend, configuration, containment, fleet, hashing, hub, ids, rollout, sorted};
 
 /// Age of the last confirmation of the view up to which it is relied on for rollouts. It is well
 /// above the time between two polls, and a rollback must bind within 5 s everywhere.
@@ -28,6 +28,10 @@
     next_token: ids::Ticket,
     pub(super) observations: fleet::observations::Observations,
     pub(super) suspects: fleet::suspects::Suspects,
+    /// Attempts that were given up.
+    pub(super) watch: containment::Watch,
+    /// Those under which servers have ended and that count, not yet taken.
+    pub(super) unseen_ends: Vec<containment::GivenUp>,
     pub(super) shortage: fleet::shortage_meter::ShortageMeter,
     /// 0 to 1; differs between the VMs of a site.
     pub(super) spread: f64,
@@ -61,6 +65,8 @@
             next_token: 0,
             observations: fleet::observations::Observations::default(),
             suspects: fleet::suspects::Suspects::default(),
+            watch: containment::Watch::default(),
+            unseen_ends: Vec::new(),
             shortage: fleet::shortage_meter::ShortageMeter::default(),
             spread: (hashing::StableHasher::new().number(incarnation).finish() >> 40) as f64
                 / f64::from(1 << 24),
@@ -90,6 +96,7 @@
         self.observations.start(now);
         self.members = view.members;
         self.confirmed = view.confirmed;
+        self.watch_view(view, now);
         self.notices.update(view);
         self.delegates.update(&view.delegates);
         self.suspects.merge(&view.contents, now);
@@ -376,6 +383,7 @@
         }
         let leaves = self.notices.record(key.1, born, condition, now);
         if leaves {
+            self.watch.forget(key.1, born);
             let symptom = hub::Symptom::Leaving { born };
             self.observations.add(key.1, symptom, now);
         }
--- a/crates/fireflyspool/src/fleet/fleet_suspects.rs
+++ b/crates/fireflyspool/src/fleet/fleet_suspects.rs
@@ -32,20 +32,24 @@
     }
 
     /// Records a crash under a content; the control VMs are told if it may change a verdict.
+    /// Returns whether it may.
     pub fn record_crash(
         &mut self,
         content: ids::Fingerprint,
         crash: containment::Crash,
         now: time::Instant,
-    ) {
+    ) -> bool {
         let symptom = hub::Symptom::Crashed {
             born: crash.born,
             content,
             probe: crash.probe,
+            unseen: crash.unseen,
         };
         let server = crash.server.clone();
-        if self.suspects.add(content, crash, now) {
+        let counts = self.suspects.add(content, crash, now);
+        if counts {
             self.observations.add(&server, symptom, now);
         }
+        counts
     }
 }
--- a/crates/fireflyspool/src/fleet/mod.rs
+++ b/crates/fireflyspool/src/fleet/mod.rs
@@ -31,6 +31,7 @@
 mod fleet_groups;
 mod fleet_shortage;
 mod fleet_suspects;
+mod fleet_watch;
 mod known_server;
 mod notice;
 mod notices;
--- a/crates/fireflyspool/src/fleet/notices.rs
+++ b/crates/fireflyspool/src/fleet/notices.rs
@@ -54,6 +54,12 @@
             .map_or(Some(now), |notice| notice.usable_at(now))
     }
 
+    /// Whether an incarnation has stated that it leaves.
+    pub(super) fn is_leaving(&self, server: &str, born: ids::BornMillis) -> bool {
+        let notice = self.servers.get(server);
+        notice.is_some_and(|notice| notice.born == born && notice.leaving)
+    }
+
     /// Whether an incarnation may get requests now.
     pub(super) fn allows(&self, server: &str, born: ids::BornMillis, now: time::Instant) -> bool {
         self.usable_at(server, born, now) == Some(now)
--- a/crates/fireflyspool/src/fleet/server_state.rs
+++ b/crates/fireflyspool/src/fleet/server_state.rs
@@ -48,6 +48,8 @@
     pub(super) born: ids::BornMillis,
     pub(super) slots: f64,
     serving: bool,
+    /// Whether it has said that it leaves, or has left.
+    pub(super) leaving: bool,
     /// Whether it has the target version of the latest rollout of its service.
     pub(super) is_target: bool,
     /// Until when it waits for a rollout, because its version is new to the service.
@@ -109,6 +111,7 @@
             born: record.born,
             slots: f64::from(record.slots.max(1)),
             serving: false,
+            leaving: false,
             is_target: false,
             held_until: None,
             cold_until: server.cold_until,
@@ -139,6 +142,7 @@
     ) {
         self.outlier = outlier;
         let record = &server.record;
+        self.leaving = record.phase != registry::Phase::Serving;
         self.serving = record.phase == registry::Phase::Serving && !record.silent;
         self.cold_until = server.cold_until;
         self.slots = f64::from(record.slots.max(1));
--- a/crates/fireflyspool/src/forward/exchange_caution.rs
+++ b/crates/fireflyspool/src/forward/exchange_caution.rs
@@ -8,7 +8,7 @@
 use std::{mem, time};
 
 use crate::forward::{any_sub_request, attempt, caution};
-use crate::{containment, fleet, forward};
+use crate::{containment, fleet, forward, ids};
 
 /// Rejected attempts of a sub-request after which it sends no further probe.
 const REJECTION_LIMIT: usize = 3;
@@ -45,6 +45,7 @@
             server: attempt.server.clone(),
             born: attempt.born,
             probe: attempt.probe,
+            unseen: false,
         };
         self.suspect(Some(crash));
         if let Some(pending) = self.sub_requests[attempt.index].pending_mut() {
@@ -124,6 +125,38 @@
         }
     }
 
+    /// Handles the end of an attempt after the outcome; nothing more is sent.
+    pub fn attempt_ended_late(
+        &mut self,
+        attempt: ids::AttemptId,
+        end: &forward::AttemptEnd,
+        fleet: &mut fleet::Fleet,
+        now: time::Instant,
+    ) {
+        let mut running = self.attempts.iter();
+        let Some(position) = running.position(|running| running.id == attempt) else {
+            return;
+        };
+        let attempt = self.attempts.swap_remove(position);
+        match end {
+            forward::AttemptEnd::Crashed => {
+                self.crashed(&attempt);
+                self.report_crashes(fleet, now);
+            }
+            forward::AttemptEnd::Answered(_) if self.caution.is_suspected() => {
+                self.caution = caution::Caution::Harmless;
+                fleet.clear_content(self.content);
+            }
+            forward::AttemptEnd::Answered(_) => self.caution = caution::Caution::Harmless,
+            _ => {}
+        }
+    }
+
+    /// Whether crashes are known that were not reported.
+    pub fn has_unreported_crashes(&self) -> bool {
+        matches!(&self.caution, caution::Caution::Suspected { crashes } if !crashes.is_empty())
+    }
+
     /// Reports the crashes of a request that has ended, and that its probe is over.
     pub fn end_caution(&mut self, fleet: &mut fleet::Fleet, now: time::Instant) {
         self.report_crashes(fleet, now);
@@ -175,6 +208,9 @@
             if let Some(attempt) = self.attempts.last_mut() {
                 attempt.probe = true;
             }
+            if let Some(forward::Action::Send(send)) = self.actions.last_mut() {
+                send.probe = true;
+            }
         }
         sent
     }
--- a/crates/fireflyspool/src/forward/exchange_sends.rs
+++ b/crates/fireflyspool/src/forward/exchange_sends.rs
@@ -236,6 +236,7 @@
             born: picked.born,
             address: picked.address,
             kept: picked.kept,
+            probe: false,
             deadline: self.timing.deadline,
         }));
     }
--- a/crates/fireflyspool/src/forward/send.rs
+++ b/crates/fireflyspool/src/forward/send.rs
@@ -21,6 +21,9 @@
     pub address: net::SocketAddr,
     /// Idle connections that may be kept to it; `None` for the usual number.
     pub kept: Option<usize>,
+    /// Whether it probes a content under which servers may crash, so that it goes on to its end
+    /// even if the request is given up.
+    pub probe: bool,
     /// When the attempt times out; the backend server is told the time left.
     pub deadline: time::Instant,
 }
--- a/crates/fireflyspool/src/hub/hub.rs
+++ b/crates/fireflyspool/src/hub/hub.rs
@@ -154,11 +154,13 @@
                     born,
                     content,
                     probe,
+                    unseen,
                 } => {
                     let crash = containment::Crash {
                         server,
                         born,
                         probe,
+                        unseen,
                     };
                     self.contents.add(content, crash, now);
                 }
--- a/crates/fireflyspool/src/hub/symptom.rs
+++ b/crates/fireflyspool/src/hub/symptom.rs
@@ -21,6 +21,9 @@
         content: ids::Fingerprint,
         /// Whether the attempt was a probe of that content.
         probe: bool,
+        /// Whether the attempt had been given up before.
+        #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+        unseen: bool,
     },
     /// The server stated in a response that it leaves.
     Leaving {
--- a/crates/fireflyspool/src/node/attempt_guard.rs
+++ b/crates/fireflyspool/src/node/attempt_guard.rs
@@ -1,17 +1,27 @@
 //! Recording of the end of an attempt.
 
-use std::{sync, time};
+use std::{
+    sync::{self, atomic},
+    time,
+};
 
-use crate::{backend, configuration, fleet, forward, node, telemetry};
+use crate::{backend, configuration, containment, fleet, forward, node, telemetry};
 
 /// Records the end of an attempt in the fleet, as abandoned if it is dropped first.
+///
+/// The server of an attempt whose end nobody saw is watched, unless a server has responded to
+/// the request.
 pub(super) struct AttemptGuard {
     forwarding: sync::Arc<node::Forwarding>,
     route: sync::Arc<configuration::Route>,
     message: sync::Arc<node::Message>,
     send: forward::Send,
     started: time::Instant,
+    /// Whether the attempt may have been written.
+    begun: bool,
     ended: bool,
+    /// Whether a server has responded to the request.
+    responded: sync::Arc<atomic::AtomicBool>,
 }
 
 impl AttemptGuard {
@@ -21,6 +31,7 @@
         route: sync::Arc<configuration::Route>,
         message: sync::Arc<node::Message>,
         send: forward::Send,
+        responded: sync::Arc<atomic::AtomicBool>,
     ) -> Self {
         Self {
             forwarding,
@@ -28,13 +39,16 @@
             message,
             send,
             started: time::Instant::now(),
+            begun: false,
             ended: false,
+            responded,
         }
     }
 
     /// Starts measuring anew, because the attempt is written only now.
     pub(super) fn begin(&mut self) {
         self.started = time::Instant::now();
+        self.begun = true;
     }
 
     /// Records the end and what the backend server stated about itself.
@@ -56,6 +70,7 @@
             forward::AttemptEnd::TimedOut => fleet::AttemptResult::Abandoned { elapsed },
         };
         self.record(result, condition);
+        self.learn(end);
         let failed = matches!(
             result,
             fleet::AttemptResult::Failed | fleet::AttemptResult::Unreachable
@@ -80,6 +95,58 @@
         }
     }
 
+    /// Uses what the end shows about attempts at the same server that were given up.
+    fn learn(&self, end: &forward::AttemptEnd) {
+        let (server, born) = (self.send.server.as_str(), self.send.born);
+        let now = time::Instant::now();
+        match end {
+            forward::AttemptEnd::Answered(_) => {
+                self.responded.store(true, atomic::Ordering::Relaxed);
+                self.forwarding.fleet().record_alive(server, born, now);
+            }
+            forward::AttemptEnd::Crashed => {
+                let mut fleet = self.forwarding.fleet();
+                fleet.record_crashed(server, born, now);
+                self.forwarding.report_observations(&mut fleet);
+            }
+            forward::AttemptEnd::Unreachable | forward::AttemptEnd::Broken => {
+                if self.forwarding.fleet().hurry_check(server, now) {
+                    self.forwarding.watch_changed.notify_one();
+                }
+            }
+            forward::AttemptEnd::TimedOut => self.watch(now),
+            forward::AttemptEnd::Rejected
+            | forward::AttemptEnd::Full
+            | forward::AttemptEnd::WrongServer => {}
+        }
+    }
+
+    /// Watches the server until it has outlived the attempt.
+    fn watch(&self, now: time::Instant) {
+        if !self.begun || self.responded.load(atomic::Ordering::Relaxed) {
+            return;
+        }
+        let send = &self.send;
+        let attempt = containment::GivenUp {
+            request: self.message.id.clone(),
+            content: self.message.fingerprint(),
+            service: send.service.clone(),
+            server: send.server.clone(),
+            born: send.born,
+            address: send.address,
+            kept: send.kept,
+            probe: send.probe,
+            until: send.deadline,
+        };
+        let mut fleet = self.forwarding.fleet();
+        let is_first = fleet.watch(attempt, now);
+        self.forwarding.report_observations(&mut fleet);
+        drop(fleet);
+        if is_first {
+            self.forwarding.watch_changed.notify_one();
+        }
+    }
+
     fn record(&self, result: fleet::AttemptResult, condition: &backend::Condition) {
         let mut fleet = self.forwarding.fleet();
         let now = time::Instant::now();
@@ -109,6 +176,7 @@
             let elapsed = self.started.elapsed();
             let result = fleet::AttemptResult::Abandoned { elapsed };
             self.record(result, &backend::Condition::default());
+            self.watch(time::Instant::now());
         }
     }
 }
--- a/crates/fireflyspool/src/node/forward_task.rs
+++ b/crates/fireflyspool/src/node/forward_task.rs
@@ -1,6 +1,10 @@
 //! Task that forwards one request.
 
-use std::{collections, net, sync, time};
+use std::{
+    collections, net,
+    sync::{self, atomic},
+    time,
+};
 
 use futures_util::{FutureExt as _, StreamExt as _, future, stream};
 use tokio::{sync::watch, task};
@@ -44,6 +48,8 @@
     message: sync::Arc<node::Message>,
     content: ids::Fingerprint,
     attempts: stream::FuturesUnordered<future::BoxFuture<'static, Ended>>,
+    /// Whether a server has responded, so that the content is harmless.
+    responded: sync::Arc<atomic::AtomicBool>,
     /// Service, backend server and start in milliseconds of each attempt, for the log.
     send_log: String,
     pub(super) received: time::Instant,
@@ -85,6 +91,7 @@
             content: message.fingerprint(),
             message: sync::Arc::new(message),
             attempts: stream::FuturesUnordered::new(),
+            responded: sync::Arc::default(),
             send_log: String::new(),
             received,
             outcome: None,
@@ -106,23 +113,27 @@
             Ok(pass) => pass,
             Err(refusal) => return refusal,
         };
-        let (mut exchange, actions) = {
+        let (exchange, actions) = {
             let mut fleet = self.forwarding.updated_fleet(&self.view);
             let route = sync::Arc::clone(&self.route);
             let (now, entropy) = (time::Instant::now(), rand::random());
             let content = (self.content, kind);
             forward::Exchange::start_of_kind(route, content, timing, &mut fleet, entropy, now)
         };
-        self.execute(&mut exchange, actions);
-        while self.outcome.is_none() && !exchange.is_finished() {
-            self.step(&mut exchange).await;
+        let mut running = node::running_exchange::RunningExchange::new(
+            sync::Arc::clone(&self.forwarding),
+            exchange,
+        );
+        self.execute(&mut running.exchange, actions);
+        while self.outcome.is_none() && !running.exchange.is_finished() {
+            self.step(&mut running.exchange).await;
         }
         let outcome = self.outcome.take().unwrap_or(forward::Outcome::Failed);
         if let Some(pass) = pass {
             let is_late = time::Instant::now() > timing.objective;
             pass.end(node::forward_admission::end_of(&outcome, is_late));
         }
-        self.finish(exchange, &outcome);
+        self.finish(running, &outcome);
         outcome
     }
 
@@ -136,14 +147,21 @@
     }
 
     /// Sends the first attempts of a group that another entry VM has delegated.
-    pub(super) fn start_group(&mut self, group: &forward::Group) -> forward::Exchange {
-        let (mut exchange, actions) = {
+    pub(super) fn start_group(
+        &mut self,
+        group: &forward::Group,
+    ) -> node::running_exchange::RunningExchange {
+        let (exchange, actions) = {
             let mut fleet = self.forwarding.updated_fleet(&self.view);
             let now = time::Instant::now();
             forward::Exchange::start_group(group, &mut fleet, rand::random(), now)
         };
-        self.execute(&mut exchange, actions);
-        exchange
+        let mut running = node::running_exchange::RunningExchange::new(
+            sync::Arc::clone(&self.forwarding),
+            exchange,
+        );
+        self.execute(&mut running.exchange, actions);
+        running
     }
 
     /// Runs attempts until there is an answer to the group; `None` if the last one was taken.
@@ -213,6 +231,9 @@
                 let mut fleet = self.forwarding.fleet();
                 let mut actions = Vec::new();
                 if let Some(answer) = answer {
+                    if !answer.answered.is_empty() {
+                        self.responded.store(true, atomic::Ordering::Relaxed);
+                    }
                     let merged = exchange.group_answered(attempt, answer, &mut fleet, entropy, now);
                     actions.extend(merged);
                 }
@@ -308,6 +329,7 @@
             sync::Arc::clone(&self.route),
             sync::Arc::clone(&self.message),
             send.clone(),
+            sync::Arc::clone(&self.responded),
         )
     }
 
@@ -330,12 +352,21 @@
             .client
             .send(send.clone(), sync::Arc::clone(&self.message));
         self.unwritten = true;
-        self.attempts.push(Box::pin(async move {
+        let content = self.content;
+        let attempt = async move {
             guard.begin();
             let (end, condition) = sending.await;
             guard.end(&end, &condition);
-            Ended::Attempt(send.attempt, end)
-        }));
+            end
+        };
+        self.attempts.push(match send.probe {
+            true => {
+                let forwarding = sync::Arc::clone(&self.forwarding);
+                let probe = node::probe::run(forwarding, content, send.clone(), attempt);
+                Box::pin(probe.map(move |end| Ended::Attempt(send.attempt, end)))
+            }
+            false => Box::pin(attempt.map(move |end| Ended::Attempt(send.attempt, end))),
+        });
     }
 
     fn delegate(&mut self, delegation: &forward::Delegation) {
@@ -383,7 +414,11 @@
     /// Records the outcome, and lets attempts go on for [`LATE_ATTEMPT_TIMEOUT`].
     ///
     /// This takes place in a task of its own, so that the answer is written first.
-    fn finish(self, mut exchange: forward::Exchange, outcome: &forward::Outcome) {
+    fn finish(
+        self,
+        mut running: node::running_exchange::RunningExchange,
+        outcome: &forward::Outcome,
+    ) {
         let elapsed = self.received.elapsed();
         let label = outcome.label();
         let gathered = matches!(outcome, forward::Outcome::Gathered { .. });
@@ -400,19 +435,25 @@
                 let delay = self.event_at.elapsed();
                 self.forwarding.answer_delay.record(delay);
             }
-            self.end_caution(&mut exchange);
+            let exchange = &mut running.exchange;
+            self.end_caution(exchange);
             exchange.report_sub_requests(&mut self.forwarding.fleet(), time::Instant::now());
-            self.log_outcome(&exchange, label, (status, missing), elapsed);
-            self.end_late().await;
+            self.log_outcome(exchange, label, (status, missing), elapsed);
+            self.end_late(exchange).await;
         });
     }
 
     /// Records the last answer to a group, which lacks `missing` shards, like
     /// [`Self::finish`]; the VM that delegated the group records which services answered.
-    pub(super) fn finish_group(self, mut exchange: forward::Exchange, missing: usize) {
+    pub(super) fn finish_group(
+        self,
+        mut running: node::running_exchange::RunningExchange,
+        missing: usize,
+    ) {
         let elapsed = self.received.elapsed();
         tokio::spawn(async move {
-            self.end_caution(&mut exchange);
+            let exchange = &mut running.exchange;
+            self.end_caution(exchange);
             slog::info!(self.forwarding.process.logger, "group answered";
                 "request" => &self.request.id, "route" => &self.route.name,
                 "missing" => missing, "content" => self.content,
@@ -420,7 +461,7 @@
                 "retries" => exchange.retries(), "open" => ?exchange.pending_services(),
                 "wake_lag_us" => node::forwarding::micros(self.wake_lag),
                 "sends" => self.send_log.trim_end(), "view" => self.view.generation);
-            self.end_late().await;
+            self.end_late(exchange).await;
         });
     }
 
@@ -431,16 +472,24 @@
         self.forwarding.report_observations(&mut fleet);
     }
 
-    /// Lets attempts go on for [`LATE_ATTEMPT_TIMEOUT`].
-    async fn end_late(mut self) {
+    /// Lets attempts go on for [`LATE_ATTEMPT_TIMEOUT`], and takes note of crashes.
+    async fn end_late(mut self, exchange: &mut forward::Exchange) {
         if self.attempts.is_empty() {
             return;
         }
         let sleep = self.forwarding.process.timer.sleep(LATE_ATTEMPT_TIMEOUT);
         let ends = async {
             while let Some(ended) = self.attempts.next().await {
-                if let Ended::Group(attempt, progress, guard) = ended {
-                    self.keep_group(attempt, progress, guard);
+                match ended {
+                    Ended::Attempt(attempt, end) => {
+                        let mut fleet = self.forwarding.fleet();
+                        let now = time::Instant::now();
+                        exchange.attempt_ended_late(attempt, &end, &mut fleet, now);
+                        self.forwarding.report_observations(&mut fleet);
+                    }
+                    Ended::Group(attempt, progress, guard) => {
+                        self.keep_group(attempt, progress, guard);
+                    }
                 }
             }
         };
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -30,6 +30,8 @@
     quotas: Option<sync::Arc<node::QuotaClient>>,
     pub(super) metrics: telemetry::Metrics,
     pub(super) answer_delay: node::answer_delay::AnswerDelay,
+    /// Notified when the first server is watched, and when a check is to be made at once.
+    pub(super) watch_changed: tokio::sync::Notify,
     running: sync::Arc<atomic::AtomicUsize>,
     drain: watch::Sender<shutdown::AnyDrain>,
     /// Time within which a withdrawn key stops working; `None` if there is no bound.
@@ -56,6 +58,7 @@
             quotas: None,
             metrics: telemetry::Metrics::default(),
             answer_delay: node::answer_delay::AnswerDelay::default(),
+            watch_changed: tokio::sync::Notify::new(),
             running: sync::Arc::default(),
             drain: watch::Sender::new(shutdown::AnyDrain::default()),
             revocation: None,
@@ -270,6 +273,7 @@
     pub(super) fn updated_fleet(&self, view: &fleet::View) -> sync::MutexGuard<'_, fleet::Fleet> {
         let mut fleet = self.fleet();
         if fleet.update(view, time::Instant::now()) {
+            self.report_observations(&mut fleet);
             self.publish_suspended(&fleet);
         }
         fleet
@@ -297,6 +301,13 @@
             self.process
                 .send_event(control::Event::Observed(observation));
         }
+        for attempt in fleet.take_unseen_ends() {
+            telemetry::Metrics::count(&self.metrics.unseen_ends, &attempt.service);
+            slog::warn!(self.process.logger, "backend server ended after an attempt was given up";
+                "request" => &attempt.request, "server" => &attempt.server,
+                "service" => &attempt.service, "born" => attempt.born,
+                "content" => attempt.content, "probe" => attempt.probe);
+        }
         for service in fleet.take_withheld() {
             telemetry::Metrics::count(&self.metrics.connections_withheld, &service);
         }
--- a/crates/fireflyspool/src/platform/http_backend_client.rs
+++ b/crates/fireflyspool/src/platform/http_backend_client.rs
@@ -52,6 +52,12 @@
             let _ = client.open(address).await;
         })
     }
+
+    fn accepts(&self, address: net::SocketAddr, kept: Option<usize>) -> node::AcceptsFuture {
+        let client = self.client.clone();
+        let kept = kept.unwrap_or(usize::MAX);
+        Box::pin(async move { client.accepts(address, kept).await })
+    }
 }
 
 /// Adds the remaining time and the name of the server; `None` if the target has no
--- a/crates/fireflyspool/src/rim/forward_client.rs
+++ b/crates/fireflyspool/src/rim/forward_client.rs
@@ -103,19 +103,37 @@
     ///
     /// A connection that is opened is kept for the next request, unless `kept` are kept already.
     pub async fn is_refused(&self, address: net::SocketAddr, kept: usize) -> bool {
+        self.connect_to_check(address, kept).await == Some(false)
+    }
+
+    /// Whether a process accepts connections at an address; `None` if that is not known.
+    ///
+    /// A connection that is kept and that the process has not closed shows it. One that is
+    /// opened is kept for the next request, unless `kept` are kept already.
+    pub async fn accepts(&self, address: net::SocketAddr, kept: usize) -> Option<bool> {
+        match self.idle.contains(address) {
+            true => Some(true),
+            false => self.connect_to_check(address, kept).await,
+        }
+    }
+
+    async fn connect_to_check(&self, address: net::SocketAddr, kept: usize) -> Option<bool> {
         let connected = tokio::select! {
             connected = self.connect(address) => connected,
-            () = self.timer.sleep(CHECK_TIMEOUT) => return false,
+            () = self.timer.sleep(CHECK_TIMEOUT) => return None,
         };
         match connected {
             Ok(connection) => {
                 self.idle.put(address, connection.rest(), kept);
-                false
-            }
-            Err(rim::ForwardError::Connect(error)) => {
-                error.kind() == io::ErrorKind::ConnectionRefused
+                Some(true)
             }
-            Err(_) => false,
+            Err(rim::ForwardError::Connect(error)) => match error.kind() {
+                io::ErrorKind::ConnectionRefused => Some(false),
+                // The process lives, and has as many connections as it accepts.
+                io::ErrorKind::ConnectionReset => Some(true),
+                _ => None,
+            },
+            Err(_) => None,
         }
     }
 
--- a/crates/fireflyspool/tests/caution.rs
+++ b/crates/fireflyspool/tests/caution.rs
@@ -116,6 +116,7 @@
                 server: format!("other-{number}"),
                 born: 1,
                 probe: number >= attempts,
+                unseen: false,
             };
             ledger.add(CONTENT, crash, self.now);
         }
--- a/crates/fireflyspool/tests/containment.rs
+++ b/crates/fireflyspool/tests/containment.rs
@@ -12,6 +12,7 @@
         server: format!("s{server}"),
         born: 1,
         probe,
+        unseen: false,
     }
 }
 
@@ -73,6 +74,50 @@
     assert_eq!(verdict(&ledger, now), Verdict::Accepted);
 }
 
+/// Guards against an innocent content that is refused because servers ended after its attempts
+/// were given up, and one of them by chance during a probe.
+#[test]
+fn unseen_crashes_take_one_more_failed_probe() {
+    let now = time::Instant::now();
+    let mut ledger = Ledger::default();
+    let unseen = |server| Crash {
+        unseen: true,
+        ..crash(server, false)
+    };
+    for server in 0..20 {
+        ledger.add(CONTENT, unseen(server), now);
+    }
+    assert_eq!(verdict(&ledger, now), Verdict::Probe);
+    ledger.add(CONTENT, crash(20, true), now);
+    assert_eq!(verdict(&ledger, now), Verdict::Probe);
+    ledger.add(CONTENT, crash(21, true), now);
+    let Verdict::Refused { until } = verdict(&ledger, now) else {
+        panic!("not refused");
+    };
+    assert!(
+        until - now <= time::Duration::from_secs(60),
+        "the first refusal"
+    );
+}
+
+/// Guards against unseen crashes that leave no room for those that attempts met.
+#[test]
+fn seen_crashes_count_beside_unseen_ones() {
+    let now = time::Instant::now();
+    let mut ledger = Ledger::default();
+    for server in 0..20 {
+        let unseen = Crash {
+            unseen: true,
+            ..crash(server, false)
+        };
+        ledger.add(CONTENT, unseen, now);
+    }
+    ledger.add(CONTENT, crash(20, false), now);
+    ledger.add(CONTENT, crash(21, false), now);
+    ledger.add(CONTENT, crash(22, true), now);
+    assert!(is_refused(&ledger, now));
+}
+
 /// Guards against VMs of a site that all probe at the moment at which a refusal ends.
 #[test]
 fn vms_end_a_refusal_at_different_times() {
--- a/crates/fireflyspool/tests/control_site/mod.rs
+++ b/crates/fireflyspool/tests/control_site/mod.rs
@@ -158,6 +158,7 @@
         lost: bool,
     ) {
         let symptom = hub::Symptom::Crashed {
+            unseen: false,
             born: crash.born,
             content,
             probe: crash.probe,
--- a/crates/fireflyspool/tests/crash_reports.rs
+++ b/crates/fireflyspool/tests/crash_reports.rs
@@ -20,6 +20,7 @@
 
 fn crash(number: usize, probe: bool) -> containment::Crash {
     containment::Crash {
+        unseen: false,
         server: format!("i-{number:08x}"),
         born: 1_764_880_000_000,
         probe,
--- a/crates/fireflyspool/tests/crashing_requests.rs
+++ b/crates/fireflyspool/tests/crashing_requests.rs
@@ -7,7 +7,9 @@
 
 use std::{collections, net, sync, time};
 
-use platform_site::{Caller, Process, SHARDS, SINGLE_SERVICE, Site, StandInServer, WAIT_LIMIT};
+use platform_site::{
+    Caller, Process, SHARDS, SINGLE_SERVICE, SLOW_MARKER, Site, StandInServer, WAIT_LIMIT,
+};
 use tokio::sync::Mutex;
 
 type SharedServers = sync::Arc<Mutex<Vec<StandInServer>>>;
@@ -29,6 +31,15 @@
 /// Interval between two repeats of a request.
 const REPEAT_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
+/// Time after which a refused caller returns.
+const RETRY_TIME: time::Duration = time::Duration::from_millis(250);
+
+/// Time after which a caller leaves.
+const PATIENCE: time::Duration = time::Duration::from_millis(50);
+
+/// Time to a crash after the caller has left.
+const SOON: time::Duration = time::Duration::from_millis(60);
+
 const MARKER: &str = "crash-marker";
 
 struct Running {
@@ -86,6 +97,25 @@
         }
     }
 
+    /// Sends a request like [`Self::repeat`] for callers that leave before servers crash, some
+    /// time after it has begun to run.
+    async fn repeat_and_leave(&mut self, path: &str, crash: time::Duration) {
+        for server in self.servers.lock().await.iter() {
+            server.crashes().crash_after(crash);
+        }
+        let length = CONTACT_TIME * 3;
+        let start = time::Instant::now();
+        let mut next = 0;
+        while start.elapsed() < length {
+            let entry = self.addresses[next % self.addresses.len()];
+            next += 1;
+            let answer = self.caller.get(entry, path);
+            // Dropping it closes the connection.
+            let _ = tokio::time::timeout(PATIENCE, answer).await;
+            tokio::time::sleep(REPEAT_INTERVAL).await;
+        }
+    }
+
     /// Ids under which servers crashed, with the time of each crash, in order.
     async fn crashes(&self) -> Vec<(String, time::Instant)> {
         let servers = self.servers.lock().await;
@@ -185,6 +215,83 @@
     running.check_others_served().await;
 }
 
+/// A request whose caller left before it crashed its servers was sent to servers again until the
+/// end, because no attempt was left to meet a crash.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_caller_leaves_before_it_crashes_servers_is_no_longer_sent_to_any() {
+    let mut running = Running::start(96).await;
+    running
+        .repeat_and_leave(&format!("/one/{MARKER}"), SOON)
+        .await;
+    assert!(running.crashes().await.len() >= KNOWN_CRASHES);
+    running.check_late_repeats().await;
+    running.check_others_served().await;
+}
+
+/// The same with a crash that comes long after the caller has left, within its deadline.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_crashes_servers_long_after_its_caller_left_is_no_longer_sent_to_any() {
+    let mut running = Running::start(99).await;
+    running
+        .repeat_and_leave(&format!("/one/{MARKER}"), SOON * 15)
+        .await;
+    assert!(running.crashes().await.len() >= KNOWN_CRASHES);
+    running.check_late_repeats().await;
+    running.check_others_served().await;
+}
+
+/// The same with a query, whose groups end with it at the entry VMs that gather them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_query_whose_caller_leaves_before_it_crashes_servers_is_no_longer_sent_to_any() {
+    let mut running = Running::start(97).await;
+    running
+        .repeat_and_leave(&format!("/all/{MARKER}"), SOON)
+        .await;
+    assert!(running.crashes().await.len() >= KNOWN_CRASHES);
+    running.check_late_repeats().await;
+    running.check_others_served().await;
+}
+
+/// Guards against an innocent request that is refused because its callers leave while servers
+/// crash in turn: those that wait get their answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_whose_callers_leave_is_served_while_servers_crash_for_other_reasons() {
+    let mut running = Running::start(98).await;
+    let servers = sync::Arc::clone(&running.servers);
+    let crashing = tokio::spawn(async move {
+        for round in 0..8 {
+            let first = servers.lock().await.len() - REPLICAS;
+            let servers = servers.lock().await;
+            servers[first + round % REPLICAS].crashes().crash();
+            drop(servers);
+            tokio::time::sleep(time::Duration::from_millis(1_500)).await;
+        }
+    });
+    let path = format!("/one/{SLOW_MARKER}");
+    let (mut sent, mut waited, mut refused) = (0, 0, Vec::new());
+    while !crashing.is_finished() {
+        let entry = running.addresses[sent % running.addresses.len()];
+        sent += 1;
+        if sent % 4 == 0 {
+            waited += 1;
+            if running.caller.get(entry, &path).await == Some(503) {
+                // While a probe is under way, callers are told to come back.
+                tokio::time::sleep(RETRY_TIME).await;
+                let again = running.caller.get(entry, &path).await;
+                refused.extend((again == Some(503)).then_some(sent));
+            }
+        } else {
+            let answer = running.caller.get(entry, &path);
+            let _ = tokio::time::timeout(PATIENCE, answer).await;
+        }
+    }
+    println!(
+        "{} of {waited} that waited were refused: {refused:?}",
+        refused.len()
+    );
+    assert!(waited > 20 && refused.is_empty(), "{refused:?} of {waited}");
+}
+
 /// Guards against control VMs that restart and have the request sent to servers again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_that_crashes_servers_stays_refused_after_control_vms_restart() {
--- a/crates/fireflyspool/tests/forwarding.rs
+++ b/crates/fireflyspool/tests/forwarding.rs
@@ -46,6 +46,10 @@
     fn open(&self, _: net::SocketAddr) -> node::OpenFuture {
         Box::pin(future::ready(()))
     }
+
+    fn accepts(&self, _: net::SocketAddr, _: Option<usize>) -> node::AcceptsFuture {
+        Box::pin(future::ready(Some(true)))
+    }
 }
 
 fn view(now: time::Instant) -> fleet::View {
--- a/crates/fireflyspool/tests/platform_site/crashes.rs
+++ b/crates/fireflyspool/tests/platform_site/crashes.rs
@@ -13,6 +13,8 @@
 pub(crate) struct Crashes {
     marker: sync::Mutex<Option<String>>,
     midway: atomic::AtomicBool,
+    /// Time from the start of a request with the marker to the crash.
+    delay: sync::Mutex<time::Duration>,
     /// Ids of the requests under which it crashed, with the time.
     ended: sync::Mutex<Vec<(String, time::Instant)>>,
     down: atomic::AtomicBool,
@@ -30,6 +32,11 @@
         self.midway.store(true, atomic::Ordering::Relaxed);
     }
 
+    /// Has the server crash only some time after it began to run a request with the marker.
+    pub(crate) fn crash_after(&self, delay: time::Duration) {
+        *self.delay.lock().expect("no panic") = delay;
+    }
+
     /// Whether it answers a part of a request before it crashes under it.
     pub(super) fn is_midway(&self, path: &str) -> bool {
         let marker = self.marker.lock().expect("no panic");
@@ -53,9 +60,14 @@
     }
 
     /// Crashes the server if a request that begins to run has the marker in its path.
-    pub(super) fn begin(&self, path: &str, id: &str) -> bool {
-        let marker = self.marker.lock().expect("no panic");
-        let marked = marker.as_ref().is_some_and(|marker| path.contains(marker));
+    pub(super) async fn begin(&self, path: &str, id: &str) -> bool {
+        let marker = self.marker.lock().expect("no panic").clone();
+        let marked = marker.is_some_and(|marker| path.contains(&marker));
+        let delay = *self.delay.lock().expect("no panic");
+        if marked && !delay.is_zero() {
+            // A caller that leaves meanwhile does not keep the server from going on.
+            tokio::time::sleep(delay).await;
+        }
         if marked && !self.is_down() {
             let ended = &mut self.ended.lock().expect("no panic");
             ended.push((id.to_owned(), time::Instant::now()));
--- a/crates/fireflyspool/tests/platform_site/mod.rs
+++ b/crates/fireflyspool/tests/platform_site/mod.rs
@@ -23,7 +23,7 @@
 pub(crate) use caller::Caller;
 pub(crate) use identity::Identity;
 pub(crate) use process::Process;
-pub(crate) use stand_in_server::{StandInServer, record};
+pub(crate) use stand_in_server::{SLOW_MARKER, StandInServer, record};
 pub(crate) use stated_notices::StatedNotices;
 
 /// Longest wait for an expected event, with a margin for a busy machine.
--- a/crates/fireflyspool/tests/platform_site/stand_in_server.rs
+++ b/crates/fireflyspool/tests/platform_site/stand_in_server.rs
@@ -16,6 +16,10 @@
 const REJECT_PERIOD: usize = 13;
 const CLOSE_PERIOD: usize = 17;
 
+/// Part of the path of a request that takes [`SLOW_TIME`].
+pub(crate) const SLOW_MARKER: &str = "slow";
+const SLOW_TIME: time::Duration = time::Duration::from_millis(90);
+
 /// State of a server that its connections share.
 struct ServerState {
     service: String,
@@ -364,7 +368,10 @@
         let _ = stream.write_all(head.as_bytes()).await;
         let _ = stream.write_all(&[b'.'; 2_000]).await;
     }
-    if shared.crashes.begin(path, id) {
+    if path.contains(SLOW_MARKER) {
+        tokio::time::sleep(SLOW_TIME).await;
+    }
+    if shared.crashes.begin(path, id).await {
         return future::pending().await;
     }
     if shared.silent.load(atomic::Ordering::Relaxed) {
--- a/crates/fireflyspool/tests/shortage_forwarding.rs
+++ b/crates/fireflyspool/tests/shortage_forwarding.rs
@@ -20,6 +20,10 @@
     fn open(&self, _: net::SocketAddr) -> node::OpenFuture {
         Box::pin(future::ready(()))
     }
+
+    fn accepts(&self, _: net::SocketAddr, _: Option<usize>) -> node::AcceptsFuture {
+        Box::pin(future::ready(Some(true)))
+    }
 }
 
 fn route(host: &str, priority: u32) -> configuration::Route {
