Check servers with few connections only after a failure

Cause: the checks of servers under attempts that were given up open a connection where none is kept. Of a server that accepts fewer connections than there are entry VMs, a VM may keep none, so each of its checks, every 0.5 s, would take a connection from the others.

Change: such a server is checked once another attempt has failed there, and is otherwise judged by its next incarnation.

--- a/crates/fireflyspool/tests/given_up_attempts.rs
+++ b/crates/fireflyspool/tests/given_up_attempts.rs
@@ -57,6 +57,11 @@
     }
 
     fn give_up(&mut self, content: u64) {
+        self.give_up_keeping(content, None);
+    }
+
+    /// Gives up an attempt at a server to which `kept` idle connections may be kept.
+    fn give_up_keeping(&mut self, content: u64, kept: Option<usize>) {
         let attempt = containment::GivenUp {
             request: content.to_string(),
             content,
@@ -64,7 +69,7 @@
             server: "s".to_owned(),
             born: 1,
             address: "10.0.0.1:80".parse().expect("an address"),
-            kept: None,
+            kept,
             probe: false,
             until: self.now + TIMEOUT,
         };
@@ -174,6 +179,18 @@
     assert_eq!(vm.crashes(), [CONTENT]);
 }
 
+/// Guards against checks that take connections from the other entry VMs.
+#[test]
+fn a_server_with_few_connections_is_checked_only_after_a_failure() {
+    let mut vm = Vm::new();
+    vm.give_up_keeping(CONTENT, Some(0));
+    vm.now += TIMEOUT;
+    assert!(vm.fleet.due_checks(vm.now).is_empty());
+    assert!(vm.fleet.hurry_check("s", vm.now));
+    vm.check(time::Duration::ZERO, Some(false));
+    assert_eq!(vm.crashes(), [CONTENT]);
+}
+
 /// Guards against memory and checks that grow with the callers that leave.
 #[test]
 fn a_storm_of_callers_that_leave_is_bounded() {
