Have the stand-in server round its pauses up

The logs show why: the server stated a pause of 1,199 ms at 02.860, the entry VM sent the next attempt at 04.059, and the server rejected it without a pause of a whole millisecond left. The stand-in rounds what is left of its pause to the nearest millisecond, so it can state an end up to half a millisecond before it accepts requests; an attempt that comes within that time meets it.

Change: the stand-in adds half a millisecond before it rounds, so a stated pause is never too short. No assertion of the test changed; offenders are still counted by the end of the server's own pause.

--- a/crates/fireflyspool/tests/platform_site/stand_in_server.rs
+++ b/crates/fireflyspool/tests/platform_site/stand_in_server.rs
@@ -344,7 +344,8 @@
     if let Some(left) = shared.notices.pause_left(id) {
         let extra = format!(
             "X-Not-Executed: 1\r\nRetry-After: {:.3}\r\n",
-            left.as_secs_f64()
+            // A pause that is rounded down would end before the server accepts requests.
+            (left + time::Duration::from_micros(500)).as_secs_f64()
         );
         return write(stream, "503 Paused", id, &extra, b"").await;
     }
