Record what a probe has shown before its request reads it

Cause: the task of a probe recorded its end only if the request had been given up by then. A caller that leaves between the hand-over of the end and the next poll of the request lost it.

--- a/crates/fireflyspool/src/node/probe.rs
+++ b/crates/fireflyspool/src/node/probe.rs
@@ -19,29 +19,30 @@
     let (sender, receiver) = oneshot::channel();
     tokio::spawn(async move {
         let end = attempt.await;
-        if let Err(end) = sender.send(end) {
-            record(&forwarding, content, send, &end);
+        // The request may be given up after it was sent the end and before it has read it.
+        record(&forwarding, content, &send, &end);
+        if sender.send(end).is_err() {
+            slog::info!(forwarding.process.logger, "probe ended after its request";
+                "content" => content, "server" => &send.server);
         }
     });
     // The task sends unless it panics.
     receiver.await.unwrap_or(forward::AttemptEnd::Broken)
 }
 
-/// Records the end of a probe whose request was given up.
+/// Records what the end of a probe shows; the request may record the same again.
 fn record(
     forwarding: &node::Forwarding,
     content: ids::Fingerprint,
-    send: forward::Send,
+    send: &forward::Send,
     end: &forward::AttemptEnd,
 ) {
-    slog::info!(forwarding.process.logger, "probe ended after its request";
-        "content" => content, "server" => &send.server, "end" => end.label());
     let mut fleet = forwarding.fleet();
     match end {
         forward::AttemptEnd::Answered(_) => fleet.clear_content(content),
         forward::AttemptEnd::Crashed => {
             let crash = containment::Crash {
-                server: send.server,
+                server: send.server.clone(),
                 born: send.born,
                 probe: true,
                 unseen: false,
