Put contents that recur first among those under which a server ended

Cause: few contents become suspect in a second. Of the attempts that were given up at a server that ends, those that had come first took the places, so a request that comes last is hidden each time.

Change: a bounded memory counts the incarnations that have ended under a content; the attempts of the content with most ends come first.

--- a/crates/fireflyspool/src/containment/mod.rs
+++ b/crates/fireflyspool/src/containment/mod.rs
@@ -44,6 +44,7 @@
 mod given_up;
 mod ledger;
 mod record;
+mod recurrence;
 mod suspect;
 mod verdict;
 mod watch;
--- a/crates/fireflyspool/src/containment/watch.rs
+++ b/crates/fireflyspool/src/containment/watch.rs
@@ -2,7 +2,7 @@
 
 use std::{net, time};
 
-use crate::containment::watched;
+use crate::containment::{recurrence, watched};
 use crate::{containment, ids, sorted};
 
 /// Most attempts that are watched at a time; further ones are not.
@@ -33,13 +33,14 @@
 /// };
 /// let mut watch = containment::Watch::default();
 /// watch.add(attempt.clone(), now);
-/// assert_eq!(watch.ended("s", 1), [attempt]);
+/// assert_eq!(watch.ended("s", 1, now), [attempt]);
 /// # Ok::<(), std::net::AddrParseError>(())
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Watch {
     servers: sorted::SortedMap<ids::ServerName, watched::Watched>,
     attempts: usize,
+    recurrence: recurrence::Recurrence,
 }
 
 impl Watch {
@@ -71,7 +72,7 @@
         let known = self.servers.get(&attempt.server);
         let ended = match known.map(|known| known.born) {
             Some(born) if born > attempt.born => return vec![attempt],
-            Some(born) if born < attempt.born => self.ended(&attempt.server, born),
+            Some(born) if born < attempt.born => self.ended(&attempt.server, born, now),
             _ => Vec::new(),
         };
         if self.attempts >= MAX_ATTEMPTS {
@@ -86,8 +87,25 @@
         ended
     }
 
-    /// Handles that an incarnation has ended; returns the attempts under which it has.
-    pub fn ended(&mut self, server: &str, born: ids::BornMillis) -> Vec<containment::GivenUp> {
+    /// Handles that an incarnation has ended; returns the attempts under which it has, first
+    /// those of the contents under which most incarnations have ended.
+    pub fn ended(
+        &mut self,
+        server: &str,
+        born: ids::BornMillis,
+        now: time::Instant,
+    ) -> Vec<containment::GivenUp> {
+        let mut attempts = self.remove(server, born);
+        self.recurrence.order(&mut attempts, now);
+        attempts
+    }
+
+    /// Forgets the attempts at an incarnation, whose end will say nothing about them.
+    pub fn forget(&mut self, server: &str, born: ids::BornMillis) {
+        self.remove(server, born);
+    }
+
+    fn remove(&mut self, server: &str, born: ids::BornMillis) -> Vec<containment::GivenUp> {
         let is_known = |watched: &watched::Watched| watched.born <= born;
         if !self.servers.get(server).is_some_and(is_known) {
             return Vec::new();
@@ -112,11 +130,6 @@
         }
     }
 
-    /// Forgets the attempts at an incarnation, whose end will say nothing about them.
-    pub fn forget(&mut self, server: &str, born: ids::BornMillis) {
-        self.ended(server, born);
-    }
-
     /// Has the next check of a server take place at once; returns whether it is watched.
     pub fn hurry(&mut self, server: &str, now: time::Instant) -> bool {
         let watched = self.servers.get_mut(server);
--- a/crates/fireflyspool/src/fleet/fleet_watch.rs
+++ b/crates/fireflyspool/src/fleet/fleet_watch.rs
@@ -48,7 +48,7 @@
 
     /// Records that an incarnation has crashed.
     pub fn record_crashed(&mut self, server: &str, born: ids::BornMillis, now: time::Instant) {
-        let ended = self.watch.ended(server, born);
+        let ended = self.watch.ended(server, born, now);
         self.record_ends(ended, now);
     }
 
--- a/crates/fireflyspool/tests/given_up_attempts.rs
+++ b/crates/fireflyspool/tests/given_up_attempts.rs
@@ -12,6 +12,8 @@
 struct Vm {
     fleet: fleet::Fleet,
     view: fleet::View,
+    /// Start time of the server's incarnation.
+    born: u64,
     now: time::Instant,
 }
 
@@ -42,6 +44,7 @@
         let mut vm = Self {
             fleet: fleet::Fleet::new("a".to_owned(), 1, limits),
             view: fleet::View::default(),
+            born: 1,
             now: time::Instant::now(),
         };
         vm.report("s", 1, registry::Phase::Serving);
@@ -60,6 +63,14 @@
         self.give_up_keeping(content, None);
     }
 
+    /// Has the server end and come back as another incarnation.
+    fn restart(&mut self) {
+        let born = self.born;
+        self.fleet.record_crashed("s", born, self.now);
+        self.born += 1;
+        self.report("s", self.born, registry::Phase::Serving);
+    }
+
     /// Gives up an attempt at a server to which `kept` idle connections may be kept.
     fn give_up_keeping(&mut self, content: u64, kept: Option<usize>) {
         let attempt = containment::GivenUp {
@@ -67,7 +78,7 @@
             content,
             service: SERVICE.to_owned(),
             server: "s".to_owned(),
-            born: 1,
+            born: self.born,
             address: "10.0.0.1:80".parse().expect("an address"),
             kept,
             probe: false,
@@ -179,6 +190,42 @@
     assert_eq!(vm.crashes(), [CONTENT]);
 }
 
+/// A guilty content was hidden by innocent ones: the few that become suspect in a second were
+/// those that had come first.
+#[test]
+fn a_content_that_recurs_is_not_hidden_by_others_at_the_same_server() {
+    let mut vm = Vm::new();
+    for round in 0..3 {
+        for other in 0..50 {
+            vm.give_up(1_000 + round * 50 + other);
+        }
+        vm.give_up(CONTENT);
+        vm.restart();
+        vm.now += time::Duration::from_secs(2);
+    }
+    assert!(vm.crashes().contains(&CONTENT));
+    assert_eq!(
+        vm.fleet.verdict(CONTENT, vm.now),
+        containment::Verdict::Probe
+    );
+}
+
+/// Guards against innocent contents that are refused because their attempts were given up before
+/// a zone lost power: no probe has failed.
+#[test]
+fn a_zone_that_ends_under_many_attempts_refuses_no_content() {
+    let mut vm = Vm::new();
+    for content in 0..300 {
+        for _ in 0..4 {
+            vm.give_up(content);
+            vm.restart();
+        }
+    }
+    for content in 0..300 {
+        assert!(!vm.fleet.is_refused(content, vm.now));
+    }
+}
+
 /// Guards against checks that take connections from the other entry VMs.
 #[test]
 fn a_server_with_few_connections_is_checked_only_after_a_failure() {
