Play more ends, equal records and late answers over two levels

Change: group_fuzz has deadlines, other servers at an address, shards without a server, contents that are suspect from the start, records that are equal and answers after the one to the caller; crashing_requests has two requests that crash servers in turn.

--- a/crates/fireflyspool/tests/crashing_requests.rs
+++ b/crates/fireflyspool/tests/crashing_requests.rs
@@ -99,7 +99,7 @@
 
     /// Sends a request like [`Self::repeat`] for callers that leave before servers crash, some
     /// time after it has begun to run.
-    async fn repeat_and_leave(&mut self, path: &str, crash: time::Duration) {
+    async fn repeat_and_leave(&mut self, paths: &[String], crash: time::Duration) {
         for server in self.servers.lock().await.iter() {
             server.crashes().crash_after(crash);
         }
@@ -109,7 +109,7 @@
         while start.elapsed() < length {
             let entry = self.addresses[next % self.addresses.len()];
             next += 1;
-            let answer = self.caller.get(entry, path);
+            let answer = self.caller.get(entry, &paths[next % paths.len()]);
             // Dropping it closes the connection.
             let _ = tokio::time::timeout(PATIENCE, answer).await;
             tokio::time::sleep(REPEAT_INTERVAL).await;
@@ -221,7 +221,7 @@
 async fn a_request_whose_caller_leaves_before_it_crashes_servers_is_no_longer_sent_to_any() {
     let mut running = Running::start(96).await;
     running
-        .repeat_and_leave(&format!("/one/{MARKER}"), SOON)
+        .repeat_and_leave(&[format!("/one/{MARKER}")], SOON)
         .await;
     assert!(running.crashes().await.len() >= KNOWN_CRASHES);
     running.check_late_repeats().await;
@@ -233,7 +233,7 @@
 async fn a_request_that_crashes_servers_long_after_its_caller_left_is_no_longer_sent_to_any() {
     let mut running = Running::start(99).await;
     running
-        .repeat_and_leave(&format!("/one/{MARKER}"), SOON * 15)
+        .repeat_and_leave(&[format!("/one/{MARKER}")], SOON * 15)
         .await;
     assert!(running.crashes().await.len() >= KNOWN_CRASHES);
     running.check_late_repeats().await;
@@ -245,13 +245,24 @@
 async fn a_query_whose_caller_leaves_before_it_crashes_servers_is_no_longer_sent_to_any() {
     let mut running = Running::start(97).await;
     running
-        .repeat_and_leave(&format!("/all/{MARKER}"), SOON)
+        .repeat_and_leave(&[format!("/all/{MARKER}")], SOON)
         .await;
     assert!(running.crashes().await.len() >= KNOWN_CRASHES);
     running.check_late_repeats().await;
     running.check_others_served().await;
 }
 
+/// Guards against contents that crash servers in turn, each of which is there half as often.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_requests_that_crash_servers_in_turn_are_no_longer_sent_to_any() {
+    let mut running = Running::start(100).await;
+    let paths = ["a", "b"].map(|name| format!("/one/{MARKER}-{name}"));
+    running.repeat_and_leave(&paths, SOON).await;
+    assert!(running.crashes().await.len() >= KNOWN_CRASHES);
+    running.check_late_repeats().await;
+    running.check_others_served().await;
+}
+
 /// Guards against an innocent request that is refused because its callers leave while servers
 /// crash in turn: those that wait get their answer.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/fireflyspool/tests/group_fuzz.rs
+++ b/crates/fireflyspool/tests/group_fuzz.rs
@@ -13,16 +13,22 @@
 const SHARDS: usize = 16;
 const COVERAGE: f64 = 0.5;
 
-/// Records of a response, all different from those of any other.
+/// Steps that are played after the answer to the caller.
+const STEPS_AFTER: usize = 20;
+
+/// Records of a response; the first one is equal to those of some others.
 fn records(response: u64) -> Vec<u8> {
     let record = |index: u64| {
+        if index == 0 && response % 4 == 0 {
+            return vec![0xc0; forward::RECORD_BYTES];
+        }
         let value = (response * 8 + index).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         [value.to_be_bytes(), response.to_be_bytes()].concat()
     };
     (0..1 + response % 5).flat_map(record).collect()
 }
 
-fn signature(shard: usize, response: u64) -> String {
+fn signature(shard: usize, response: &str) -> String {
     format!("{}#{response}", service(shard))
 }
 
@@ -82,7 +88,22 @@
         let zones = |shard: usize| ["a,b", "b,c", "c,b"][shard % 3];
         let delegates = [delegate(2, "b"), delegate(3, "c")];
         // Their servers are known before the query starts.
-        let others = delegates.clone().map(|_| Query::new(SHARDS, zones, &[]));
+        let others = delegates.clone().map(|_| {
+            // The first shard may have no server there, and the content may be suspect.
+            let lacks = choices.chance(20);
+            let known = |shard| {
+                if lacks && shard == 1 {
+                    ""
+                } else {
+                    zones(shard)
+                }
+            };
+            let mut other = Query::new(SHARDS, known, &[]);
+            if choices.chance(10) {
+                other.suspect();
+            }
+            other
+        });
         let mut query = Query::new(SHARDS, zones, &delegates);
         query.top_k = [3, 10, 200][choices.below(3)];
         query.query(SHARDS, COVERAGE, 1 + choices.below(3));
@@ -120,7 +141,8 @@
                     false => self.link.swap_remove(number),
                 };
                 let lost = self.choices.chance(10);
-                if !lost && self.caller.query.outcome.is_none() {
+                // One that comes after the answer to the caller changes nothing.
+                if !lost {
                     self.caller.query.deliver(group, answer);
                 }
             }
@@ -152,20 +174,22 @@
         }
     }
 
-    /// Draws the end of an attempt; a response has a number of its own.
+    /// Draws the end of an attempt; a response has a number of its own for a signature.
     fn end(&mut self) -> forward::AttemptEnd {
-        match self.choices.below(24) {
+        match self.choices.below(26) {
             0 | 1 => return forward::AttemptEnd::Crashed,
             2 | 3 => return forward::AttemptEnd::Rejected,
             4 => return forward::AttemptEnd::Broken,
             5 => return forward::AttemptEnd::Unreachable,
+            6 => return forward::AttemptEnd::TimedOut,
+            7 => return forward::AttemptEnd::WrongServer,
             _ => {}
         }
         self.next_response += 1;
         forward::AttemptEnd::Answered(forward::Response {
             status: 200,
             headers: http::HeaderMap::new(),
-            signature: None,
+            signature: Some(self.next_response.to_string()),
             body: records(self.next_response).into(),
         })
     }
@@ -181,8 +205,8 @@
         let send = vm.open.swap_remove(choices.below(vm.open.len()));
         if let forward::AttemptEnd::Answered(response) = &mut end {
             let shard = shard_number(&vm.query.sends[send].service);
-            let number = response.body[8..16].try_into().expect("eight bytes");
-            response.signature = Some(signature(shard, u64::from_be_bytes(number)));
+            let number = response.signature.take().expect("the number");
+            response.signature = Some(signature(shard, &number));
         }
         vm.query.end_attempt(send, end);
     }
@@ -228,7 +252,7 @@
         let bodies: Vec<_> = parsed.iter().map(|(_, number)| records(*number)).collect();
         let expected =
             forward::merge_top(bodies.iter().map(Vec::as_slice), self.caller.query.top_k);
-        assert_eq!(body.as_ref(), expected, "records of other responses");
+        assert!(body.as_ref() == expected, "records of other responses");
     }
 }
 
@@ -239,8 +263,10 @@
 
 fn run(list: Vec<u32>) {
     let mut run = Run::new(list);
-    while !run.choices.is_over() && run.caller.query.outcome.is_none() {
+    let mut left = STEPS_AFTER;
+    while !run.choices.is_over() && left > 0 {
         run.step();
+        left -= usize::from(run.caller.query.outcome.is_some());
     }
     run.check();
     let (answered, refused) = REACHED.get();
--- a/crates/fireflyspool/tests/group_site/mod.rs
+++ b/crates/fireflyspool/tests/group_site/mod.rs
@@ -2,7 +2,7 @@
 
 use std::{net, sync, time};
 
-use fireflyspool::{configuration, fleet, forward, hub, ids, registry};
+use fireflyspool::{configuration, containment, fleet, forward, hub, ids, registry};
 
 /// Fingerprint of the requests.
 pub(crate) const CONTENT: u64 = 7;
@@ -129,7 +129,7 @@
             ..fleet::View::default()
         };
         for shard in 0..shards {
-            for zone in zones(shard).split(',') {
+            for zone in zones(shard).split(',').filter(|zone| !zone.is_empty()) {
                 let server = format!("{}-{zone}", service(shard));
                 let record = registry::Record {
                     version: String::new(),
@@ -166,6 +166,17 @@
         }
     }
 
+    /// Has the VM know of a crash under the content of the query.
+    pub(crate) fn suspect(&mut self) {
+        let crash = containment::Crash {
+            server: "other".to_owned(),
+            born: 1,
+            probe: false,
+            unseen: false,
+        };
+        self.fleet.record_crash(CONTENT, crash, self.now);
+    }
+
     /// Starts a query over the first `shards` shards.
     pub(crate) fn query(&mut self, shards: usize, coverage: f64, attempts: usize) {
         let route = configuration::Route {
--- a/crates/fireflyspool/tests/groups.rs
+++ b/crates/fireflyspool/tests/groups.rs
@@ -1,6 +1,7 @@
 //! Groups of shards that one entry VM delegates to others: what is delegated, how answers are
 //! merged, and what happens when the other VM fails.
 
+#[allow(dead_code, reason = "each test binary uses a part of the module")]
 mod group_site;
 
 use std::{collections, time};
