Call what is learned late an unseen crash, and say what it costs

Cause: the change used two words, ends and crashes, for one thing, and a module was named after what it finds and not after what it does.

--- a/crates/fireflyspool/src/fleet/fleet.rs
+++ b/crates/fireflyspool/src/fleet/fleet.rs
@@ -31,7 +31,7 @@
     /// Attempts that were given up.
     pub(super) watch: containment::Watch,
     /// Those under which servers have ended and that count, not yet taken.
-    pub(super) unseen_ends: Vec<containment::GivenUp>,
+    pub(super) unseen_crashes: Vec<containment::GivenUp>,
     pub(super) shortage: fleet::shortage_meter::ShortageMeter,
     /// 0 to 1; differs between the VMs of a site.
     pub(super) spread: f64,
@@ -66,7 +66,7 @@
             observations: fleet::observations::Observations::default(),
             suspects: fleet::suspects::Suspects::default(),
             watch: containment::Watch::default(),
-            unseen_ends: Vec::new(),
+            unseen_crashes: Vec::new(),
             shortage: fleet::shortage_meter::ShortageMeter::default(),
             spread: (hashing::StableHasher::new().number(incarnation).finish() >> 40) as f64
                 / f64::from(1 << 24),
--- a/crates/fireflyspool/src/fleet/fleet_watch.rs
+++ b/crates/fireflyspool/src/fleet/fleet_watch.rs
@@ -11,7 +11,7 @@
         let is_first = self.watch.is_empty();
         if !self.is_leaving(&attempt) {
             let ended = self.watch.add(attempt, now);
-            self.record_ends(ended, now);
+            self.record_unseen(ended, now);
         }
         is_first && !self.watch.is_empty()
     }
@@ -49,7 +49,7 @@
     /// Records that an incarnation has crashed.
     pub fn record_crashed(&mut self, server: &str, born: ids::BornMillis, now: time::Instant) {
         let ended = self.watch.ended(server, born, now);
-        self.record_ends(ended, now);
+        self.record_unseen(ended, now);
     }
 
     /// Has a server that could not be reached checked at once; returns whether it is watched.
@@ -59,8 +59,8 @@
 
     /// Removes and returns the attempts that were given up and under which servers have ended,
     /// as far as that may change a verdict.
-    pub fn take_unseen_ends(&mut self) -> Vec<containment::GivenUp> {
-        mem::take(&mut self.unseen_ends)
+    pub fn take_unseen_crashes(&mut self) -> Vec<containment::GivenUp> {
+        mem::take(&mut self.unseen_crashes)
     }
 
     /// Compares the watched incarnations with a view: one that is replaced although it did not
@@ -108,7 +108,7 @@
             || self.notices.is_leaving(&attempt.server, attempt.born)
     }
 
-    fn record_ends(&mut self, ended: Vec<containment::GivenUp>, now: time::Instant) {
+    fn record_unseen(&mut self, ended: Vec<containment::GivenUp>, now: time::Instant) {
         for attempt in ended {
             let crash = containment::Crash {
                 server: attempt.server.clone(),
@@ -117,7 +117,7 @@
                 unseen: true,
             };
             if self.record_crash(attempt.content, crash, now) {
-                self.unseen_ends.push(attempt);
+                self.unseen_crashes.push(attempt);
             }
         }
     }
--- a/crates/fireflyspool/src/forward/missing_shard.rs
+++ b/crates/fireflyspool/src/forward/missing_shard.rs
@@ -10,7 +10,8 @@
     pub position: usize,
     /// Backend servers that got an attempt.
     pub tried: Vec<ids::ServerName>,
-    /// Whether an attempt is under way, so that a later answer may have the shard.
+    /// Whether an attempt is under way, so that a later answer may have the shard; if not, no
+    /// further one is sent.
     pub running: bool,
     /// Whether an attempt may have run.
     pub ran: bool,
--- a/crates/fireflyspool/src/node/entry.rs
+++ b/crates/fireflyspool/src/node/entry.rs
@@ -70,7 +70,7 @@
         );
         let opening = node::first_connections::open(sync::Arc::clone(&forwarding));
         tokio::spawn(opening);
-        tokio::spawn(node::unseen_ends::watch(sync::Arc::clone(&forwarding)));
+        tokio::spawn(node::server_checks::run(sync::Arc::clone(&forwarding)));
         Ok(sync::Arc::new(Self {
             process,
             forwarding,
--- a/crates/fireflyspool/src/node/forwarding.rs
+++ b/crates/fireflyspool/src/node/forwarding.rs
@@ -301,9 +301,9 @@
             self.process
                 .send_event(control::Event::Observed(observation));
         }
-        for attempt in fleet.take_unseen_ends() {
-            telemetry::Metrics::count(&self.metrics.unseen_ends, &attempt.service);
-            slog::warn!(self.process.logger, "backend server ended after an attempt was given up";
+        for attempt in fleet.take_unseen_crashes() {
+            telemetry::Metrics::count(&self.metrics.unseen_crashes, &attempt.service);
+            slog::warn!(self.process.logger, "backend server crashed after an attempt was given up";
                 "request" => &attempt.request, "server" => &attempt.server,
                 "service" => &attempt.service, "born" => attempt.born,
                 "content" => attempt.content, "probe" => attempt.probe);
--- a/crates/fireflyspool/src/node/mod.rs
+++ b/crates/fireflyspool/src/node/mod.rs
@@ -35,7 +35,7 @@
 mod rpc_outlet;
 mod running_exchange;
 mod running_guard;
-mod unseen_ends;
+mod server_checks;
 
 pub use account_limits::AccountLimits;
 pub use acknowledgement::Acknowledgement;
--- a/crates/fireflyspool/src/node/unseen_ends.rs
+++ b/crates/fireflyspool/src/node/server_checks.rs
@@ -17,7 +17,7 @@
 const MAX_CHECKS: usize = 8;
 
 /// Checks servers for as long as any is watched.
-pub(super) async fn watch(forwarding: sync::Arc<node::Forwarding>) {
+pub(super) async fn run(forwarding: sync::Arc<node::Forwarding>) {
     let timer = forwarding.process.timer.clone();
     loop {
         let is_watching = forwarding.fleet().is_watching();
--- a/crates/fireflyspool/src/telemetry/metrics.rs
+++ b/crates/fireflyspool/src/telemetry/metrics.rs
@@ -41,9 +41,9 @@
     /// Attempts that avoided the best server, or waited, because of the limit of connections to
     /// it, by service.
     pub connections_withheld: Counters,
-    /// Attempts that were given up and whose backend server ended, as far as they count, by
+    /// Attempts that were given up and under which their backend server crashed, as far as they count, by
     /// service.
-    pub unseen_ends: Counters,
+    pub unseen_crashes: Counters,
     /// State of this process by name: revision, lease, members, servers and others.
     pub state: Gauges,
     /// Log lines dropped because the queue was full.
@@ -91,11 +91,11 @@
             "Attempts that avoided a server because of the limit of connections, by service",
             connections_withheld.clone(),
         );
-        let unseen_ends = Counters::default();
+        let unseen_crashes = Counters::default();
         registry.register(
-            "unseen_ends",
-            "Attempts given up whose server ended, as far as they count, by service",
-            unseen_ends.clone(),
+            "unseen_crashes",
+            "Attempts given up under which their server crashed, as far as they count, by service",
+            unseen_crashes.clone(),
         );
         let state = Gauges::default();
         registry.register("state", "State of this process by name", state.clone());
@@ -115,7 +115,7 @@
             attempts,
             connections_refused,
             connections_withheld,
-            unseen_ends,
+            unseen_crashes,
             state,
             dropped_lines,
         }
--- a/crates/fireflyspool/tests/given_up_attempts.rs
+++ b/crates/fireflyspool/tests/given_up_attempts.rs
@@ -135,7 +135,7 @@
         }
         end(&mut vm);
         assert_eq!(vm.crashes(), [CONTENT], "case {number}");
-        assert_eq!(vm.fleet.take_unseen_ends().len(), 1);
+        assert_eq!(vm.fleet.take_unseen_crashes().len(), 1);
         assert_eq!(
             vm.fleet.verdict(CONTENT, vm.now),
             containment::Verdict::Probe
@@ -251,5 +251,5 @@
     vm.fleet.record_crashed("s", 1, vm.now);
     let reported = vm.crashes().len();
     assert!(reported <= 4, "few contents are reported");
-    assert_eq!(vm.fleet.take_unseen_ends().len(), reported);
+    assert_eq!(vm.fleet.take_unseen_crashes().len(), reported);
 }
--- a/crates/fireflyspool/tests/group_fuzz.rs
+++ b/crates/fireflyspool/tests/group_fuzz.rs
@@ -19,7 +19,7 @@
 /// Records of a response; the first one is equal to those of some others.
 fn records(response: u64) -> Vec<u8> {
     let record = |index: u64| {
-        if index == 0 && response % 4 == 0 {
+        if index == 0 && response.is_multiple_of(4) {
             return vec![0xc0; forward::RECORD_BYTES];
         }
         let value = (response * 8 + index).wrapping_mul(0x9e37_79b9_7f4a_7c15);
