Renumber the cases of the third review

Change: case 12 becomes 13 and case 13 becomes 15. The stand-in of a searcher can crash under given requests.

--- a/review/14/run.sh
+++ b/review/15/run.sh
@@ -2,4 +2,4 @@
 # Needs the build of the deploy file and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3 ] && [ -x target/release/fireflyspool ] || exit 2
-exec target/review-3 restart review/14/record.txt
+exec target/review-3 late review/15/record.txt
--- a/review/support-3/client.rs
+++ b/review/support-3/client.rs
@@ -3,8 +3,8 @@
 use std::{
     net::SocketAddr,
     sync::{
-        atomic::{AtomicBool, AtomicU64, Ordering},
         Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -30,6 +30,7 @@
 pub struct Kind {
     pub route: &'static str,
     pub method: &'static str,
+    /// A number follows if it ends with a slash.
     pub prefix: &'static str,
     pub deadline: Duration,
 }
@@ -107,7 +108,10 @@
         for turn in 0..addresses.len().min(3) {
             let address = addresses[(number as usize + turn) % addresses.len()];
             let id = format!("r{number:06}t{turn}");
-            let path = format!("{}{number}", kind.prefix);
+            let path = match kind.prefix.ends_with('/') {
+                true => format!("{}{number}", kind.prefix),
+                false => kind.prefix.to_owned(),
+            };
             let sent = Instant::now();
             let left = kind.deadline.saturating_sub(start.elapsed());
             let millis = left.as_millis().to_string();
@@ -174,12 +178,7 @@
         let sent = outcomes
             .iter()
             .filter(|outcome| outcome.route == route && (from..to).contains(&outcome.sent));
-        let sent: Vec<_> = sent.collect();
-        (
-            sent.len(),
-            sent.iter()
-                .filter(|outcome| (200..300).contains(&outcome.status))
-                .count(),
-        )
+        let is_served = |outcome: &&Outcome| (200..300).contains(&outcome.status);
+        (sent.clone().count(), sent.filter(is_served).count())
     }
 }
--- a/review/support-3/foreign.rs
+++ b/review/support-3/foreign.rs
@@ -1,13 +1,13 @@
 //! Liveness reports from another writer, for a service that isn't named in any manifest.
 
 use std::{
-    sync::{atomic::Ordering, Arc},
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
 use crate::{
-    client::Kind, found, http, manifest, searcher, searcher::Searcher, site::Site, sleep, Route,
-    Verdict,
+    Route, Verdict, client::Kind, found, http, manifest, searcher, searcher::Searcher, site::Site,
+    sleep,
 };
 
 const FIRST: &str = "\"Backend\":\"desk\"";
--- a/review/support-3/late.rs
+++ b/review/support-3/late.rs
@@ -1,16 +1,17 @@
 //! Liveness reports of a zone arrive late while its evacuation ends.
 
 use std::{
-    sync::{atomic::Ordering, Arc},
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
 use crate::{
+    Route, Verdict,
     client::{Clients, Kind},
     found, manifest,
     searcher::Searcher,
     site::{Site, ZONES},
-    sleep, Route, Verdict,
+    sleep,
 };
 
 /// Requests per second that the manifest allows to a cold searcher.
--- a/review/support-3/main.rs
+++ b/review/support-3/main.rs
@@ -6,7 +6,6 @@
 mod foreign;
 mod http;
 mod late;
-mod restart;
 mod searcher;
 mod site;
 mod stranger;
@@ -33,7 +32,6 @@
     let run = match case.as_str() {
         "foreign" => foreign::run,
         "late" => late::run,
-        "restart" => restart::run,
         "stranger" => stranger::run,
         other => {
             eprintln!("there is no case {other}");
--- a/review/support-3/searcher.rs
+++ b/review/support-3/searcher.rs
@@ -4,8 +4,8 @@
     io::{self, Write as _},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         Arc, Condvar, Mutex,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -47,7 +47,11 @@
     pub fragile: AtomicUsize,
     /// Milliseconds for which a request runs.
     pub work: AtomicU64,
+    /// Paths of the requests under which it crashes soon after it began to run them.
+    pub deadly: Mutex<Vec<&'static str>>,
     pub arrivals: Mutex<Vec<Arrival>>,
+    /// Its crashes, each with the path of the request that caused it.
+    pub crashes: Mutex<Vec<(Instant, String)>>,
     /// Requests that ran at a crash.
     pub lost: Mutex<Vec<String>>,
     life: Mutex<Arc<Life>>,
@@ -56,6 +60,9 @@
 /// Requests that wait for a slot at most.
 const QUEUE: usize = 24;
 
+/// Time between the begin of a request and the crash that it causes.
+const FUSE: Duration = Duration::from_millis(10);
+
 /// Time for which a searcher is down after a crash.
 const CRASH: Duration = Duration::from_secs(4);
 
@@ -104,7 +111,9 @@
             cold_until: Mutex::new(None),
             fragile: AtomicUsize::new(0),
             work: AtomicU64::new(10),
+            deadly: Mutex::default(),
             arrivals: Mutex::default(),
+            crashes: Mutex::default(),
             lost: Mutex::default(),
             life: Mutex::default(),
         });
@@ -130,8 +139,10 @@
     }
 
     /// Ends; its connections close, and the work on them is lost.
-    fn crash(&self, life: &Life) {
+    fn crash(&self, life: &Life, path: &str) {
         if !life.ended.swap(true, Ordering::SeqCst) {
+            let crash = (Instant::now(), path.to_owned());
+            self.crashes.lock().expect("the crashes").push(crash);
             for connection in life.connections.lock().expect("the connections").iter() {
                 let _ = connection.shutdown(Shutdown::Both);
             }
@@ -315,8 +326,14 @@
         *running += 1;
         drop(running);
         life.waiting.fetch_sub(1, Ordering::Relaxed);
+        let path = request.word(1);
+        let deadly = self.deadly.lock().expect("the paths").contains(&path);
+        if deadly {
+            thread::sleep(FUSE);
+            self.crash(life, path);
+        }
         if cold && self.is_overrun() {
-            self.crash(life);
+            self.crash(life, path);
         }
         thread::sleep(Duration::from_millis(self.work.load(Ordering::Relaxed)));
         *life.running.lock().expect("the slots") -= 1;
--- a/review/support-3/stranger.rs
+++ b/review/support-3/stranger.rs
@@ -2,18 +2,18 @@
 
 use std::{
     sync::{
-        atomic::{AtomicBool, Ordering},
         Arc,
+        atomic::{AtomicBool, Ordering},
     },
     thread,
     time::Duration,
 };
 
 use crate::{
-    found, http, late, manifest,
+    Verdict, found, http, late, manifest,
     searcher::Searcher,
     site::{Site, ZONES},
-    sleep, Verdict,
+    sleep,
 };
 
 pub fn run(site: &Arc<Site>, trouble: bool) -> Verdict {
