--- a/review/support-3/main.rs
+++ b/review/support-3/main.rs
@@ -8,6 +8,7 @@
 mod late;
 mod searcher;
 mod site;
+mod storm;
 mod stranger;
 
 use std::{panic, process::ExitCode, sync::Arc, time::Duration};
@@ -32,6 +33,7 @@
     let run = match case.as_str() {
         "foreign" => foreign::run,
         "late" => late::run,
+        "storm" => storm::run,
         "stranger" => stranger::run,
         other => {
             eprintln!("there is no case {other}");
