Show that a request that crashes searchers is not contained in a crowd

Cause: all requests that run at a searcher when it ends become suspect, at most four of them a second are taken up, and the retries of the others leave no budget for the probe that would mark the right one.

The stand-in of a searcher drops the handles of closed connections.

--- a/review/support-3/main.rs
+++ b/review/support-3/main.rs
@@ -3,6 +3,7 @@
 //! Exit code: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 
 mod client;
+mod crowd;
 mod foreign;
 mod http;
 mod late;
@@ -31,6 +32,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = match case.as_str() {
+        "crowd" => crowd::run,
         "foreign" => foreign::run,
         "late" => late::run,
         "storm" => storm::run,
--- a/review/support-3/searcher.rs
+++ b/review/support-3/searcher.rs
@@ -1,6 +1,7 @@
 //! Stand-in searcher, written from the users' page on the protocol.
 
 use std::{
+    collections::HashMap,
     io::{self, Write as _},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -29,7 +30,8 @@
     running: Mutex<usize>,
     freed: Condvar,
     waiting: AtomicUsize,
-    connections: Mutex<Vec<TcpStream>>,
+    /// Open connections by the port of the peer.
+    connections: Mutex<HashMap<SocketAddr, TcpStream>>,
 }
 
 pub struct Searcher {
@@ -143,7 +145,7 @@
         if !life.ended.swap(true, Ordering::SeqCst) {
             let crash = (Instant::now(), path.to_owned());
             self.crashes.lock().expect("the crashes").push(crash);
-            for connection in life.connections.lock().expect("the connections").iter() {
+            for connection in life.connections.lock().expect("the connections").values() {
                 let _ = connection.shutdown(Shutdown::Both);
             }
         }
@@ -158,19 +160,27 @@
                 .set_nonblocking(true)
                 .expect("a listener that does not block");
             while !life.ended.load(Ordering::SeqCst) {
-                let Ok((stream, _)) = listener.accept() else {
+                let Ok((stream, peer)) = listener.accept() else {
                     thread::sleep(Duration::from_millis(1));
                     continue;
                 };
                 stream
                     .set_nonblocking(false)
                     .expect("a connection that blocks");
-                life.connections
+                let second = stream.try_clone().expect("a second handle");
+                let connections = &life.connections;
+                connections
                     .lock()
                     .expect("the connections")
-                    .push(stream.try_clone().expect("a second handle"));
+                    .insert(peer, second);
                 let (searcher, life) = (Arc::clone(self), Arc::clone(&life));
-                thread::spawn(move || searcher.serve(stream, &life));
+                thread::spawn(move || {
+                    searcher.serve(stream, &life);
+                    life.connections
+                        .lock()
+                        .expect("the connections")
+                        .remove(&peer);
+                });
             }
             drop(listener);
             thread::sleep(CRASH);
